--- /dev/null
+++ b/crates/agent/src/control_front.rs
@@ -0,0 +1,79 @@
+//! The JSON-RPC front of an agent: calls, cancels, drains and probes.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use domain::{AttemptNumber, GenerationId};
+use jsonrpsee::{
+    core::{RpcResult, async_trait},
+    server::{Server, ServerHandle},
+    types::{ErrorObjectOwned, error::INVALID_PARAMS_CODE},
+};
+use tokio::time::Instant;
+use wire::{
+    agent_control::{AgentControlServer, ServerReport},
+    service_call::{CallMessage, CallReply},
+};
+
+use crate::{AgentState, call_runner::CallRunner, generation_task::TaskCommand};
+
+/// Answers control calls.
+pub struct ControlFront {
+    state: Arc<AgentState>,
+    runner: CallRunner,
+}
+
+impl ControlFront {
+    /// Front of an agent.
+    pub fn new(state: Arc<AgentState>) -> Self {
+        Self {
+            runner: CallRunner::new(Arc::clone(&state)),
+            state,
+        }
+    }
+
+    fn report(&self) -> ServerReport {
+        let silence = self.state.server_silence(Instant::now()).as_millis();
+        ServerReport {
+            server: self.state.settings.name.as_str().to_owned(),
+            leaving: self.state.is_leaving(),
+            generations: u32::try_from(self.state.registry.len()).unwrap_or(u32::MAX),
+            calls: self.state.calls.load(Ordering::Relaxed),
+            silence_ms: u64::try_from(silence).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+#[async_trait]
+impl AgentControlServer for ControlFront {
+    async fn call(&self, call: CallMessage) -> RpcResult<CallReply> {
+        Ok(self.runner.run(&call).await)
+    }
+
+    async fn cancel(&self, generation: String, attempt: u32) -> RpcResult<bool> {
+        let generation: GenerationId = generation.parse().map_err(|error| {
+            ErrorObjectOwned::owned(INVALID_PARAMS_CODE, format!("{error}"), None::<()>)
+        })?;
+        let Some(task) = self.state.registry.get(generation) else {
+            return Ok(false);
+        };
+        let attempt = AttemptNumber(attempt);
+        Ok(task.send(TaskCommand::Cancel { attempt }).await.is_ok())
+    }
+
+    async fn drain(&self, leaving: bool) -> RpcResult<ServerReport> {
+        log::info!("told to {}", if leaving { "drain" } else { "serve" });
+        self.state.set_leaving(leaving);
+        Ok(self.report())
+    }
+
+    async fn probe(&self) -> RpcResult<ServerReport> {
+        Ok(self.report())
+    }
+}
+
+/// Serve control calls until the handle is dropped.
+pub async fn serve_control(state: &Arc<AgentState>) -> std::io::Result<ServerHandle> {
+    let server = Server::builder().build(state.settings.control).await?;
+    let front = ControlFront::new(Arc::clone(state));
+    Ok(server.start(front.into_rpc()))
+}
--- /dev/null
+++ b/crates/agent/src/engine_client.rs
@@ -0,0 +1,90 @@
+//! The engine beside the agent.
+
+use std::{net::SocketAddr, time::Duration};
+
+use domain::{AttemptNumber, GenerationId, WorkClass};
+use exchange::{EventStream, ExchangeCall, ExchangeError, HttpExchange};
+use wire::{
+    engine::{EngineCancel, EngineLoad, EngineRequest},
+    stream::OpenMessage,
+};
+
+/// Time within which an engine takes a request in, before any prefill.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time within which an engine answers small questions.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Client of one engine.
+#[derive(Clone)]
+pub struct EngineClient {
+    streams: HttpExchange,
+    questions: HttpExchange,
+    address: SocketAddr,
+}
+
+impl EngineClient {
+    /// Client of the engine at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            streams: HttpExchange::fresh(),
+            questions: HttpExchange::pooled(),
+            address,
+        }
+    }
+
+    /// Ask for the tokens after those delivered.
+    pub async fn open(
+        &self,
+        generation: GenerationId,
+        open: &OpenMessage,
+    ) -> Result<EventStream, String> {
+        let request = EngineRequest {
+            request_id: request_id(generation, AttemptNumber(open.attempt)),
+            pin: open.pin.clone(),
+            prompt: open.prompt.clone(),
+            resume: open.delivered.clone(),
+            max_tokens: open.max_tokens,
+            priority: priority(open.class.into()),
+        };
+        let call = ExchangeCall::post(self.address, "/v1/completions")
+            .json(&request)
+            .timeout(OPEN_TIMEOUT);
+        match self.streams.open_events(call).await {
+            Ok(Ok(events)) => Ok(events),
+            Ok(Err(reply)) => Err(format!("the engine refused with status {}", reply.status)),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// Stop an attempt, so that it costs the engine no more.
+    pub async fn cancel(&self, generation: GenerationId, attempt: AttemptNumber) {
+        let cancel = EngineCancel {
+            request_id: request_id(generation, attempt),
+        };
+        let call = ExchangeCall::post(self.address, "/v1/cancel")
+            .json(&cancel)
+            .timeout(ASK_TIMEOUT);
+        if let Err(error) = self.questions.send(call).await {
+            log::warn!(request:% = generation, attempt:% = attempt; "cancel at the engine failed: {error}");
+        }
+    }
+
+    /// Load as the engine reports it.
+    pub async fn load(&self) -> Result<EngineLoad, ExchangeError> {
+        let call = ExchangeCall::get(self.address, "/v1/load").timeout(ASK_TIMEOUT);
+        self.questions.send(call).await?.json()
+    }
+}
+
+fn request_id(generation: GenerationId, attempt: AttemptNumber) -> String {
+    format!("{generation}.{attempt}")
+}
+
+/// Engines serve lower numbers first.
+const fn priority(class: WorkClass) -> u8 {
+    match class {
+        WorkClass::Short => 0,
+        WorkClass::Long => 1,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,23 @@
+//! The process beside each backend server, and the only way to it.
+//!
+//! The agent keeps the token log of the generations at its engine, records
+//! intents before it runs calls that may not be repeated, and refuses new work
+//! when its server is leaving. Each generation belongs to one task that owns
+//! its log; requests reach it through a channel and never wait for a lock.
+
+mod agent_metrics;
+mod agent_state;
+mod call_runner;
+mod control_front;
+mod engine_client;
+mod generation_registry;
+mod generation_task;
+mod intent_log;
+mod server_watch;
+mod state_dump;
+mod stream_front;
+
+pub use agent_state::AgentState;
+pub use control_front::{ControlFront, serve_control};
+pub use server_watch::watch_server;
+pub use stream_front::{serve_streams, wait_until_drained};
--- /dev/null
+++ b/crates/agent/src/stream_front.rs
@@ -0,0 +1,183 @@
+//! The HTTP front of an agent: token streams, metrics and state.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use domain::{GenerationId, TokenPosition};
+use futures_util::{Stream, future::BoxFuture, stream};
+use http::StatusCode;
+use telemetry::StopSignal;
+use tokio::{sync::mpsc, time::Instant};
+use volo::net::Address;
+use volo_http::{
+    response::Response,
+    server::{
+        IntoResponse, Router, Server,
+        extract::{Json, Query},
+        param::PathParams,
+        response::sse::{Event, Sse},
+        route::{get, post},
+    },
+    utils::Extension,
+};
+use wire::{
+    ProblemReport,
+    stream::{
+        BEAT_EVENT, END_EVENT, LOST_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT, TOKEN_EVENT,
+    },
+};
+
+use crate::{
+    AgentState,
+    generation_task::{READER_ITEMS_MAX, StreamItem, TaskCommand, spawn_generation},
+    state_dump::dump_state,
+};
+
+/// Time between two looks at whether a drain is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+type SharedState = Extension<Arc<AgentState>>;
+
+/// Serve until the process is told to stop and has drained.
+pub async fn serve_streams(
+    state: Arc<AgentState>,
+    stop: StopSignal,
+) -> Result<(), volo_http::error::BoxError> {
+    let router = Router::new()
+        .route("/v1/generations", post(open_generation))
+        .route("/v1/generations/{generation}", get(take_over))
+        .route("/metrics", get(show_metrics))
+        .route("/state", get(show_state))
+        .layer(Extension(Arc::clone(&state)));
+    let address = Address::from(state.settings.listen);
+    Server::new(router)
+        .register_shutdown_hook(move || -> BoxFuture<'static, ()> {
+            Box::pin(wait_until_drained(state, stop))
+        })
+        .run(address)
+        .await
+}
+
+/// Refuse new work and wait for what is in flight.
+pub async fn wait_until_drained(state: Arc<AgentState>, mut stop: StopSignal) {
+    stop.stopped().await;
+    state.set_leaving(true);
+    let deadline = Instant::now() + state.settings.drain_max;
+    while is_busy(&state) && Instant::now() < deadline {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    log::info!("drained");
+}
+
+fn is_busy(state: &AgentState) -> bool {
+    state.registry.len() > 0 || state.calls.load(Ordering::Relaxed) > 0
+}
+
+async fn open_generation(Extension(state): SharedState, Json(open): Json<OpenMessage>) -> Response {
+    let Ok(generation) = GenerationId::try_from(&open) else {
+        return refuse(StatusCode::BAD_REQUEST, "malformed", "generation");
+    };
+    let (sender, receiver) = mpsc::channel(READER_ITEMS_MAX);
+    let known = state.registry.get(generation);
+    // A leaving server finishes what it has and starts nothing.
+    if known.is_none() && state.is_leaving() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", "");
+    }
+    let open = Box::new(open);
+    let (open, task) = match known {
+        Some(task) => (open, task),
+        None => match spawn_generation(&state, generation, open, sender.clone()) {
+            Ok(()) => return events(receiver),
+            Err((open, task)) => (open, task),
+        },
+    };
+    let reader = sender;
+    if task.send(TaskCommand::Open { open, reader }).await.is_err() {
+        return refuse(StatusCode::CONFLICT, "ended", "");
+    }
+    events(receiver)
+}
+
+/// Where a new entry wants to begin.
+#[derive(Debug, serde::Deserialize)]
+struct TakeOverQuery {
+    from: u32,
+}
+
+async fn take_over(
+    PathParams(generation): PathParams<String>,
+    Extension(state): SharedState,
+    Query(query): Query<TakeOverQuery>,
+) -> Response {
+    let Ok(generation) = generation.parse::<GenerationId>() else {
+        return refuse(StatusCode::BAD_REQUEST, "malformed", "generation");
+    };
+    let Some(task) = state.registry.get(generation) else {
+        return refuse(StatusCode::NOT_FOUND, "unknown-generation", "generation");
+    };
+    let (reader, receiver) = mpsc::channel(READER_ITEMS_MAX);
+    let from = TokenPosition(query.from);
+    if task
+        .send(TaskCommand::TakeOver { from, reader })
+        .await
+        .is_err()
+    {
+        return refuse(StatusCode::NOT_FOUND, "unknown-generation", "generation");
+    }
+    events(receiver)
+}
+
+async fn show_metrics(Extension(state): SharedState) -> String {
+    state.metrics.set.render()
+}
+
+async fn show_state(Extension(state): SharedState) -> Response {
+    Json(dump_state(&state, Instant::now())).into_response()
+}
+
+fn refuse(status: StatusCode, kind: &str, field: &str) -> Response {
+    let problem = ProblemReport {
+        kind: kind.to_owned(),
+        title: "nothing was started".to_owned(),
+        status: status.as_u16(),
+        field: (!field.is_empty()).then(|| field.to_owned()),
+        outcome: Some("not run".to_owned()),
+        ..ProblemReport::default()
+    };
+    (status, Json(problem)).into_response()
+}
+
+fn events(receiver: mpsc::Receiver<StreamItem>) -> Response {
+    Sse::new(item_events(receiver)).into_response()
+}
+
+fn item_events(
+    mut receiver: mpsc::Receiver<StreamItem>,
+) -> impl Stream<Item = Result<Event, Infallible>> + Send + Sync + 'static {
+    stream::poll_fn(move |cx| {
+        receiver
+            .poll_recv(cx)
+            .map(|item| item.map(|item| Ok(encode(&item))))
+    })
+}
+
+fn encode(item: &StreamItem) -> Event {
+    match item {
+        StreamItem::Record(record) => named(RECORD_EVENT, record.as_ref()),
+        StreamItem::Token(token) => named(TOKEN_EVENT, token),
+        StreamItem::Beat(beat) => named(BEAT_EVENT, beat),
+        StreamItem::End(end) => named(END_EVENT, end),
+        StreamItem::Stale => Event::new().event(STALE_EVENT).data("{}"),
+        StreamItem::Lost(reason) => Event::new()
+            .event(LOST_EVENT)
+            .data(reason.replace(['\n', '\r'], " ")),
+    }
+}
+
+fn named(name: &'static str, message: &impl serde::Serialize) -> Event {
+    let data = serde_json::to_string(message).expect("wire types are plain data");
+    Event::new().event(name).data(data)
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,22 @@
+//! The rules of bamboocross, apart from any socket.
+//!
+//! Each aggregate has a folder of its own and guards its own invariants. The
+//! processes feed it what they have seen and carry out what it decides, so a
+//! rule can be tried in a test without a connection, and another front end can
+//! use it without change. Nothing here encodes messages, opens sockets or
+//! spawns tasks; time and randomness come in as arguments.
+
+pub mod backend_server;
+pub mod duty_lease;
+pub mod generation_stream;
+pub mod identity;
+pub mod release_note;
+pub mod service_call;
+pub mod team_budget;
+pub mod vm_membership;
+
+pub use identity::{
+    AdapterName, AttemptNumber, BodyDigest, DomainName, FencingNumber, GenerationId, ModelName,
+    ModelVersion, NoteVersion, PoolName, RequestKey, ServerName, ServiceName, TeamName,
+    TokenPosition, WorkClass,
+};
--- /dev/null
+++ b/crates/domain/src/service_call.rs
@@ -0,0 +1,17 @@
+//! The service call aggregate: at most once, and an honest outcome.
+//!
+//! A call that may not be repeated runs only under a recorded intent. The
+//! record is bound to the caller's key and a digest of the body, and it moves
+//! one way: intended, then ran, not run or unknown; unknown is settled later
+//! by evidence and never by running again.
+//!
+//! Invariants:
+//! - `not run` needs proof that no byte of the call reached the service.
+//! - A record that left `Intended` for `Ran` never changes again.
+//! - A key with another body is refused, whatever its state.
+
+mod call_outcome;
+mod call_record;
+
+pub use call_outcome::{CallEvidence, CallOutcome};
+pub use call_record::{CallRecord, CallState, KeyDecision, decide_key};
--- /dev/null
+++ b/crates/domain/src/team_budget/admission_gate.rs
@@ -0,0 +1,110 @@
+//! Admission of requests by class.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use derive_more::{Display, Error};
+
+use crate::WorkClass;
+
+/// Requests that a process takes at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassLimits {
+    /// Requests of both classes together.
+    pub total_max: u32,
+    /// Long requests; the rest of the total is set apart for short work.
+    pub long_max: u32,
+}
+
+/// Refusal before anything was dispatched.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("{class} work is at its limit of {limit} requests")]
+pub struct AdmissionRefusal {
+    /// Class that is full.
+    pub class: WorkClass,
+    /// The limit that was reached.
+    pub limit: u32,
+    /// When to try again.
+    pub retry_after: Duration,
+}
+
+/// Counts of the requests that were taken in.
+#[derive(Debug)]
+pub struct AdmissionGate {
+    limits: ClassLimits,
+    total: AtomicU32,
+    long: AtomicU32,
+}
+
+impl AdmissionGate {
+    /// Pause that a refused caller is asked to make.
+    const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+    /// Gate without requests.
+    pub const fn new(limits: ClassLimits) -> Self {
+        Self {
+            limits,
+            total: AtomicU32::new(0),
+            long: AtomicU32::new(0),
+        }
+    }
+
+    /// Requests taken in and not finished: all, and the long ones among them.
+    pub fn counts(&self) -> (u32, u32) {
+        (
+            self.total.load(Ordering::Relaxed),
+            self.long.load(Ordering::Relaxed),
+        )
+    }
+
+    /// Take a request in, or refuse it.
+    pub fn admit(self: &Arc<Self>, class: WorkClass) -> Result<AdmissionPermit, AdmissionRefusal> {
+        let refusal = |limit| AdmissionRefusal {
+            class,
+            limit,
+            retry_after: Self::RETRY_AFTER,
+        };
+        if class == WorkClass::Long && !Self::raise(&self.long, self.limits.long_max) {
+            return Err(refusal(self.limits.long_max));
+        }
+        if !Self::raise(&self.total, self.limits.total_max) {
+            if class == WorkClass::Long {
+                self.long.fetch_sub(1, Ordering::Relaxed);
+            }
+            return Err(refusal(self.limits.total_max));
+        }
+        Ok(AdmissionPermit {
+            gate: Arc::clone(self),
+            class,
+        })
+    }
+
+    fn raise(counter: &AtomicU32, max: u32) -> bool {
+        counter
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+                (count < max).then_some(count + 1)
+            })
+            .is_ok()
+    }
+}
+
+/// A request that was taken in, until it is dropped.
+#[derive(Debug)]
+pub struct AdmissionPermit {
+    gate: Arc<AdmissionGate>,
+    class: WorkClass,
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        self.gate.total.fetch_sub(1, Ordering::Relaxed);
+        if self.class == WorkClass::Long {
+            self.gate.long.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/generation_stream.rs
@@ -0,0 +1,129 @@
+//! No order of events makes a relay miss, repeat or mix tokens.
+
+use std::time::Duration;
+
+use domain::{
+    AttemptNumber, ModelName, ModelVersion, TokenPosition,
+    generation_stream::{
+        AttemptGate, AttemptVerdict, BeatReport, EndVerdict, LossAction, ModelPin, RelayLimits,
+        SilenceRule, SilenceVerdict, StreamRelay, StreamWatch, TokenLog, TokenVerdict,
+    },
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+fn relay(now: Instant) -> StreamRelay {
+    let pin = ModelPin {
+        model: ModelName::from("plantain-writer"),
+        adapter: None,
+        version: ModelVersion(3),
+    };
+    let limits = RelayLimits::default();
+    StreamRelay::new(pin, TokenLog::default(), AttemptNumber(0), limits, now)
+}
+
+fn token(attempt: AttemptNumber, position: u32) -> String {
+    format!("{attempt}/{position} ")
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Token { attempt: u32, position: u32 },
+    LoseConnection,
+    LoseServer,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..4_u32, 0..12_u32).prop_map(|(attempt, position)| Step::Token { attempt, position }),
+        1 => Just(Step::LoseConnection),
+        1 => Just(Step::LoseServer),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn delivered_log_is_gapless(steps in prop::collection::vec(step(), 0..200)) {
+        let now = Instant::now();
+        let mut relay = relay(now);
+        let mut delivered = Vec::new();
+        for step in steps {
+            match step {
+                Step::Token { attempt, position } => {
+                    let attempt = AttemptNumber(attempt);
+                    let current = relay.attempt();
+                    let expected = relay.log().next_position();
+                    let text = token(attempt, position);
+                    let verdict = relay.accept(attempt, TokenPosition(position), &text, now);
+                    let may_deliver = attempt == current && position == expected.0;
+                    prop_assert_eq!(verdict == TokenVerdict::Deliver, may_deliver);
+                    if may_deliver {
+                        delivered.push(text);
+                    }
+                }
+                Step::LoseConnection => {
+                    let before = relay.attempt();
+                    if let LossAction::Resume(attempt) = relay.lost_connection(now) {
+                        prop_assert!(attempt > before);
+                    }
+                }
+                Step::LoseServer => {
+                    let before = relay.attempt();
+                    prop_assert_eq!(relay.lost_server(now), LossAction::Resume(before.next()));
+                }
+            }
+            let log: Vec<&str> = relay.log().tokens_from(TokenPosition(0)).collect();
+            prop_assert_eq!(&log, &delivered);
+        }
+    }
+}
+
+#[test]
+fn short_end_is_not_whole() {
+    let now = Instant::now();
+    let mut relay = relay(now);
+    relay.accept(AttemptNumber(0), TokenPosition(0), "a", now);
+    let check = |attempt, total, expected| {
+        let verdict = relay.end(AttemptNumber(attempt), TokenPosition(total));
+        assert_eq!(verdict, expected);
+    };
+    check(0, 1, EndVerdict::Whole);
+    check(0, 2, EndVerdict::Short);
+    check(1, 1, EndVerdict::Stale);
+}
+
+#[test]
+fn patience_ends() {
+    let now = Instant::now();
+    let mut relay = relay(now);
+    let late = now + RelayLimits::default().patience;
+    assert_eq!(relay.lost_connection(late), LossAction::GiveUp);
+    assert_eq!(relay.lost_server(late), LossAction::GiveUp);
+}
+
+#[test]
+fn late_attempt_does_not_take_the_stream_back() {
+    let mut gate = AttemptGate::new(AttemptNumber(1));
+    assert_eq!(gate.admit(AttemptNumber(2)), AttemptVerdict::Start);
+    assert_eq!(gate.admit(AttemptNumber(1)), AttemptVerdict::Stale);
+    assert_eq!(gate.admit(AttemptNumber(2)), AttemptVerdict::Attach);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_judged_by_the_clock() {
+    let rule = SilenceRule::default();
+    let mut watch = StreamWatch::new(Instant::now());
+    let suspicion = Instant::now() + rule.connection_silence;
+    let now = Instant::now();
+    assert_eq!(watch.judge(&rule, now), SilenceVerdict::Wait(suspicion));
+    tokio::time::advance(rule.connection_silence).await;
+    let now = Instant::now();
+    assert_eq!(watch.judge(&rule, now), SilenceVerdict::Reconnect);
+    let engine_silence = rule.engine_silence;
+    watch.heard_beat(BeatReport { engine_silence }, now);
+    assert_eq!(watch.judge(&rule, now), SilenceVerdict::Move);
+    watch.heard_token(now);
+    let suspicion = now + rule.connection_silence;
+    assert_eq!(watch.judge(&rule, now), SilenceVerdict::Wait(suspicion));
+    tokio::time::advance(Duration::from_millis(1)).await;
+}
--- /dev/null
+++ b/crates/entry/src/entry_state.rs
@@ -0,0 +1,67 @@
+//! What the parts of an entry share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use arc_swap::ArcSwap;
+use domain::{
+    backend_server::ServerSet,
+    generation_stream::{RelayLimits, SilenceRule},
+    release_note::NoteState,
+    team_budget::AdmissionGate,
+};
+use exchange::HttpExchange;
+use settings::EntrySettings;
+
+use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics};
+
+/// State of the process; requests read it without a lock.
+pub struct EntryState<P> {
+    /// Settings of the process.
+    pub settings: EntrySettings,
+    /// The platform's services.
+    pub platform: P,
+    pub(crate) servers: ArcSwap<ServerSet>,
+    pub(crate) note: ArcSwap<NoteState>,
+    pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) links: AgentLinks,
+    /// One new connection for each stream, so that silence of one tells
+    /// nothing about another.
+    pub(crate) streams: HttpExchange,
+    pub(crate) silence: SilenceRule,
+    pub(crate) relay_limits: RelayLimits,
+    pub(crate) metrics: EntryMetrics,
+    draining: AtomicBool,
+}
+
+impl<P> EntryState<P> {
+    /// State at the start of a process.
+    pub fn new(settings: EntrySettings, platform: P) -> Self {
+        let servers = ServerSet::new(&settings.servers, &ServerSet::default());
+        Self {
+            servers: ArcSwap::from_pointee(servers),
+            note: ArcSwap::from_pointee(NoteState::default()),
+            gate: Arc::new(AdmissionGate::new(settings.limits)),
+            links: AgentLinks::default(),
+            streams: HttpExchange::fresh(),
+            silence: SilenceRule::default(),
+            relay_limits: RelayLimits::default(),
+            metrics: EntryMetrics::new(),
+            draining: AtomicBool::new(false),
+            settings,
+            platform,
+        }
+    }
+
+    /// Whether the process takes no new work.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Take no new work.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream_driver.rs
@@ -0,0 +1,468 @@
+//! Carrying one generation from servers to its caller.
+//!
+//! The driver opens streams as the relay decides and reports to it what comes.
+//! It yields caller events that are not encoded yet, so that another front end
+//! can send them in a form of its own.
+
+use std::{sync::Arc, time::Duration};
+
+use domain::{
+    AttemptNumber, GenerationId, ServerName, TokenPosition,
+    backend_server::{ChoiceQuery, InflightGuard, ServerNode},
+    generation_stream::{
+        EndVerdict, LossAction, SilenceVerdict, StreamRelay, StreamWatch, TokenVerdict,
+    },
+    team_budget::AdmissionPermit,
+};
+use exchange::{EventStream, ExchangeCall, ExchangeError, ExchangeReply, StreamEvent};
+use http::StatusCode;
+use tokio::time::Instant;
+use wire::stream::{
+    BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
+    RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
+};
+
+use crate::EntryState;
+
+/// Time within which an agent opens a stream, before any prefill.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause before servers are tried again when none could be reached.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Servers that failed and are not tried again at once.
+const EXCLUDED_MAX: usize = 4;
+
+/// What the caller is told.
+#[derive(Debug)]
+pub enum CallerEvent {
+    /// The next token, the position after it and the server that keeps the log.
+    Token {
+        /// The token.
+        text: String,
+        /// Position of the token after it.
+        next: TokenPosition,
+        /// Server whose agent keeps the log.
+        server: ServerName,
+    },
+    /// Nothing can be sent now; the generation goes on.
+    Waiting,
+    /// All tokens have been sent.
+    Finish {
+        /// Why the generation ended.
+        reason: String,
+    },
+    /// The generation cannot be finished.
+    Incomplete {
+        /// Why not.
+        reason: String,
+    },
+}
+
+struct StreamLink {
+    events: EventStream,
+    guard: InflightGuard,
+    watch: StreamWatch,
+}
+
+enum LinkTarget {
+    Same(Arc<ServerNode>),
+    Any,
+}
+
+/// One generation on its way to one caller.
+pub struct StreamDriver<P> {
+    state: Arc<EntryState<P>>,
+    generation: GenerationId,
+    open: OpenMessage,
+    relay: StreamRelay,
+    link: Option<StreamLink>,
+    target: LinkTarget,
+    excluded: Vec<ServerName>,
+    started_at: Instant,
+    last_token_at: Option<Instant>,
+    is_resuming: bool,
+    is_finished: bool,
+    _permit: AdmissionPermit,
+}
+
+impl<P: Send + Sync + 'static> StreamDriver<P> {
+    /// Driver of a generation that no server has seen.
+    pub fn new(
+        state: Arc<EntryState<P>>,
+        generation: GenerationId,
+        open: OpenMessage,
+        relay: StreamRelay,
+        permit: AdmissionPermit,
+    ) -> Self {
+        Self {
+            state,
+            generation,
+            open,
+            relay,
+            link: None,
+            target: LinkTarget::Any,
+            excluded: Vec::new(),
+            started_at: Instant::now(),
+            last_token_at: None,
+            is_resuming: false,
+            is_finished: false,
+            _permit: permit,
+        }
+    }
+
+    /// Take a generation over from its agent, for a caller that comes back.
+    pub async fn take_over(
+        state: Arc<EntryState<P>>,
+        generation: GenerationId,
+        from: TokenPosition,
+        node: &Arc<ServerNode>,
+        permit: AdmissionPermit,
+    ) -> Result<Self, TakeOverError> {
+        let path = format!("/v1/generations/{generation}?from={from}");
+        let call = ExchangeCall::get(node.spec().addresses.stream, &path).timeout(OPEN_TIMEOUT);
+        let mut events = state.streams.open_events(call).await??;
+        let read = tokio::time::timeout(OPEN_TIMEOUT, events.read()).await;
+        let record = match read {
+            Ok(Ok(Some(event))) if event.name == RECORD_EVENT => {
+                serde_json::from_str::<RecordMessage>(&event.data).ok()
+            }
+            _ => None,
+        };
+        let record = record.ok_or(TakeOverError::NoRecord)?;
+        let now = Instant::now();
+        let relay = StreamRelay::new(
+            (&record.open.pin).into(),
+            record.delivered.iter().map(String::as_str).collect(),
+            AttemptNumber(record.open.attempt),
+            state.relay_limits,
+            now,
+        );
+        let link = StreamLink {
+            events,
+            guard: node.begin(),
+            watch: StreamWatch::new(now),
+        };
+        let mut driver = Self::new(state, generation, record.open, relay, permit);
+        driver.link = Some(link);
+        Ok(driver)
+    }
+
+    /// Model, or `MODEL:ADAPTER`, as the caller names it.
+    pub fn model(&self) -> String {
+        match &self.open.pin.adapter {
+            Some(adapter) => format!("{}:{adapter}", self.open.pin.model),
+            None => self.open.pin.model.clone(),
+        }
+    }
+
+    /// The generation.
+    pub const fn generation(&self) -> GenerationId {
+        self.generation
+    }
+
+    /// The next thing to tell the caller; nothing after the last.
+    pub async fn next(&mut self) -> Option<CallerEvent> {
+        while !self.is_finished {
+            let Some(link) = &mut self.link else {
+                if let Some(event) = self.connect().await {
+                    return Some(event);
+                }
+                continue;
+            };
+            let now = Instant::now();
+            let wake = match link.watch.judge(&self.state.silence, now) {
+                SilenceVerdict::Wait(until) => until,
+                SilenceVerdict::Reconnect => {
+                    self.lose_connection("silent connection");
+                    continue;
+                }
+                SilenceVerdict::Move => {
+                    self.lose_server("silent engine");
+                    continue;
+                }
+            };
+            match tokio::time::timeout_at(wake, link.events.read()).await {
+                Err(_) => {}
+                Ok(Ok(Some(event))) => {
+                    if let Some(event) = self.take_event(&event) {
+                        return Some(event);
+                    }
+                }
+                Ok(Ok(None)) => self.lose_connection("stream closed"),
+                Ok(Err(error)) => self.lose_connection(&error.to_string()),
+            }
+        }
+        None
+    }
+
+    fn take_event(&mut self, event: &StreamEvent) -> Option<CallerEvent> {
+        let now = Instant::now();
+        match event.name.as_str() {
+            TOKEN_EVENT => self.take_token(&event.data, now),
+            BEAT_EVENT => {
+                if let Ok(beat) = serde_json::from_str::<BeatMessage>(&event.data)
+                    && let Some(link) = &mut self.link
+                {
+                    link.watch.heard_beat(beat.into(), now);
+                    link.guard.node().set_leaving(beat.leaving);
+                }
+                None
+            }
+            END_EVENT => self.take_end(&event.data),
+            STALE_EVENT => Some(self.finish(
+                "taken_over",
+                CallerEvent::Incomplete {
+                    reason: "the generation was taken over by another connection".to_owned(),
+                },
+            )),
+            LOST_EVENT => {
+                self.lose_server(&event.data);
+                None
+            }
+            // Events of a later version of the agent are signs of life only.
+            _ => None,
+        }
+    }
+
+    fn take_token(&mut self, data: &str, now: Instant) -> Option<CallerEvent> {
+        let Ok(token) = serde_json::from_str::<TokenMessage>(data) else {
+            self.lose_connection("malformed token");
+            return None;
+        };
+        let (attempt, position) = token.place();
+        match self.relay.accept(attempt, position, &token.text, now) {
+            TokenVerdict::Deliver => Some(self.deliver(token.text, position.next(), now)),
+            TokenVerdict::Repeated | TokenVerdict::Stale => {
+                self.state.metrics.tokens_dropped.inc();
+                None
+            }
+            TokenVerdict::Gap { expected } => {
+                self.lose_connection(&format!("position {position} came, {expected} was due"));
+                None
+            }
+        }
+    }
+
+    fn deliver(&mut self, text: String, next: TokenPosition, now: Instant) -> CallerEvent {
+        let metrics = &self.state.metrics;
+        metrics.tokens.inc();
+        match self.last_token_at {
+            None => {
+                let waited = now.duration_since(self.started_at);
+                metrics.first_token_seconds.observe(waited.as_secs_f64());
+            }
+            Some(last) if self.is_resuming => {
+                let waited = now.duration_since(last);
+                metrics.resume_seconds.observe(waited.as_secs_f64());
+            }
+            Some(_) => {}
+        }
+        self.is_resuming = false;
+        self.excluded.clear();
+        let mut server = ServerName::from("none");
+        if let Some(link) = &mut self.link {
+            link.watch.heard_token(now);
+            let node = link.guard.node();
+            if let Some(last) = self.last_token_at {
+                node.note_token_gap(now.duration_since(last));
+            }
+            node.note_success();
+            server = node.spec().name.clone();
+        }
+        self.last_token_at = Some(now);
+        CallerEvent::Token { text, next, server }
+    }
+
+    fn take_end(&mut self, data: &str) -> Option<CallerEvent> {
+        let Ok(end) = serde_json::from_str::<EndMessage>(data) else {
+            self.lose_connection("malformed end");
+            return None;
+        };
+        let total = TokenPosition(end.total);
+        match self.relay.end(AttemptNumber(end.attempt), total) {
+            EndVerdict::Whole => {
+                let reason = end.reason;
+                Some(self.finish("whole", CallerEvent::Finish { reason }))
+            }
+            EndVerdict::Stale => None,
+            EndVerdict::Short => {
+                self.lose_connection("end before the last token");
+                None
+            }
+        }
+    }
+
+    fn finish(&mut self, end: &str, event: CallerEvent) -> CallerEvent {
+        self.state
+            .metrics
+            .generations_ended
+            .with_label_values(&[end])
+            .inc();
+        self.is_finished = true;
+        self.link = None;
+        event
+    }
+
+    fn lose_connection(&mut self, reason: &str) {
+        let action = self.relay.lost_connection(Instant::now());
+        self.lose(reason, action);
+    }
+
+    fn lose_server(&mut self, reason: &str) {
+        let action = self.relay.lost_server(Instant::now());
+        self.lose(reason, action);
+    }
+
+    fn lose(&mut self, reason: &str, action: LossAction) {
+        log::warn!(
+            request:% = self.generation, attempt:% = self.relay.attempt();
+            "stream lost at position {}: {reason}", self.relay.log().next_position()
+        );
+        let Some(link) = self.link.take() else {
+            return;
+        };
+        let node = Arc::clone(link.guard.node());
+        self.is_resuming = true;
+        match action {
+            LossAction::Reconnect => {
+                self.state.metrics.reconnects.inc();
+                self.target = LinkTarget::Same(node);
+            }
+            LossAction::Resume(attempt) => self.leave(&node, attempt),
+            LossAction::GiveUp => self.target = LinkTarget::Any,
+        }
+    }
+
+    /// Go on elsewhere, and have the attempt that is left cancelled.
+    fn leave(&mut self, node: &ServerNode, attempt: AttemptNumber) {
+        self.state.metrics.resumes.inc();
+        node.note_failure();
+        let spec = node.spec();
+        let older = AttemptNumber(attempt.0 - 1);
+        self.state
+            .links
+            .cancel(spec.addresses.control, self.generation, older);
+        self.exclude(&spec.name);
+        self.target = LinkTarget::Any;
+    }
+
+    fn exclude(&mut self, name: &ServerName) {
+        if self.excluded.len() >= EXCLUDED_MAX {
+            self.excluded.remove(0);
+        }
+        self.excluded.push(name.clone());
+    }
+
+    async fn connect(&mut self) -> Option<CallerEvent> {
+        let is_reconnect = matches!(self.target, LinkTarget::Same(_));
+        let Some(node) = self.next_node() else {
+            return self.wait_for_server().await;
+        };
+        match self.open_at(&node).await {
+            Ok(events) => {
+                self.link = Some(StreamLink {
+                    events,
+                    guard: node.begin(),
+                    watch: StreamWatch::new(Instant::now()),
+                });
+                None
+            }
+            Err(reason) => {
+                log::warn!(
+                    request:% = self.generation, attempt:% = self.relay.attempt();
+                    "no stream from {}: {reason}", node.spec().name
+                );
+                if is_reconnect {
+                    match self.relay.lost_server(Instant::now()) {
+                        LossAction::Resume(attempt) => self.leave(&node, attempt),
+                        LossAction::Reconnect | LossAction::GiveUp => self.target = LinkTarget::Any,
+                    }
+                } else {
+                    node.note_failure();
+                    self.exclude(&node.spec().name);
+                }
+                None
+            }
+        }
+    }
+
+    fn next_node(&mut self) -> Option<Arc<ServerNode>> {
+        if let LinkTarget::Same(node) = &self.target {
+            return Some(Arc::clone(node));
+        }
+        let note = self.state.note.load();
+        let duty = note.duty(&self.open.pin.model)?;
+        let servers = self.state.servers.load();
+        let query = ChoiceQuery {
+            pool: &duty.pool,
+            exclude: &self.excluded,
+        };
+        servers.choose(&query, &mut rand::rng()).cloned()
+    }
+
+    async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, String> {
+        let open = OpenMessage {
+            attempt: self.relay.attempt().0,
+            delivered: self
+                .relay
+                .log()
+                .tokens_from(TokenPosition(0))
+                .map(str::to_owned)
+                .collect(),
+            ..self.open.clone()
+        };
+        let call = ExchangeCall::post(node.spec().addresses.stream, "/v1/generations")
+            .json(&open)
+            .timeout(OPEN_TIMEOUT);
+        match self.state.streams.open_events(call).await {
+            Ok(Ok(events)) => Ok(events),
+            Ok(Err(reply)) => {
+                if reply.status == StatusCode::SERVICE_UNAVAILABLE {
+                    node.set_leaving(true);
+                }
+                Err(format!("refused with status {}", reply.status))
+            }
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// No server can be tried: wait, or give up when patience is over.
+    async fn wait_for_server(&mut self) -> Option<CallerEvent> {
+        self.excluded.clear();
+        let since = self.last_token_at.unwrap_or(self.started_at);
+        if since.elapsed() >= self.state.relay_limits.patience {
+            return Some(self.finish(
+                "incomplete",
+                CallerEvent::Incomplete {
+                    reason: "no server can go on with the generation".to_owned(),
+                },
+            ));
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+        Some(CallerEvent::Waiting)
+    }
+}
+
+/// Why a generation could not be taken over.
+#[derive(Debug)]
+pub enum TakeOverError {
+    /// The agent could not be reached.
+    Unreachable(ExchangeError),
+    /// The agent does not know the generation any more.
+    Unknown(ExchangeReply),
+    /// The agent gave no record.
+    NoRecord,
+}
+
+impl From<ExchangeError> for TakeOverError {
+    fn from(error: ExchangeError) -> Self {
+        Self::Unreachable(error)
+    }
+}
+
+impl From<ExchangeReply> for TakeOverError {
+    fn from(reply: ExchangeReply) -> Self {
+        Self::Unknown(reply)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/dump_command.rs
@@ -0,0 +1,21 @@
+//! `bamboocross dump`.
+
+use std::net::SocketAddr;
+
+use exchange::{ExchangeCall, HttpExchange};
+use miette::{IntoDiagnostic, WrapErr};
+
+use crate::CommandResult;
+
+/// Print the state of the process at `address`.
+pub async fn dump(address: SocketAddr) -> CommandResult {
+    let call = ExchangeCall::get(address, "/state");
+    let reply = HttpExchange::pooled()
+        .send(call)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("no state from {address}"))?;
+    let state: serde_json::Value = reply.json().into_diagnostic()?;
+    println!("{state:#}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/table_store.rs
@@ -0,0 +1,121 @@
+//! The transactional table service.
+
+use std::future::Future;
+
+use derive_more::{Display, Error};
+use wire::table::{ConditionMessage, RowMessage, WriteMessage};
+
+/// Why the store gave no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// Proof that nothing was applied.
+    #[display("store unavailable: {reason}")]
+    Unavailable {
+        /// What was seen.
+        #[error(not(source))]
+        reason: String,
+    },
+    /// A write may have been applied.
+    #[display("answer of the store lost: {reason}")]
+    AnswerLost {
+        /// What was seen.
+        #[error(not(source))]
+        reason: String,
+    },
+}
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteCondition {
+    /// The row must not exist.
+    Absent,
+    /// The row must be at this version.
+    Version(u64),
+    /// Write whatever is there.
+    Always,
+}
+
+/// One write of a transaction.
+#[derive(Clone, Copy, Debug)]
+pub struct TableWrite<'a> {
+    /// Key of the row.
+    pub key: &'a str,
+    /// What must hold.
+    pub condition: WriteCondition,
+    /// The new value; none deletes the row.
+    pub value: Option<&'a str>,
+}
+
+/// One row as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRow {
+    /// Key of the row.
+    pub key: String,
+    /// Version; rises with every write.
+    pub version: u64,
+    /// Value of the row.
+    pub value: String,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TransactOutcome {
+    /// All writes were applied.
+    Committed,
+    /// None was applied; the conditions at these indices failed.
+    Refused {
+        /// Indices of the writes at fault.
+        failed: Vec<usize>,
+    },
+}
+
+/// Rows with versions, written by conditional transactions.
+pub trait TableStore: Clone + Send + Sync + 'static {
+    /// Read rows by key; absent ones are left out.
+    fn read(&self, keys: &[&str])
+    -> impl Future<Output = Result<Vec<TableRow>, StoreError>> + Send;
+
+    /// Read up to `limit` rows whose keys start with `prefix`, after a key.
+    fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Vec<TableRow>, StoreError>> + Send;
+
+    /// Apply all writes, or none.
+    fn transact(
+        &self,
+        writes: &[TableWrite<'_>],
+    ) -> impl Future<Output = Result<TransactOutcome, StoreError>> + Send;
+}
+
+impl From<WriteCondition> for ConditionMessage {
+    fn from(condition: WriteCondition) -> Self {
+        match condition {
+            WriteCondition::Absent => Self::Absent,
+            WriteCondition::Version(version) => Self::Version(version),
+            WriteCondition::Always => Self::Always,
+        }
+    }
+}
+
+impl From<&TableWrite<'_>> for WriteMessage {
+    fn from(write: &TableWrite<'_>) -> Self {
+        Self {
+            key: write.key.to_owned(),
+            condition: write.condition.into(),
+            value: write.value.map(str::to_owned),
+        }
+    }
+}
+
+impl From<RowMessage> for TableRow {
+    fn from(message: RowMessage) -> Self {
+        Self {
+            key: message.key,
+            version: message.version,
+            value: message.value,
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/agent_settings.rs
@@ -0,0 +1,124 @@
+//! Settings of an agent.
+
+use std::{net::SocketAddr, time::Duration};
+
+use domain::{DomainName, PoolName, ServerName, backend_server::ServerKind};
+
+use crate::{
+    FindingReport,
+    field_reader::{FieldReader, read_file},
+};
+
+/// Whether the server refuses orders with an old fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderChecks {
+    /// It takes orders from anyone.
+    Ignored,
+    /// It refuses old numbers.
+    Checked,
+}
+
+/// Whether the service lists the keys of the calls it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JournalOffer {
+    /// It does not.
+    None,
+    /// `GET /v1/journal/KEY` tells.
+    ByKey,
+}
+
+/// What an agent is told at its start.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Name of the backend server beside it.
+    pub name: ServerName,
+    /// Pool of the server.
+    pub pool: PoolName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// What the server runs.
+    pub kind: ServerKind,
+    /// Where the server listens.
+    pub server: SocketAddr,
+    /// Where entries open streams.
+    pub listen: SocketAddr,
+    /// Where entries and operators make control calls.
+    pub control: SocketAddr,
+    /// The platform's service.
+    pub platform: SocketAddr,
+    /// Whether the server checks fencing numbers.
+    pub order_checks: OrderChecks,
+    /// Whether the service keeps a journal.
+    pub journal: JournalOffer,
+    /// Time between two heartbeats on an open stream.
+    pub beat: Duration,
+    /// Time that a generation without a reader is kept.
+    pub reader_grace: Duration,
+    /// Tokens that the engine may be ahead of the reader.
+    pub window: u32,
+    /// Longest time that the service works on a call.
+    pub service_run_max: Duration,
+    /// Time that a drain waits for work in flight.
+    pub drain_max: Duration,
+}
+
+impl AgentSettings {
+    /// Read a settings file.
+    pub fn read(name: &str, text: &str) -> Result<Self, FindingReport> {
+        read_file(name, text, Self::from_fields)
+    }
+
+    fn from_fields(fields: &FieldReader<'_>) -> Self {
+        let settings = Self {
+            name: ServerName::from(fields.text("name")),
+            pool: PoolName::from(fields.text("pool")),
+            domain: DomainName::from(fields.text("failure_domain")),
+            kind: fields.word(
+                "kind",
+                &[
+                    ("engine", ServerKind::Engine),
+                    ("service", ServerKind::Service),
+                ],
+            ),
+            server: fields.address("server"),
+            listen: fields.address("listen"),
+            control: fields.address("control"),
+            platform: fields.address("platform"),
+            order_checks: fields.word(
+                "order_checks",
+                &[
+                    ("ignored", OrderChecks::Ignored),
+                    ("checked", OrderChecks::Checked),
+                ],
+            ),
+            journal: fields.word(
+                "journal",
+                &[
+                    ("none", JournalOffer::None),
+                    ("by_key", JournalOffer::ByKey),
+                ],
+            ),
+            beat: fields.millis("beat_ms", 10..=1_000, Duration::from_millis(100)),
+            reader_grace: fields.millis(
+                "reader_grace_ms",
+                1_000..=600_000,
+                Duration::from_secs(20),
+            ),
+            window: u32::try_from(fields.number("window_tokens", 16..=100_000, 512))
+                .unwrap_or(u32::MAX),
+            service_run_max: fields.millis(
+                "service_run_max_ms",
+                100..=60_000,
+                Duration::from_secs(2),
+            ),
+            drain_max: fields.millis("drain_max_ms", 0..=3_600_000, Duration::from_secs(900)),
+        };
+        if settings.listen == settings.control {
+            fields.finding("control", "`control` is the address that `listen` takes");
+        }
+        if settings.server == settings.listen {
+            fields.finding("server", "`server` is the address that `listen` takes");
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,17 @@
+//! Settings and release notes as operators write them.
+//!
+//! A file is read whole: every mistake in it becomes a finding with its place,
+//! and all findings are reported together, so an operator mends a file in one
+//! go. The readers take text and return plain data; they open no file and no
+//! socket.
+
+mod agent_settings;
+mod entry_settings;
+mod field_reader;
+mod finding;
+mod note_file;
+
+pub use agent_settings::{AgentSettings, JournalOffer, OrderChecks};
+pub use entry_settings::{EntrySettings, ServiceRoute};
+pub use finding::{Finding, FindingReport};
+pub use note_file::read_note;
--- /dev/null
+++ b/crates/stand-ins/src/fault_proxy.rs
@@ -0,0 +1,217 @@
+//! A network between two processes that fails on command.
+//!
+//! One process carries any number of links. A link listens on an address of its
+//! own and passes bytes on to its target, as its mode says at that moment.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+use volo_http::{
+    error::BoxError,
+    server::{Router, extract::Json, route::post},
+    utils::Extension,
+};
+
+use crate::front::serve;
+
+/// Bytes that are passed on at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// What a link does with bytes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "mode")]
+pub enum LinkMode {
+    /// Pass everything on.
+    #[default]
+    Pass,
+    /// Pass everything on, late.
+    Delay {
+        /// Milliseconds each way.
+        ms: u64,
+    },
+    /// Close what is open and refuse what is new.
+    Cut,
+    /// Keep what is open, pass nothing on, and let new connections work.
+    SilenceOpen,
+    /// Pass nothing on in either direction, also on new connections.
+    Silence,
+    /// Pass nothing on towards the target.
+    LoseForward,
+    /// Pass nothing on from the target.
+    LoseBackward,
+}
+
+/// A link to be added by `POST /links`.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ProxyMessage {
+    /// Where the link listens.
+    pub listen: SocketAddr,
+    /// Where it passes bytes on to.
+    pub target: SocketAddr,
+}
+
+/// A mode to be set by `POST /mode`.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ModeMessage {
+    /// The link, by where it listens.
+    pub listen: SocketAddr,
+    /// Its mode from now on.
+    #[serde(flatten)]
+    pub mode: LinkMode,
+}
+
+/// A mode and how often it was set.
+#[derive(Clone, Copy, Debug, Default)]
+struct ModeState {
+    mode: LinkMode,
+    /// Connections opened before this number of changes stay silent for good
+    /// once they were silenced.
+    silenced_before: u64,
+    changes: u64,
+}
+
+#[derive(Default)]
+struct ProxyState {
+    links: Mutex<BTreeMap<SocketAddr, watch::Sender<ModeState>>>,
+}
+
+impl ProxyState {
+    fn links(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, watch::Sender<ModeState>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Run links until the process is stopped.
+pub async fn run_proxies(control: SocketAddr) -> Result<(), BoxError> {
+    let router = Router::new()
+        .route("/links", post(add_link))
+        .route("/mode", post(set_mode))
+        .layer(Extension(Arc::new(ProxyState::default())));
+    serve(router, control).await
+}
+
+async fn add_link(
+    Extension(state): Extension<Arc<ProxyState>>,
+    Json(link): Json<ProxyMessage>,
+) -> StatusCode {
+    let Ok(listener) = TcpListener::bind(link.listen).await else {
+        return StatusCode::CONFLICT;
+    };
+    let (sender, receiver) = watch::channel(ModeState::default());
+    state.links().insert(link.listen, sender);
+    tokio::spawn(accept(listener, link.target, receiver));
+    StatusCode::OK
+}
+
+async fn set_mode(
+    Extension(state): Extension<Arc<ProxyState>>,
+    Json(message): Json<ModeMessage>,
+) -> StatusCode {
+    let links = state.links();
+    let Some(sender) = links.get(&message.listen) else {
+        return StatusCode::NOT_FOUND;
+    };
+    sender.send_modify(|state| {
+        state.changes += 1;
+        state.mode = message.mode;
+        if message.mode == LinkMode::SilenceOpen {
+            state.silenced_before = state.changes;
+        }
+    });
+    StatusCode::OK
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, modes: watch::Receiver<ModeState>) {
+    while let Ok((caller, _)) = listener.accept().await {
+        if modes.borrow().mode == LinkMode::Cut {
+            continue;
+        }
+        tokio::spawn(carry(caller, target, modes.clone()));
+    }
+}
+
+async fn carry(caller: TcpStream, target: SocketAddr, mut modes: watch::Receiver<ModeState>) {
+    let Ok(server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let opened = modes.borrow_and_update().changes;
+    let _ = caller.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (caller_read, caller_write) = caller.into_split();
+    let (server_read, server_write) = server.into_split();
+    let forward = pump(
+        caller_read,
+        server_write,
+        modes.clone(),
+        opened,
+        Way::Forward,
+    );
+    let backward = pump(
+        server_read,
+        caller_write,
+        modes.clone(),
+        opened,
+        Way::Backward,
+    );
+    tokio::select! {
+        () = async { tokio::join!(forward, backward); } => {}
+        () = cut(modes) => {}
+    }
+}
+
+async fn cut(mut modes: watch::Receiver<ModeState>) {
+    // The link's sender lives as long as the process.
+    let _ = modes.wait_for(|state| state.mode == LinkMode::Cut).await;
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Forward,
+    Backward,
+}
+
+async fn pump(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    modes: watch::Receiver<ModeState>,
+    opened: u64,
+    way: Way,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(length) = from.read(&mut chunk).await {
+        let state = *modes.borrow();
+        let is_silenced = opened < state.silenced_before;
+        let is_lost = match state.mode {
+            LinkMode::Silence => true,
+            LinkMode::LoseForward => way == Way::Forward,
+            LinkMode::LoseBackward => way == Way::Backward,
+            _ => false,
+        };
+        if is_silenced || is_lost {
+            if length == 0 {
+                // Not even the end of the connection comes through.
+                return std::future::pending().await;
+            }
+            continue;
+        }
+        if let LinkMode::Delay { ms } = state.mode {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        if length == 0 || to.write_all(&chunk[..length]).await.is_err() {
+            break;
+        }
+    }
+    // The other side may have gone already.
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small stand-ins for what the system meets: engine, plain service, platform
+//! and a network that fails.
+//!
+//! They follow the published interfaces and fail on command. What they count
+//! (tokens produced, calls run) is the witness of the measurements, which never
+//! trust the counters of the product.
+
+mod engine_server;
+mod fault_proxy;
+mod front;
+mod platform_server;
+mod service_server;
+mod slot_queue;
+mod token_text;
+
+pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
+pub use fault_proxy::{LinkMode, ModeMessage, ProxyMessage, run_proxies};
+pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
+pub use service_server::{ServiceCounts, ServiceFaults, run_service};
+pub use token_text::TextSeed;
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,15 @@
+//! What every process of the system shows of itself, and how it starts and
+//! ends.
+//!
+//! Logs go to standard error, since the VMs have no disks. Metrics and state
+//! are served by the processes themselves over the routes they have anyway.
+
+mod daemon_command;
+mod log_setup;
+mod metric_set;
+mod stop_signal;
+
+pub use daemon_command::{DaemonArgs, ExitStatus, daemon_args, report_and_exit};
+pub use log_setup::start_logs;
+pub use metric_set::MetricSet;
+pub use stop_signal::StopSignal;
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,182 @@
+//! Token streams between entry and agent.
+//!
+//! A stream is opened by `POST /v1/generations` and read as server-sent events:
+//! `token`, `beat` and one closing `end`, `stale` or `lost`. An `entry` that
+//! took a caller over opens with `GET /v1/generations/ID`, whose first event is
+//! `record`.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use domain::{
+    AdapterName, AttemptNumber, GenerationId, ModelName, ModelVersion, TokenPosition, WorkClass,
+    generation_stream::{BeatReport, ModelPin},
+};
+use serde::{Deserialize, Serialize};
+
+/// Name of an event that carries a token.
+pub const TOKEN_EVENT: &str = "token";
+/// Name of a heartbeat.
+pub const BEAT_EVENT: &str = "beat";
+/// Name of the event that ends a whole generation.
+pub const END_EVENT: &str = "end";
+/// Name of the event that tells that a later attempt has taken over.
+pub const STALE_EVENT: &str = "stale";
+/// Name of the event that tells that the engine cannot go on.
+pub const LOST_EVENT: &str = "lost";
+/// Name of the event that describes the generation to a new entry.
+pub const RECORD_EVENT: &str = "record";
+
+/// Model, adapter and version.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PinMessage {
+    /// Model family.
+    pub model: String,
+    /// Adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<String>,
+    /// Version.
+    pub version: u32,
+}
+
+impl From<&ModelPin> for PinMessage {
+    fn from(pin: &ModelPin) -> Self {
+        Self {
+            model: pin.model.as_str().to_owned(),
+            adapter: pin.adapter.as_ref().map(|name| name.as_str().to_owned()),
+            version: pin.version.0,
+        }
+    }
+}
+
+impl From<&PinMessage> for ModelPin {
+    fn from(message: &PinMessage) -> Self {
+        Self {
+            model: ModelName::from(message.model.as_str()),
+            adapter: message.adapter.as_deref().map(AdapterName::from),
+            version: ModelVersion(message.version),
+        }
+    }
+}
+
+/// Class of work.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClassMessage {
+    /// Short work.
+    Short,
+    /// Long work.
+    Long,
+}
+
+impl From<WorkClass> for ClassMessage {
+    fn from(class: WorkClass) -> Self {
+        match class {
+            WorkClass::Short => Self::Short,
+            WorkClass::Long => Self::Long,
+        }
+    }
+}
+
+impl From<ClassMessage> for WorkClass {
+    fn from(message: ClassMessage) -> Self {
+        match message {
+            ClassMessage::Short => Self::Short,
+            ClassMessage::Long => Self::Long,
+        }
+    }
+}
+
+/// Request of a token stream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OpenMessage {
+    /// Generation identity, 32 hexadecimal digits.
+    pub generation: String,
+    /// Attempt that is asked for.
+    pub attempt: u32,
+    /// Team that pays for it.
+    pub team: String,
+    /// Model, adapter and version.
+    pub pin: PinMessage,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens delivered by earlier attempts.
+    #[serde(default)]
+    pub delivered: Vec<String>,
+    /// Tokens of the whole generation at most.
+    pub max_tokens: u32,
+    /// Class of work.
+    pub class: ClassMessage,
+}
+
+/// A message whose identity cannot be read.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("generation: 32 hexadecimal digits expected")]
+pub struct OpenMessageError;
+
+impl TryFrom<&OpenMessage> for GenerationId {
+    type Error = OpenMessageError;
+
+    fn try_from(message: &OpenMessage) -> Result<Self, Self::Error> {
+        message.generation.parse().map_err(|_| OpenMessageError)
+    }
+}
+
+/// One token.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TokenMessage {
+    /// Attempt that the token belongs to.
+    #[serde(rename = "a")]
+    pub attempt: u32,
+    /// Position after the prompt.
+    #[serde(rename = "p")]
+    pub position: u32,
+    /// The token.
+    #[serde(rename = "t")]
+    pub text: String,
+}
+
+impl TokenMessage {
+    /// Attempt and position in the domain's types.
+    pub const fn place(&self) -> (AttemptNumber, TokenPosition) {
+        (AttemptNumber(self.attempt), TokenPosition(self.position))
+    }
+}
+
+/// A sign of life between tokens.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct BeatMessage {
+    /// Milliseconds since the engine last gave a sign of life.
+    pub engine_silence_ms: u32,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+}
+
+impl From<BeatMessage> for BeatReport {
+    fn from(message: BeatMessage) -> Self {
+        Self {
+            engine_silence: Duration::from_millis(u64::from(message.engine_silence_ms)),
+        }
+    }
+}
+
+/// End of a whole generation.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EndMessage {
+    /// Attempt that ended.
+    #[serde(rename = "a")]
+    pub attempt: u32,
+    /// Tokens of the generation.
+    pub total: u32,
+    /// Why it ended.
+    pub reason: String,
+}
+
+/// The generation as its agent knows it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RecordMessage {
+    /// The request, with the current attempt.
+    pub open: OpenMessage,
+    /// Tokens before the position that was asked for.
+    pub delivered: Vec<String>,
+}
--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,13 @@
+//! Chores: the demo, the measurements and the checks.
+//!
+//! Everything here runs the product as its users do, as real processes on the
+//! loopback addresses, and judges it by what callers receive and what the
+//! stand-ins ran.
+
+pub mod caller;
+pub mod checks;
+pub mod demo;
+pub mod fleet;
+
+pub use caller::{CallerClient, ChatEnd, ChatOutcome};
+pub use fleet::{AgentPlan, EnginePlan, EntryPlan, Fleet, ProcessHandle};
