A refused connection is proof that nothing was sent

Cause: the HTTP library reports a connector's failure as a failed request, so a refused connection counted as "may have arrived": an agent would have answered "unknown" for a booking that never left it, and operators read "answer of the store lost" of a platform that is down. Change: a bare I/O error below the library's error comes only from its connector; it is NotSent now. Shown by: crates/exchange/tests/failures.rs, refused before and cut after the first byte; the former failed before the change.

--- a/crates/exchange/src/http_exchange.rs
+++ b/crates/exchange/src/http_exchange.rs
@@ -1,6 +1,6 @@
 //! Sending calls, and sorting their failures by what they prove.
 
-use std::time::Duration;
+use std::{error::Error as _, io, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -52,11 +52,23 @@
             ErrorKind::Builder | ErrorKind::Connect | ErrorKind::LoadBalance => {
                 Self::NotSent { reason }
             }
+            _ if is_connect_failure(&error) => Self::NotSent { reason },
             _ => Self::Lost { reason },
         }
     }
 }
 
+/// Whether no connection was made, although the library reports a failed
+/// request.
+///
+/// Only its connector hands out bare I/O errors; those of a connection that
+/// stood are wrapped by the HTTP implementation.
+fn is_connect_failure(error: &ClientError) -> bool {
+    error
+        .source()
+        .is_some_and(|source| source.is::<io::Error>())
+}
+
 /// Answer to a call.
 #[derive(Clone, Debug)]
 pub struct ExchangeReply {
--- /dev/null
+++ b/crates/exchange/tests/failures.rs
@@ -0,0 +1,43 @@
+//! What a failure proves about whether anything was sent.
+
+use std::net::SocketAddr;
+
+use exchange::{ExchangeCall, ExchangeError, HttpExchange};
+use tokio::{io::AsyncReadExt, net::TcpListener};
+
+#[derive(Debug, PartialEq, Eq)]
+enum Proof {
+    NotSent,
+    Lost,
+}
+
+/// Send a call to `address` and check what its failure proves.
+async fn check(address: SocketAddr, expected: Proof) {
+    let call = ExchangeCall::post(address, "/").body(b"order");
+    let proof = match HttpExchange::fresh().send(call).await {
+        Err(ExchangeError::NotSent { .. }) => Proof::NotSent,
+        Err(ExchangeError::Lost { .. }) => Proof::Lost,
+        other => panic!("unexpected {other:?}"),
+    };
+    assert_eq!(proof, expected);
+}
+
+#[tokio::test]
+async fn refused_connection_proves_that_nothing_was_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    check(address, Proof::NotSent).await;
+}
+
+#[tokio::test]
+async fn cut_after_the_first_byte_proves_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller comes");
+        let mut byte = [0];
+        stream.read_exact(&mut byte).await.expect("a byte comes");
+    });
+    check(address, Proof::Lost).await;
+}
