Ports in use are findings, and daemons start in one way

Cause: the HTTP server binds with SO_REUSEPORT, so a second daemon on a port started and took half of the connections without a word. Both daemons had their own copy of reading settings and starting.

--- a/crates/agent/src/agent_metrics.rs
+++ b/crates/agent/src/agent_metrics.rs
@@ -26,10 +26,16 @@
     pub intent_seconds: Histogram,
 }
 
+impl Default for AgentMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl AgentMetrics {
     /// Register all metrics.
     pub fn new() -> Self {
-        let set = MetricSet::default();
+        let mut set = MetricSet::default();
         Self {
             tokens: set.counter(
                 "bamboocross_agent_tokens_total",
--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -188,7 +188,10 @@
             let write = state.intents.write(&claim.key, condition, &value, deadline);
             let written = write.await;
             if written != WriteOutcome::Recorded {
-                log::error!(request = claim.key.as_str(); "outcome not recorded: {written:?}");
+                log::error!(
+                    request = claim.key.as_str(), attempt = record.run;
+                    "outcome not recorded: {written:?}"
+                );
             }
         });
     }
--- a/crates/agent/src/intent_log.rs
+++ b/crates/agent/src/intent_log.rs
@@ -156,7 +156,7 @@
             }
             Ok(TransactOutcome::Refused { failed }) => self.settle_refused(group, &failed).await,
             Err(error) => {
-                log::warn!("intents wait: {error}");
+                log::warn!(requests:? = row_keys(&group); "intents wait: {error}");
                 tokio::time::sleep(RETRY_PAUSE).await;
                 self.put_back(group);
             }
@@ -176,7 +176,7 @@
         let rows = match self.table.read(&keys).await {
             Ok(rows) => rows,
             Err(error) => {
-                log::warn!("refused intents wait: {error}");
+                log::warn!(requests:? = keys; "refused intents wait: {error}");
                 tokio::time::sleep(RETRY_PAUSE).await;
                 return self.put_back(group);
             }
@@ -203,3 +203,7 @@
         }
     }
 }
+
+fn row_keys(group: &[WriteJob]) -> Vec<&str> {
+    group.iter().map(|job| job.key.as_str()).collect()
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -17,6 +17,7 @@
 mod state_dump;
 mod stream_front;
 
+pub use agent_metrics::AgentMetrics;
 pub use agent_state::AgentState;
 pub use control_front::{ControlFront, serve_control};
 pub use server_watch::watch_server;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -7,10 +7,10 @@
 };
 
 use agent::{AgentState, serve_control, serve_streams, watch_server};
-use miette::{IntoDiagnostic, Report, WrapErr};
+use miette::{IntoDiagnostic, WrapErr};
 use platform::HttpPlatform;
 use settings::AgentSettings;
-use telemetry::{DaemonArgs, ExitStatus, StopSignal, daemon_args, report_and_exit, start_logs};
+use telemetry::{DaemonSpec, StopSignal, run_daemon};
 use tokio::time::Instant;
 
 /// Time within which the platform answers or counts as down.
@@ -20,44 +20,15 @@
 const WORKER_THREADS: usize = 2;
 
 fn main() -> ExitCode {
-    let args = daemon_args(
-        "bamboocross-agent",
-        "Stands beside a backend server and is the only way to it",
-    );
-    let settings = match read_settings(&args) {
-        Ok(settings) => settings,
-        Err(report) => return report_and_exit(report, ExitStatus::Findings),
+    let spec = DaemonSpec {
+        name: "bamboocross-agent",
+        about: "Stands beside a backend server and is the only way to it",
+        worker_threads: WORKER_THREADS,
     };
-    if args.check {
-        println!("{}: no findings", args.settings.display());
-        return ExitStatus::Done.into();
-    }
-    match run(&args, settings) {
-        Ok(()) => ExitStatus::Done.into(),
-        Err(report) => report_and_exit(report, ExitStatus::Failed),
-    }
+    run_daemon(spec, serve)
 }
 
-fn read_settings(args: &DaemonArgs) -> miette::Result<AgentSettings> {
-    let name = args.settings.display().to_string();
-    let text = std::fs::read_to_string(&args.settings)
-        .into_diagnostic()
-        .wrap_err_with(|| format!("cannot read {name}"))?;
-    AgentSettings::read(&name, &text).map_err(Report::new)
-}
-
-fn run(args: &DaemonArgs, settings: AgentSettings) -> miette::Result<()> {
-    let _logs = start_logs(&args.log).into_diagnostic()?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKER_THREADS)
-        .enable_all()
-        .build()
-        .into_diagnostic()?;
-    runtime.block_on(serve(settings))
-}
-
-async fn serve(settings: AgentSettings) -> miette::Result<()> {
-    let stop = StopSignal::listen().into_diagnostic()?;
+async fn serve(settings: AgentSettings, stop: StopSignal) -> miette::Result<()> {
     let table = HttpPlatform::new(settings.platform, PLATFORM_TIMEOUT);
     let epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -33,7 +33,8 @@
     let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
     let mut tried: Vec<ServerName> = Vec::new();
     let mut may_have_run = None;
-    for _ in 0..TRIES_MAX {
+    let request = call.key.as_deref().unwrap_or("none");
+    for attempt in 0..TRIES_MAX {
         let left = deadline.saturating_duration_since(Instant::now());
         if left < TRY_MIN {
             break;
@@ -49,14 +50,16 @@
         let _guard = node.begin();
         match state.links.call(node.spec().addresses.control, &call).await {
             Ok(CallReply::NotRun { reason }) => {
-                log::info!("call not run at {}: {reason}", node.spec().name);
+                let server = &node.spec().name;
+                log::info!(request, attempt; "call not run at {server}: {reason}");
             }
             Ok(reply) => {
                 node.note_success();
                 return reply;
             }
             Err(error) => {
-                log::warn!("no answer from {}: {error}", node.spec().name);
+                let server = &node.spec().name;
+                log::warn!(request, attempt; "no answer from {server}: {error}");
                 node.note_failure();
                 may_have_run = Some(error.to_string());
             }
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -34,10 +34,16 @@
     pub servers: IntGauge,
 }
 
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl EntryMetrics {
     /// Register all metrics.
     pub fn new() -> Self {
-        let set = MetricSet::default();
+        let mut set = MetricSet::default();
         Self {
             requests: set.counters(
                 "bamboocross_entry_requests_total",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,5 +20,6 @@
 mod stream_driver;
 
 pub use caller_front::serve_callers;
+pub use entry_metrics::EntryMetrics;
 pub use entry_state::EntryState;
 pub use refresh_task::refresh_snapshots;
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -5,7 +5,7 @@
 use domain::{DomainName, PoolName, ServerName, backend_server::ServerKind};
 
 use crate::{
-    FindingReport,
+    DaemonSettings, FindingReport, PortProbe,
     field_reader::{FieldReader, read_file},
 };
 
@@ -62,13 +62,14 @@
     pub drain_max: Duration,
 }
 
-impl AgentSettings {
-    /// Read a settings file.
-    pub fn read(name: &str, text: &str) -> Result<Self, FindingReport> {
-        read_file(name, text, Self::from_fields)
+impl DaemonSettings for AgentSettings {
+    fn read(name: &str, text: &str, ports: &impl PortProbe) -> Result<Self, FindingReport> {
+        read_file(name, text, |fields| Self::from_fields(fields, ports))
     }
+}
 
-    fn from_fields(fields: &FieldReader<'_>) -> Self {
+impl AgentSettings {
+    fn from_fields(fields: &FieldReader<'_>, ports: &impl PortProbe) -> Self {
         let settings = Self {
             name: ServerName::from(fields.text("name")),
             pool: PoolName::from(fields.text("pool")),
@@ -81,8 +82,8 @@
                 ],
             ),
             server: fields.address("server"),
-            listen: fields.address("listen"),
-            control: fields.address("control"),
+            listen: fields.listener("listen", ports),
+            control: fields.listener("control", ports),
             platform: fields.address("platform"),
             order_checks: fields.word(
                 "order_checks",
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    FindingReport,
+    DaemonSettings, FindingReport, PortProbe,
     field_reader::{FieldReader, read_file},
 };
 
@@ -49,13 +49,14 @@
     pub drain_max: Duration,
 }
 
-impl EntrySettings {
-    /// Read a settings file.
-    pub fn read(name: &str, text: &str) -> Result<Self, FindingReport> {
-        read_file(name, text, Self::from_fields)
+impl DaemonSettings for EntrySettings {
+    fn read(name: &str, text: &str, ports: &impl PortProbe) -> Result<Self, FindingReport> {
+        read_file(name, text, |fields| Self::from_fields(fields, ports))
     }
+}
 
-    fn from_fields(fields: &FieldReader<'_>) -> Self {
+impl EntrySettings {
+    fn from_fields(fields: &FieldReader<'_>, ports: &impl PortProbe) -> Self {
         let total_max = fields.number("requests_max", 2..=100_000, 4_096);
         let long_max = fields.number("long_requests_max", 1..=100_000, total_max * 3 / 4);
         if long_max >= total_max {
@@ -67,7 +68,7 @@
         let settings = Self {
             name: fields.text("name"),
             domain: DomainName::from(fields.text("failure_domain")),
-            listen: fields.address("listen"),
+            listen: fields.listener("listen", ports),
             platform: fields.address("platform"),
             servers: fields.objects("servers", read_server),
             services: fields.objects("services", read_service),
--- a/crates/settings/src/field_reader.rs
+++ b/crates/settings/src/field_reader.rs
@@ -18,7 +18,7 @@
     parse_to_ast,
 };
 
-use crate::{Finding, FindingReport};
+use crate::{Finding, FindingReport, PortProbe};
 
 const STAND_IN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -182,6 +182,21 @@
         })
     }
 
+    /// Address that must be there and that the process can listen on.
+    pub(crate) fn listener(&self, name: &'static str, ports: &impl PortProbe) -> SocketAddr {
+        let address = self.address(name);
+        if address == STAND_IN_ADDRESS {
+            return address;
+        }
+        if let Err(error) = ports.probe(address) {
+            self.finding(
+                name,
+                format!("cannot listen on `{name}` {address}: {error}"),
+            );
+        }
+        address
+    }
+
     /// Whole number in a range, or `default` when the field is absent.
     pub(crate) fn number(
         &self,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,11 +5,13 @@
 //! are served by the processes themselves over the routes they have anyway.
 
 mod daemon_command;
+mod daemon_run;
 mod log_setup;
 mod metric_set;
 mod stop_signal;
 
-pub use daemon_command::{DaemonArgs, ExitStatus, daemon_args, report_and_exit};
+pub use daemon_command::{DaemonArgs, ExitStatus, report_and_exit};
+pub use daemon_run::{DaemonSpec, run_daemon};
 pub use log_setup::start_logs;
-pub use metric_set::MetricSet;
+pub use metric_set::{MetricDescription, MetricSet};
 pub use stop_signal::StopSignal;
--- a/crates/telemetry/src/metric_set.rs
+++ b/crates/telemetry/src/metric_set.rs
@@ -1,14 +1,27 @@
 //! Metrics of one process.
+//!
+//! Every name ends with its unit, or with `_total` for a count; names without
+//! either are gauges of things counted now.
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    TextEncoder, core::Collector,
 };
 
+/// One metric as it was registered, whether or not it has a value yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MetricDescription {
+    /// Name.
+    pub name: String,
+    /// What it counts or measures.
+    pub help: String,
+}
+
 /// Metrics by name, registered once at the start.
 #[derive(Clone, Debug, Default)]
 pub struct MetricSet {
     registry: Registry,
+    descriptions: Vec<MetricDescription>,
 }
 
 impl MetricSet {
@@ -17,7 +30,7 @@
     /// # Panics
     ///
     /// If the name is taken or malformed, which is a mistake in the program.
-    pub fn counter(&self, name: &str, help: &str) -> IntCounter {
+    pub fn counter(&mut self, name: &str, help: &str) -> IntCounter {
         let counter = IntCounter::new(name, help).expect("the name is well formed");
         self.register(&counter);
         counter
@@ -28,7 +41,7 @@
     /// # Panics
     ///
     /// If the name is taken or malformed, which is a mistake in the program.
-    pub fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+    pub fn counters(&mut self, name: &str, help: &str, label: &str) -> IntCounterVec {
         let counters =
             IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is well formed");
         self.register(&counters);
@@ -40,7 +53,7 @@
     /// # Panics
     ///
     /// If the name is taken or malformed, which is a mistake in the program.
-    pub fn gauge(&self, name: &str, help: &str) -> IntGauge {
+    pub fn gauge(&mut self, name: &str, help: &str) -> IntGauge {
         let gauge = IntGauge::new(name, help).expect("the name is well formed");
         self.register(&gauge);
         gauge
@@ -51,7 +64,7 @@
     /// # Panics
     ///
     /// If the name is taken or malformed, which is a mistake in the program.
-    pub fn seconds(&self, name: &str, help: &str) -> Histogram {
+    pub fn seconds(&mut self, name: &str, help: &str) -> Histogram {
         let options = HistogramOpts::new(name, help).buckets(vec![
             0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0,
         ]);
@@ -60,6 +73,11 @@
         histogram
     }
 
+    /// All metrics, in the order of their registration.
+    pub fn descriptions(&self) -> &[MetricDescription] {
+        &self.descriptions
+    }
+
     /// All metrics in the text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
@@ -71,7 +89,12 @@
         String::from_utf8(text).unwrap_or_default()
     }
 
-    fn register<C: prometheus::core::Collector + Clone + 'static>(&self, collector: &C) {
+    fn register<C: Collector + Clone + 'static>(&mut self, collector: &C) {
+        self.descriptions
+            .extend(collector.desc().iter().map(|desc| MetricDescription {
+                name: desc.fq_name.clone(),
+                help: desc.help.clone(),
+            }));
         self.registry
             .register(Box::new(collector.clone()))
             .expect("every name is registered once");
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -345,6 +345,12 @@
         serde_json::from_slice(&reply).into_diagnostic()
     }
 
+    /// Read text that a process shows.
+    pub async fn text(&self, address: SocketAddr, path: &str) -> Result<String> {
+        let reply = self.send(ExchangeCall::get(address, path)).await?;
+        String::from_utf8(reply).into_diagnostic()
+    }
+
     /// Wait until an entry knows a release note and a number of servers.
     pub async fn wait_until_ready(&self, entry: SocketAddr, servers: usize) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
@@ -438,7 +444,7 @@
 }
 
 /// Folder of the programs, which is that of this program.
-fn program_folder() -> Result<PathBuf> {
+pub fn program_folder() -> Result<PathBuf> {
     let own = std::env::current_exe().into_diagnostic()?;
     let mut folder = own.parent().unwrap_or(Path::new(".")).to_owned();
     if folder.ends_with("deps") {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -14,23 +14,14 @@
         .about("Chores of the workspace")
         .subcommand_required(true)
         .subcommand(Command::new("demo").about("A long report through the death of its engine"))
-        .subcommand(Command::new("test").about("Build all programs and run all tests"))
+        .subcommand(test_command())
         .subcommand(measure_command())
         .subcommand(Command::new("check-domain").about("Check what the domain depends on"))
         .get_matches();
     let ran = match matches.subcommand() {
         Some(("measure", matches)) => run_measure(matches),
         Some(("demo", _)) => build().and_then(|()| block_on(demo::run()).map(drop)),
-        Some(("test", _)) => build().and_then(|()| {
-            cargo(&[
-                "test",
-                "--release",
-                "--workspace",
-                "--lib",
-                "--bins",
-                "--tests",
-            ])
-        }),
+        Some(("test", matches)) => build().and_then(|()| run_tests(matches)),
         _ => checks::check_domain(),
     };
     match ran {
@@ -42,6 +33,32 @@
     }
 }
 
+fn test_command() -> Command {
+    Command::new("test")
+        .about("Build all programs and run all tests")
+        .arg(
+            Arg::new("options")
+                .help("Options of the test programs, after `--`")
+                .num_args(0..)
+                .last(true),
+        )
+}
+
+fn run_tests(matches: &ArgMatches) -> Result<()> {
+    let options = matches.get_many::<String>("options").into_iter().flatten();
+    let mut args = vec![
+        "test",
+        "--release",
+        "--workspace",
+        "--lib",
+        "--bins",
+        "--tests",
+        "--",
+    ];
+    args.extend(options.map(String::as_str));
+    cargo(&args)
+}
+
 fn measure_command() -> Command {
     Command::new("measure")
         .about("One measurement with real processes")
