--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use platform::HttpPlatform;
 
 use crate::{
     CommandResult, dump_command,
     note_command::{self, NoteSource},
+    status_command,
     vm_command::{self, VmOrder},
 };
 
@@ -30,6 +31,7 @@
         .subcommand_required(true)
         .subcommand(note_commands())
         .subcommand(vm_commands())
+        .subcommand(status_command_line())
         .subcommand(
             Command::new("dump")
                 .about("Print the state of one process as JSON")
@@ -84,6 +86,26 @@
         .subcommand(order("undo", "Take new work again"))
 }
 
+fn status_command_line() -> Command {
+    Command::new("status")
+        .about("Show the whole deployment: entries, servers, versions, unsettled calls")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("IP:PORT")
+                .help("An entry to ask; may be given more than once")
+                .value_parser(value_parser!(SocketAddr))
+                .action(ArgAction::Append),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("Print JSON, with the whole state of each process")
+                .action(ArgAction::SetTrue),
+        )
+}
+
 fn platform_arg() -> Arg {
     Arg::new("platform")
         .long("platform")
@@ -107,6 +129,12 @@
     match matches.subcommand() {
         Some(("note", matches)) => run_note(matches).await,
         Some(("vm", matches)) => run_vm(matches).await,
+        Some(("status", matches)) => {
+            let entries = matches.get_many::<SocketAddr>("entry");
+            let entries: Vec<SocketAddr> = entries.into_iter().flatten().copied().collect();
+            let is_json = matches.get_flag("json");
+            status_command::show(&platform_of(matches), &entries, is_json).await
+        }
         Some(("dump", matches)) => {
             let address = matches.get_one::<SocketAddr>("address");
             dump_command::dump(address.copied().expect("the argument is required")).await
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,8 +4,10 @@
 //! and prints the outcome. Commands keep nothing between runs.
 
 mod command_line;
+mod deployment_report;
 mod dump_command;
 mod note_command;
+mod status_command;
 mod vm_command;
 
 pub use command_line::{command_line, run_command};
