Policy under load: subsets, paces, classes, fair shares, and its measurement

Cause: servers were drawn from a scan of all nodes by own in-flight counts alone, agents took any number of generations, and an entry refused only at fixed limits, so that a crest or a slowed server was felt by everyone.

Change: `ServerSet` groups servers by pool when it is published and narrows each pool to a subset by rendezvous hashing within failure domains. A small trait, `ServerChoice`, has two implementations: `WeightedChoice` draws two and weighs own counts, the agents' counts (on heartbeats, with their age) and the pace beside the peers' median, tries slowed servers again and prefers the holder of a prompt's prefix within a bound; `RandomChoice` is the baseline. Agents set slots apart by class (`SlotGate`) and refuse with 429 before anything runs; entries open the first stream before they answer, so that a refusal is a 429 with `Retry-After` and `not run`. `ShareGate` keeps teams at a fair rate in bounded memory, by core-stateless fair queueing. Generations far slower than their peers move by resumption, within `RetryBudget`, which also bounds the calls that are tried again. `policy: plain` gives the baseline.

`cargo xtask measure load` sends an open-loop load to both policies.

Tests: domain tests for spread, avoidance, trials, bounds and shares; process tests by counts in xtask/tests/load.rs. The list of known fields in the settings test names `policy`, which is new.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -1,12 +1,16 @@
 //! What the parts of an agent share.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use domain::backend_server::SlotGate;
 use platform::TableStore;
-use settings::AgentSettings;
+use settings::{AgentSettings, LoadPolicy};
 use tokio::time::Instant;
 
 use crate::{
@@ -26,6 +30,7 @@
     pub(crate) intents: IntentLog,
     pub(crate) metrics: AgentMetrics,
     pub(crate) calls: AtomicU32,
+    pub(crate) slots: Arc<SlotGate>,
     leaving: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
@@ -35,6 +40,10 @@
     /// State at the start of a process.
     pub fn new<T: TableStore>(settings: AgentSettings, table: T, epoch: u64, now: Instant) -> Self {
         let metrics = AgentMetrics::new();
+        let limits = match settings.policy {
+            LoadPolicy::Balanced => Some(settings.slots),
+            LoadPolicy::Plain => None,
+        };
         Self {
             engine: EngineClient::new(settings.server),
             intents: IntentLog::start(table, metrics.clone()),
@@ -43,6 +52,7 @@
             epoch,
             metrics,
             calls: AtomicU32::new(0),
+            slots: Arc::new(SlotGate::new(limits)),
             leaving: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
--- a/crates/agent/src/engine_client.rs
+++ b/crates/agent/src/engine_client.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use domain::{AttemptNumber, GenerationId, WorkClass};
-use exchange::{EventStream, ExchangeCall, ExchangeError, HttpExchange};
+use domain::{AttemptNumber, GenerationId, WorkClass, backend_server::SlotPermit};
+use exchange::{EventStream, ExchangeCall, ExchangeError, HttpExchange, StreamEvent};
 use wire::{
     engine::{EngineCancel, EngineLoad, EngineRequest},
     stream::OpenMessage,
@@ -15,6 +15,27 @@
 /// Time within which an engine answers small questions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Events of one generation, which holds its slot for as long as they come.
+pub struct EngineStream {
+    events: EventStream,
+    _permit: SlotPermit,
+}
+
+impl EngineStream {
+    /// Stream of a generation that was let in.
+    pub const fn new(events: EventStream, permit: SlotPermit) -> Self {
+        Self {
+            events,
+            _permit: permit,
+        }
+    }
+
+    /// Read the next event, or nothing at the end of the stream.
+    pub async fn read(&mut self) -> Result<Option<StreamEvent>, ExchangeError> {
+        self.events.read().await
+    }
+}
+
 /// Client of one engine.
 #[derive(Clone)]
 pub struct EngineClient {
--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -10,9 +10,10 @@
 
 use domain::{
     AttemptNumber, GenerationId, TokenPosition,
+    backend_server::SlotPermit,
     generation_stream::{AttemptGate, AttemptVerdict, TokenLog},
 };
-use exchange::{EventStream, ExchangeError, StreamEvent};
+use exchange::{ExchangeError, StreamEvent};
 use tokio::{
     sync::mpsc,
     time::{Instant, MissedTickBehavior},
@@ -24,7 +25,7 @@
     },
 };
 
-use crate::AgentState;
+use crate::{AgentState, engine_client::EngineStream};
 
 /// Commands waiting for a task at most.
 const COMMANDS_MAX: usize = 16;
@@ -80,7 +81,7 @@
 }
 
 enum EngineState {
-    Reading(EventStream),
+    Reading(EngineStream),
     Ended(EndMessage),
     Lost(String),
 }
@@ -104,6 +105,7 @@
     state: &Arc<AgentState>,
     generation: GenerationId,
     open: Box<OpenMessage>,
+    permit: SlotPermit,
     reader: mpsc::Sender<StreamItem>,
 ) -> Result<(), (Box<OpenMessage>, mpsc::Sender<TaskCommand>)> {
     let (sender, commands) = mpsc::channel(COMMANDS_MAX);
@@ -113,7 +115,8 @@
     let state = Arc::clone(state);
     tokio::spawn(async move {
         state.metrics.generations.inc();
-        let task = GenerationTask::start(Arc::clone(&state), generation, *open, reader).await;
+        let task =
+            GenerationTask::start(Arc::clone(&state), generation, (*open, permit), reader).await;
         task.run(commands).await;
         state.registry.remove(generation);
         state.metrics.generations.dec();
@@ -125,7 +128,7 @@
     async fn start(
         state: Arc<AgentState>,
         generation: GenerationId,
-        open: OpenMessage,
+        (open, permit): (OpenMessage, SlotPermit),
         reader: mpsc::Sender<StreamItem>,
     ) -> Self {
         let now = Instant::now();
@@ -141,7 +144,7 @@
             reader_gone_at: now,
             open,
         };
-        task.start_engine().await;
+        task.start_engine(permit).await;
         task.attach(task.log.next_position(), reader);
         task
     }
@@ -177,12 +180,12 @@
         }
     }
 
-    async fn start_engine(&mut self) {
+    async fn start_engine(&mut self, permit: SlotPermit) {
         self.log = self.open.delivered.iter().map(String::as_str).collect();
         self.engine_heard = Instant::now();
         self.has_first_token = false;
         self.engine = match self.state.engine.open(self.generation, &self.open).await {
-            Ok(events) => EngineState::Reading(events),
+            Ok(events) => EngineState::Reading(EngineStream::new(events, permit)),
             Err(reason) => EngineState::Lost(reason),
         };
     }
@@ -298,6 +301,8 @@
         let beat = BeatMessage {
             engine_silence_ms: millis(self.engine_silence(now)),
             leaving: self.state.is_leaving(),
+            held: self.state.slots.held(),
+            slots: self.state.slots.slots(),
         };
         // A full channel needs no sign of life: its reader has items to read.
         if let Err(mpsc::error::TrySendError::Closed(_)) =
@@ -358,7 +363,8 @@
                 self.tell_stale();
                 self.cancel_engine().await;
                 self.open = open;
-                self.start_engine().await;
+                let permit = self.state.slots.enter_always(self.open.class.into());
+                self.start_engine(permit).await;
                 self.attach(from, reader);
             }
         }
--- a/crates/agent/src/server_watch.rs
+++ b/crates/agent/src/server_watch.rs
@@ -17,7 +17,13 @@
     loop {
         ticks.tick().await;
         let is_alive = match state.settings.kind {
-            ServerKind::Engine => state.engine.load().await.is_ok(),
+            ServerKind::Engine => match state.engine.load().await {
+                Ok(load) => {
+                    state.slots.set_slots(load.slots);
+                    true
+                }
+                Err(_) => false,
+            },
             ServerKind::Service => is_listening(&state).await,
         };
         if is_alive {
--- a/crates/agent/src/state_dump.rs
+++ b/crates/agent/src/state_dump.rs
@@ -25,6 +25,8 @@
         "leaving": state.is_leaving(),
         "server_silence_ms": u64::try_from(silence).unwrap_or(u64::MAX),
         "generations": generations,
+        "slots": state.slots.slots(),
+        "slots_held": state.slots.held(),
         "calls": state.calls.load(Ordering::Relaxed),
     })
 }
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use domain::{GenerationId, TokenPosition};
+use domain::{
+    GenerationId, TokenPosition,
+    backend_server::{SlotPermit, SlotRefusal},
+};
 use futures_util::{Stream, future::BoxFuture, stream};
 use http::StatusCode;
 use telemetry::StopSignal;
@@ -89,10 +92,15 @@
     let open = Box::new(open);
     let (open, task) = match known {
         Some(task) => (open, task),
-        None => match spawn_generation(&state, generation, open, sender.clone()) {
-            Ok(()) => return events(receiver),
-            Err((open, task)) => (open, task),
-        },
+        None => {
+            let Ok(permit) = slot_for(&state, &open) else {
+                return refuse(StatusCode::TOO_MANY_REQUESTS, "full", "");
+            };
+            match spawn_generation(&state, generation, open, permit, sender.clone()) {
+                Ok(()) => return events(receiver),
+                Err((open, task)) => (open, task),
+            }
+        }
     };
     let reader = sender;
     if task.send(TaskCommand::Open { open, reader }).await.is_err() {
@@ -101,6 +109,15 @@
     events(receiver)
 }
 
+/// A slot for a generation; one that was promised already is never refused.
+fn slot_for(state: &AgentState, open: &OpenMessage) -> Result<SlotPermit, SlotRefusal> {
+    let class = open.class.into();
+    if open.attempt > 0 || !open.delivered.is_empty() {
+        return Ok(state.slots.enter_always(class));
+    }
+    state.slots.enter(class)
+}
+
 /// Where a new entry wants to begin.
 #[derive(Debug, serde::Deserialize)]
 struct TakeOverQuery {
--- a/crates/domain/src/backend_server/server_choice.rs
+++ b/crates/domain/src/backend_server/server_choice.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::{
     PoolName, ServerName,
-    backend_server::{ServerKind, ServerNode, ServerSpec},
+    backend_server::{PoolServers, ServerNode},
 };
 
 /// What a request needs of a server.
@@ -19,89 +20,164 @@
     pub pool: &'a PoolName,
     /// Servers not to choose, such as the one that just failed.
     pub exclude: &'a [ServerName],
+    /// Hash of the prompt's beginning, if it is worth caching.
+    pub prefix: Option<u64>,
+    /// Time of the choice.
+    pub now: Instant,
 }
 
-/// The servers known to a process, replaced as a whole.
-#[derive(Debug, Default)]
-pub struct ServerSet {
-    nodes: Vec<Arc<ServerNode>>,
+impl ChoiceQuery<'_> {
+    /// Whether the server can take the request at all.
+    pub fn allows(&self, node: &ServerNode) -> bool {
+        !node.is_leaving() && !self.exclude.contains(&node.spec().name)
+    }
 }
 
-impl ServerSet {
-    /// Set of the given servers, with the nodes of `previous` kept where the
-    /// server is the same, so that their counters go on.
-    pub fn new(specs: &[ServerSpec], previous: &Self) -> Self {
-        let nodes = specs
-            .iter()
-            .map(|spec| match previous.get(&spec.name) {
-                Some(node) if node.spec() == spec => Arc::clone(node),
-                _ => Arc::new(ServerNode::new(spec.clone())),
-            })
-            .collect();
-        Self { nodes }
-    }
+/// A way to choose a server.
+pub trait ServerChoice {
+    /// Choose one of the subset's servers that the query allows.
+    fn choose<'a>(
+        &self,
+        pool: &'a PoolServers,
+        query: &ChoiceQuery<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Arc<ServerNode>>;
+}
 
-    /// All servers.
-    pub fn nodes(&self) -> &[Arc<ServerNode>] {
-        &self.nodes
-    }
+/// Any server that is allowed, whatever its load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RandomChoice;
 
-    /// Server by name.
-    pub fn get(&self, name: &ServerName) -> Option<&Arc<ServerNode>> {
-        self.nodes.iter().find(|node| node.spec().name == *name)
+impl ServerChoice for RandomChoice {
+    fn choose<'a>(
+        &self,
+        pool: &'a PoolServers,
+        query: &ChoiceQuery<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Arc<ServerNode>> {
+        first_from(pool.subset(), rng, |node| {
+            query.allows(node) && !node.is_suspect()
+        })
+        .or_else(|| first_from(pool.subset(), rng, |node| query.allows(node)))
     }
+}
 
-    /// Servers of a kind.
-    pub fn of_kind(&self, kind: ServerKind) -> impl Iterator<Item = &Arc<ServerNode>> {
-        self.nodes
-            .iter()
-            .filter(move |node| node.spec().kind == kind)
-    }
+/// The better of two, by load and pace.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WeightedChoice;
 
-    /// Draw two servers that can take the request and return the less loaded.
-    pub fn choose(&self, query: &ChoiceQuery<'_>, rng: &mut impl Rng) -> Option<&Arc<ServerNode>> {
-        let healthy = self.draw(query, rng, |node| !node.is_suspect());
-        // A suspect server is better than none.
-        healthy.or_else(|| self.draw(query, rng, |_| true))
-    }
+impl WeightedChoice {
+    /// Servers drawn at most before the subset is searched in order.
+    const DRAWS_MAX: usize = 8;
 
-    fn draw(
-        &self,
+    /// Load, in thousandths of a server's slots, that a cached prefix is worth.
+    const PREFIX_WORTH_MILLI: u64 = 150;
+
+    fn two<'a>(
+        pool: &'a PoolServers,
         query: &ChoiceQuery<'_>,
         rng: &mut impl Rng,
-        admits: impl Fn(&ServerNode) -> bool,
-    ) -> Option<&Arc<ServerNode>> {
-        // Reservoir of two: one pass, no allocation.
+    ) -> Option<&'a Arc<ServerNode>> {
+        let nodes = pool.subset();
+        let median = pool.pace().median();
         let mut first: Option<&Arc<ServerNode>> = None;
-        let mut second: Option<&Arc<ServerNode>> = None;
-        let mut seen = 0_u32;
-        for node in &self.nodes {
-            if !Self::can_take(node, query) || !admits(node) {
+        for _ in 0..Self::DRAWS_MAX {
+            let node = &nodes[rng.random_range(0..nodes.len())];
+            if !query.allows(node) {
+                continue;
+            }
+            if node.is_avoided(median) {
+                // One request now and then tells whether it is well again.
+                if node.claim_trial(query.now) {
+                    return Some(node);
+                }
                 continue;
             }
-            seen += 1;
-            match seen {
-                1 => first = Some(node),
-                2 => second = Some(node),
-                _ => match rng.random_range(0..seen) {
-                    0 => first = Some(node),
-                    1 => second = Some(node),
-                    _ => {}
-                },
+            match first {
+                None => first = Some(node),
+                Some(one) if Arc::ptr_eq(one, node) => {}
+                Some(one) => return Some(Self::better(one, node, query.now)),
             }
         }
-        match (first, second) {
-            (Some(one), Some(other)) if other.inflight() < one.inflight() => Some(other),
-            (Some(one), Some(other)) if other.inflight() == one.inflight() => {
-                Some(if rng.random() { one } else { other })
-            }
-            (one, _) => one,
+        first
+    }
+
+    fn better<'a>(
+        one: &'a Arc<ServerNode>,
+        other: &'a Arc<ServerNode>,
+        now: Instant,
+    ) -> &'a Arc<ServerNode> {
+        if other.load_milli(now) < one.load_milli(now) {
+            other
+        } else {
+            one
         }
     }
 
-    fn can_take(node: &ServerNode, query: &ChoiceQuery<'_>) -> bool {
-        node.spec().pool == *query.pool
-            && !node.is_leaving()
-            && !query.exclude.contains(&node.spec().name)
+    /// The server that holds the prefix most likely, unless it is much busier.
+    fn prefer_prefix<'a>(
+        pool: &'a PoolServers,
+        drawn: &'a Arc<ServerNode>,
+        prefix: u64,
+        query: &ChoiceQuery<'_>,
+    ) -> &'a Arc<ServerNode> {
+        let median = pool.pace().median();
+        let holder = pool
+            .subset()
+            .iter()
+            .max_by_key(|node| mix(node.name_hash() ^ prefix));
+        let Some(holder) = holder else { return drawn };
+        let bound = drawn.load_milli(query.now) + Self::PREFIX_WORTH_MILLI;
+        let is_fit = query.allows(holder)
+            && !holder.is_avoided(median)
+            && holder.load_milli(query.now) <= bound;
+        if is_fit { holder } else { drawn }
     }
 }
+
+impl ServerChoice for WeightedChoice {
+    fn choose<'a>(
+        &self,
+        pool: &'a PoolServers,
+        query: &ChoiceQuery<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Arc<ServerNode>> {
+        if pool.subset().is_empty() {
+            return None;
+        }
+        pool.pace().refresh(pool.subset(), query.now);
+        let median = pool.pace().median();
+        let drawn = Self::two(pool, query, rng)
+            .or_else(|| {
+                first_from(pool.subset(), rng, |node| {
+                    query.allows(node) && !node.is_avoided(median)
+                })
+            })
+            // A slowed or suspect server is better than none.
+            .or_else(|| first_from(pool.subset(), rng, |node| query.allows(node)))?;
+        Some(match query.prefix {
+            Some(prefix) => Self::prefer_prefix(pool, drawn, prefix, query),
+            None => drawn,
+        })
+    }
+}
+
+/// First server in order, from a random place on, that `admits` holds for.
+fn first_from<'a>(
+    nodes: &'a [Arc<ServerNode>],
+    rng: &mut impl Rng,
+    admits: impl Fn(&ServerNode) -> bool,
+) -> Option<&'a Arc<ServerNode>> {
+    if nodes.is_empty() {
+        return None;
+    }
+    let (before, after) = nodes.split_at(rng.random_range(0..nodes.len()));
+    after.iter().chain(before).find(|node| admits(node))
+}
+
+/// Finaliser that spreads the bits of a number (splitmix64).
+const fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
--- a/crates/domain/src/backend_server/server_node.rs
+++ b/crates/domain/src/backend_server/server_node.rs
@@ -1,6 +1,7 @@
 //! One backend server as an entry sees it.
 
 use std::{
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc,
@@ -9,7 +10,9 @@
     time::Duration,
 };
 
-use crate::{DomainName, PoolName, ServerName};
+use tokio::time::Instant;
+
+use crate::{DomainName, PoolName, ServerName, backend_server::AtomicTime};
 
 /// What a backend server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +47,15 @@
     pub addresses: ServerAddresses,
 }
 
+/// Load of a server as its agent counts it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests of all entries that run or wait.
+    pub held: u32,
+    /// Slots of the server.
+    pub slots: u32,
+}
+
 /// A server and the counters of the requests sent to it.
 #[derive(Debug)]
 pub struct ServerNode {
@@ -52,6 +64,12 @@
     failures: AtomicU32,
     leaving: AtomicBool,
     token_gap_ns: AtomicU64,
+    gap_at: AtomicTime,
+    slots: AtomicU32,
+    others: AtomicU32,
+    reported_at: AtomicTime,
+    trial_at: AtomicTime,
+    name_hash: u64,
 }
 
 impl ServerNode {
@@ -61,9 +79,29 @@
     /// Consecutive failures after which a server is chosen last.
     const FAILURES_SUSPECT: u32 = 2;
 
+    /// Gap, as a multiple of the peers' median, from which a server is slowed.
+    const SLOWED_FACTOR: u32 = 2;
+
+    /// Age after which a report says nothing about now.
+    const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
+
+    /// Slots of a server that has not told them yet.
+    const SLOTS_DEFAULT: u32 = 16;
+
+    /// Time between two trials of a slowed or suspect server.
+    const TRIAL_PAUSE: Duration = Duration::from_secs(1);
+
     /// Node without requests.
-    pub const fn new(spec: ServerSpec) -> Self {
+    pub fn new(spec: ServerSpec, now: Instant) -> Self {
+        let mut hasher = DefaultHasher::new();
+        spec.name.hash(&mut hasher);
         Self {
+            gap_at: AtomicTime::new(now),
+            slots: AtomicU32::new(0),
+            others: AtomicU32::new(0),
+            reported_at: AtomicTime::new(now),
+            trial_at: AtomicTime::new(now),
+            name_hash: hasher.finish(),
             spec,
             inflight: AtomicU32::new(0),
             failures: AtomicU32::new(0),
@@ -116,7 +154,8 @@
     ///
     /// Concurrent samples may overwrite one another; the average only steers
     /// choices, so a lost sample does no harm.
-    pub fn note_token_gap(&self, gap: Duration) {
+    pub fn note_token_gap(&self, gap: Duration, now: Instant) {
+        self.gap_at.set(now);
         let sample = u64::try_from(gap.as_nanos()).unwrap_or(u64::MAX);
         let old = self.token_gap_ns.load(Ordering::Relaxed);
         let new = if old == 0 {
@@ -127,6 +166,54 @@
         self.token_gap_ns.store(new, Ordering::Relaxed);
     }
 
+    /// Record what the server's agent counts.
+    ///
+    /// The requests of this process are known better here, so only those of
+    /// others are kept.
+    pub fn note_report(&self, report: LoadReport, now: Instant) {
+        let others = report.held.saturating_sub(self.inflight());
+        self.slots.store(report.slots, Ordering::Relaxed);
+        self.others.store(others, Ordering::Relaxed);
+        self.reported_at.set(now);
+    }
+
+    /// Load, in thousandths of the slots, with one more request.
+    pub fn load_milli(&self, now: Instant) -> u64 {
+        let slots = match self.slots.load(Ordering::Relaxed) {
+            0 => Self::SLOTS_DEFAULT,
+            slots => slots,
+        };
+        let age = self.reported_at.age(now);
+        let others = match age <= Self::REPORT_AGE_MAX {
+            true => self.others.load(Ordering::Relaxed),
+            false => 0,
+        };
+        let held = u64::from(self.inflight()) + u64::from(others) + 1;
+        held * 1_000 / u64::from(slots)
+    }
+
+    /// Whether the server is given little work: it fails, or it is slow beside
+    /// its peers, whose median time between tokens is `median`.
+    pub fn is_avoided(&self, median: Option<Duration>) -> bool {
+        self.is_suspect() || self.is_slowed(median)
+    }
+
+    /// Whether the server is slow beside its peers.
+    pub fn is_slowed(&self, median: Option<Duration>) -> bool {
+        median.is_some_and(|median| self.token_gap() > median * Self::SLOWED_FACTOR)
+    }
+
+    /// Whether one request should try an avoided server; requests under way
+    /// there tell as much, so there is no trial while tokens come.
+    pub fn claim_trial(&self, now: Instant) -> bool {
+        self.gap_at.age(now) >= Self::TRIAL_PAUSE && self.trial_at.claim(Self::TRIAL_PAUSE, now)
+    }
+
+    /// Hash of the name.
+    pub const fn name_hash(&self) -> u64 {
+        self.name_hash
+    }
+
     /// Count a request for as long as the guard lives.
     pub fn begin(self: &Arc<Self>) -> InflightGuard {
         self.inflight.fetch_add(1, Ordering::Relaxed);
--- a/crates/domain/src/team_budget/admission_gate.rs
+++ b/crates/domain/src/team_budget/admission_gate.rs
@@ -21,14 +21,28 @@
     pub long_max: u32,
 }
 
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The process holds as many requests as it may.
+    #[display("at the limit of {_0} requests")]
+    Limit(u32),
+    /// The team sends more than its share while servers are full.
+    #[display("the team is above its fair share")]
+    Share,
+    /// No server could begin in time.
+    #[display("no server that was asked can begin")]
+    Servers,
+}
+
 /// Refusal before anything was dispatched.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("{class} work is at its limit of {limit} requests")]
+#[display("{class} work is refused: {cause}")]
 pub struct AdmissionRefusal {
-    /// Class that is full.
+    /// Class of the request.
     pub class: WorkClass,
-    /// The limit that was reached.
-    pub limit: u32,
+    /// Why it was refused.
+    pub cause: RefusalCause,
     /// When to try again.
     pub retry_after: Duration,
 }
@@ -43,7 +57,7 @@
 
 impl AdmissionGate {
     /// Pause that a refused caller is asked to make.
-    const RETRY_AFTER: Duration = Duration::from_secs(1);
+    pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
     /// Gate without requests.
     pub const fn new(limits: ClassLimits) -> Self {
@@ -66,7 +80,7 @@
     pub fn admit(self: &Arc<Self>, class: WorkClass) -> Result<AdmissionPermit, AdmissionRefusal> {
         let refusal = |limit| AdmissionRefusal {
             class,
-            limit,
+            cause: RefusalCause::Limit(limit),
             retry_after: Self::RETRY_AFTER,
         };
         if class == WorkClass::Long && !Self::raise(&self.long, self.limits.long_max) {
--- /dev/null
+++ b/crates/domain/tests/team_budget.rs
@@ -0,0 +1,141 @@
+//! Small teams keep their share, retries stay within theirs.
+
+use std::time::Duration;
+
+use domain::team_budget::{RateSketch, RetryBudget, ShareGate, ShareVerdict};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const STEP: Duration = Duration::from_millis(5);
+
+/// Requests that servers can put off.
+const QUEUE: f64 = 12.0;
+
+/// Served requests a second of each team, the largest first, when teams send
+/// `rates` and servers take `capacity` requests a second.
+async fn serve(rates: &[f64], capacity: f64, seconds: u32) -> Vec<f64> {
+    let gate = ShareGate::new(Instant::now());
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut served = vec![0_u32; rates.len()];
+    let mut room = 0.0;
+    let steps = seconds * 200;
+    for step in 0..steps {
+        tokio::time::advance(STEP).await;
+        room = f64::min(room + capacity * STEP.as_secs_f64(), QUEUE);
+        for (team, rate) in rates.iter().enumerate() {
+            if !rng.random_bool(rate * STEP.as_secs_f64()) {
+                continue;
+            }
+            let verdict = gate.judge(&format!("team-{team}"), 16, Instant::now(), &mut rng);
+            if verdict == ShareVerdict::Above {
+                continue;
+            }
+            if room < 1.0 {
+                gate.note_turned_away();
+                continue;
+            }
+            room -= 1.0;
+            // The first half is left for the gate to find its level.
+            if step >= steps / 2 {
+                served[team] += 1;
+            }
+        }
+    }
+    let seconds = f64::from(seconds) / 2.0;
+    served
+        .iter()
+        .map(|&count| f64::from(count) / seconds)
+        .collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_team_does_not_push_out_small_ones() {
+    let small = vec![2.0; 20];
+    let alone = serve(&small, 50.0, 60).await;
+    let mut with_large = vec![100.0];
+    with_large.extend(&small);
+    let beside = serve(&with_large, 50.0, 60).await;
+    let (alone, beside_small): (f64, f64) = (alone.iter().sum(), beside[1..].iter().sum());
+    assert!(
+        beside_small >= alone * 0.9,
+        "{beside_small} of {alone} a second"
+    );
+    let total: f64 = beside.iter().sum();
+    assert!(total >= 50.0 * 0.85, "only {total} of 50 a second are used");
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_refused_without_congestion() {
+    let gate = ShareGate::new(Instant::now());
+    let mut rng = SmallRng::seed_from_u64(11);
+    for number in 0..2_000 {
+        tokio::time::advance(STEP).await;
+        let team = if number % 2 == 0 { "large" } else { "small" };
+        let verdict = gate.judge(team, 300, Instant::now(), &mut rng);
+        assert_eq!(verdict, ShareVerdict::Within);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn congestion_is_forgotten() {
+    let gate = ShareGate::new(Instant::now());
+    let mut rng = SmallRng::seed_from_u64(11);
+    for _ in 0..400 {
+        tokio::time::advance(STEP).await;
+        if gate.judge("large", 16, Instant::now(), &mut rng) == ShareVerdict::Within {
+            gate.note_turned_away();
+        }
+    }
+    assert!(gate.fair_rate().is_finite());
+    for _ in 0..750 {
+        tokio::time::advance(STEP * 4).await;
+        gate.judge("large", 16, Instant::now(), &mut rng);
+    }
+    assert!(gate.fair_rate().is_infinite(), "{}", gate.fair_rate());
+}
+
+#[rstest]
+#[case::few(40)]
+#[case::thousands(13_000)]
+#[tokio::test(start_paused = true)]
+async fn rates_hold_beside_many_teams(#[case] teams: u32) {
+    let sketch = RateSketch::new(Instant::now());
+    let mut large = 0.0;
+    // Ten seconds at 1,000 requests a second, half of them of one team.
+    for number in 0..10_000_u32 {
+        tokio::time::advance(Duration::from_millis(1)).await;
+        let now = Instant::now();
+        if number % 2 == 0 {
+            large = sketch.add("large", 1, now);
+            continue;
+        }
+        sketch.add(&format!("team-{}", number % teams), 1, now);
+    }
+    assert!((450.0..550.0).contains(&large), "{large} a second, not 500");
+    tokio::time::advance(Duration::from_secs(60)).await;
+    let rested = sketch.add("large", 1, Instant::now());
+    assert!(rested < 1.0, "{rested} a second after a minute's rest");
+}
+
+proptest! {
+    #[test]
+    fn retries_stay_within_their_share(
+        share_milli in 0..1_000_u32,
+        steps in prop::collection::vec(any::<bool>(), 0..2_000),
+    ) {
+        let budget = RetryBudget::new(share_milli);
+        let mut first_tries = 0_u64;
+        let mut retries = 0_u64;
+        for is_retry in steps {
+            if is_retry {
+                retries += u64::from(budget.withdraw());
+            } else {
+                budget.note_first_try();
+                first_tries += 1;
+            }
+            prop_assert!(retries * 1_000 <= 20_000 + first_tries * u64::from(share_milli));
+        }
+    }
+}
--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -10,7 +10,7 @@
 
 use domain::{
     PoolName, ServerName,
-    backend_server::{ChoiceQuery, ServerNode, ServerSet},
+    backend_server::{ChoiceQuery, ServerChoice, ServerNode, ServerSet},
 };
 use tokio::time::Instant;
 use wire::service_call::{CallMessage, CallReply};
@@ -33,13 +33,17 @@
     let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
     let mut tried: Vec<ServerName> = Vec::new();
     let mut may_have_run = None;
-    for _ in 0..TRIES_MAX {
+    state.call_retries.note_first_try();
+    for at in 0..TRIES_MAX {
+        if at > 0 && !state.call_retries.withdraw() {
+            break;
+        }
         let left = deadline.saturating_duration_since(Instant::now());
         if left < TRY_MIN {
             break;
         }
         let servers = state.servers.load_full();
-        let Some(node) = choose(&servers, pool, call.key.as_deref(), &tried) else {
+        let Some(node) = choose(&state.policy, &servers, pool, call.key.as_deref(), &tried) else {
             break;
         };
         let call = CallMessage {
@@ -72,6 +76,7 @@
 }
 
 fn choose(
+    policy: &impl ServerChoice,
     servers: &ServerSet,
     pool: &PoolName,
     key: Option<&str>,
@@ -80,9 +85,11 @@
     let query = ChoiceQuery {
         pool,
         exclude: tried,
+        prefix: None,
+        now: Instant::now(),
     };
     let Some(key) = key else {
-        return servers.choose(&query, &mut rand::rng()).cloned();
+        return servers.choose(policy, &query, &mut rand::rng()).cloned();
     };
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     servers
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -82,7 +82,7 @@
             return resume_chat(&state, &id).await;
         }
         let body = read_body(&state, body).await?;
-        start_chat(&state, team, &body)
+        start_chat(&state, team, &body).await
     };
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -5,6 +5,7 @@
 use domain::{
     AdapterName, AttemptNumber, GenerationId, ModelName, TokenPosition, WorkClass,
     generation_stream::{ModelPin, StreamRelay, TokenLog},
+    team_budget::{AdmissionRefusal, RefusalCause},
 };
 use futures_util::stream;
 use http::{HeaderMap, StatusCode};
@@ -25,6 +26,7 @@
 
 use crate::{
     EntryState,
+    load_policy::{AdmissionRequest, EntryPolicy},
     problem_reply::ProblemReply,
     stream_driver::{CallerEvent, StreamDriver, TakeOverError},
 };
@@ -39,7 +41,7 @@
 const INCOMPLETE_EVENT: &str = "incomplete";
 
 /// Serve a completion that no server has seen.
-pub fn start_chat<P: Send + Sync + 'static>(
+pub async fn start_chat<P: Send + Sync + 'static>(
     state: &Arc<EntryState<P>>,
     team: &str,
     body: &[u8],
@@ -47,10 +49,19 @@
     let request = read_request(body)?;
     let pin = pin_of(state, &request)?;
     let class = WorkClass::of_generation(request.max_tokens);
-    let permit = state.gate.admit(class).inspect_err(|_| {
-        let refusals = state.metrics.refusals.with_label_values(&["over-capacity"]);
-        refusals.inc();
-    })?;
+    let permit = state
+        .gate
+        .admit(class)
+        .inspect_err(|refusal| count_refusal(state, refusal))?;
+    let admission = AdmissionRequest {
+        team,
+        class,
+        tokens: request.max_tokens,
+    };
+    let judged = state
+        .policy
+        .judge(&admission, Instant::now(), &mut rand::rng());
+    judged.inspect_err(|refusal| count_refusal(state, refusal))?;
     state
         .metrics
         .requests
@@ -65,7 +76,7 @@
         prompt: request.prompt(),
         delivered: Vec::new(),
         max_tokens: request.max_tokens,
-        class: class.into(),
+        class: state.policy.server_class(class).into(),
     };
     let relay = StreamRelay::new(
         pin,
@@ -74,10 +85,21 @@
         state.relay_limits,
         Instant::now(),
     );
-    let driver = StreamDriver::new(Arc::clone(state), generation, open, relay, permit);
+    let mut driver = StreamDriver::new(Arc::clone(state), generation, open, relay, permit);
+    let opened = driver.open_first().await;
+    opened.inspect_err(|refusal| count_refusal(state, refusal))?;
     Ok(chunk_stream(driver))
 }
 
+fn count_refusal<P>(state: &EntryState<P>, refusal: &AdmissionRefusal) {
+    let reason = match refusal.cause {
+        RefusalCause::Limit(_) => "over-capacity",
+        RefusalCause::Share => "over-share",
+        RefusalCause::Servers => "servers-full",
+    };
+    state.metrics.refusals.with_label_values(&[reason]).inc();
+}
+
 /// Go on with a completion whose caller comes back.
 pub async fn resume_chat<P: Send + Sync + 'static>(
     state: &Arc<EntryState<P>>,
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -20,6 +20,8 @@
     pub reconnects: IntCounter,
     /// Generations moved to another server.
     pub resumes: IntCounter,
+    /// Generations moved for being far slower than their peers.
+    pub moves: IntCounter,
     /// Time from the last token before a loss to the first after it.
     pub resume_seconds: Histogram,
     /// Generations by how they ended.
@@ -65,6 +67,10 @@
                 "bamboocross_entry_resumes_total",
                 "Generations moved to another server",
             ),
+            moves: set.counter(
+                "bamboocross_entry_moves_total",
+                "Generations moved for being far slower than their peers",
+            ),
             resume_seconds: set.seconds(
                 "bamboocross_entry_resume_seconds",
                 "Time from the last token before a loss to the first after it",
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -10,12 +10,13 @@
     backend_server::ServerSet,
     generation_stream::{RelayLimits, SilenceRule},
     release_note::NoteState,
-    team_budget::AdmissionGate,
+    team_budget::{AdmissionGate, RetryBudget},
 };
 use exchange::HttpExchange;
 use settings::EntrySettings;
+use tokio::time::Instant;
 
-use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics};
+use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics, load_policy::ProcessPolicy};
 
 /// State of the process; requests read it without a lock.
 pub struct EntryState<P> {
@@ -26,6 +27,8 @@
     pub(crate) servers: ArcSwap<ServerSet>,
     pub(crate) note: ArcSwap<NoteState>,
     pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) policy: ProcessPolicy,
+    pub(crate) call_retries: RetryBudget,
     pub(crate) links: AgentLinks,
     /// One new connection for each stream, so that silence of one tells
     /// nothing about another.
@@ -39,11 +42,15 @@
 impl<P> EntryState<P> {
     /// State at the start of a process.
     pub fn new(settings: EntrySettings, platform: P) -> Self {
-        let servers = ServerSet::new(&settings.servers, &ServerSet::default());
+        let now = Instant::now();
+        let servers = ServerSet::new(&settings.servers, &ServerSet::default(), now);
+        let servers = servers.narrowed(&settings.name);
         Self {
             servers: ArcSwap::from_pointee(servers),
             note: ArcSwap::from_pointee(NoteState::default()),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
+            policy: ProcessPolicy::new(settings.policy, now),
+            call_retries: ProcessPolicy::call_retries(),
             links: AgentLinks::default(),
             streams: HttpExchange::fresh(),
             silence: SilenceRule::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod chat_front;
 mod entry_metrics;
 mod entry_state;
+mod load_policy;
 mod problem_reply;
 mod refresh_task;
 mod service_front;
--- a/crates/entry/src/refresh_task.rs
+++ b/crates/entry/src/refresh_task.rs
@@ -7,7 +7,7 @@
     release_note::NoteState,
 };
 use platform::{StoreError, TableStore, VmEntry, VmList};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use wire::note::{HEAD_KEY, StateMessage};
 
 use crate::EntryState;
@@ -32,7 +32,7 @@
     let entries = state.platform.list().await?;
     let previous = state.servers.load();
     let specs: Vec<ServerSpec> = entries.iter().map(|entry| entry.spec.clone()).collect();
-    let set = ServerSet::new(&specs, &previous);
+    let set = ServerSet::new(&specs, &previous, Instant::now()).narrowed(&state.settings.name);
     for VmEntry { spec, leaving } in &entries {
         if *leaving && let Some(node) = set.get(&spec.name) {
             node.set_leaving(true);
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -4,11 +4,15 @@
 //! It yields caller events that are not encoded yet, so that another front end
 //! can send them in a form of its own.
 
+mod first_open;
+mod link_pace;
+
 use std::{sync::Arc, time::Duration};
 
+use derive_more::Display;
 use domain::{
     AttemptNumber, GenerationId, ServerName, TokenPosition,
-    backend_server::{ChoiceQuery, InflightGuard, ServerNode},
+    backend_server::{ChoiceQuery, InflightGuard, LoadReport, ServerNode},
     generation_stream::{
         EndVerdict, LossAction, SilenceVerdict, StreamRelay, StreamWatch, TokenVerdict,
     },
@@ -21,7 +25,9 @@
     BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
     RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
+use self::link_pace::LinkPace;
 use crate::EntryState;
 
 /// Time within which an agent opens a stream, before any prefill.
@@ -33,6 +39,9 @@
 /// Servers that failed and are not tried again at once.
 const EXCLUDED_MAX: usize = 4;
 
+/// Bytes at a prompt's beginning by which servers that cached it are found.
+const PREFIX_BYTES: usize = 512;
+
 /// What the caller is told.
 #[derive(Debug)]
 pub enum CallerEvent {
@@ -63,6 +72,21 @@
     events: EventStream,
     guard: InflightGuard,
     watch: StreamWatch,
+    pace: LinkPace,
+}
+
+/// Why no stream was opened.
+#[derive(Debug, Display)]
+enum OpenError {
+    /// The agent has no slot; nothing was started.
+    #[display("no slot")]
+    Full,
+    /// No connection was made; nothing was started.
+    #[display("{_0}")]
+    Unreachable(ExchangeError),
+    /// Anything else; something may have been started.
+    #[display("{_0}")]
+    Other(String),
 }
 
 enum LinkTarget {
@@ -138,13 +162,8 @@
             state.relay_limits,
             now,
         );
-        let link = StreamLink {
-            events,
-            guard: node.begin(),
-            watch: StreamWatch::new(now),
-        };
         let mut driver = Self::new(state, generation, record.open, relay, permit);
-        driver.link = Some(link);
+        driver.link = Some(driver.link_to(node, events));
         Ok(driver)
     }
 
@@ -182,6 +201,12 @@
                     continue;
                 }
             };
+            let Some(wake) = self.judge_pace(wake, now) else {
+                continue;
+            };
+            let Some(link) = &mut self.link else {
+                continue;
+            };
             match tokio::time::timeout_at(wake, link.events.read()).await {
                 Err(_) => {}
                 Ok(Ok(Some(event))) => {
@@ -205,6 +230,11 @@
                     && let Some(link) = &mut self.link
                 {
                     link.watch.heard_beat(beat.into(), now);
+                    let report = LoadReport {
+                        held: beat.held,
+                        slots: beat.slots,
+                    };
+                    link.guard.node().note_report(report, now);
                     link.guard.node().set_leaving(beat.leaving);
                 }
                 None
@@ -258,14 +288,17 @@
             }
             Some(_) => {}
         }
-        self.is_resuming = false;
+        let is_first_here = std::mem::take(&mut self.is_resuming);
         self.excluded.clear();
         let mut server = ServerName::from("none");
         if let Some(link) = &mut self.link {
             link.watch.heard_token(now);
+            link.pace.heard_token(now);
             let node = link.guard.node();
-            if let Some(last) = self.last_token_at {
-                node.note_token_gap(now.duration_since(last));
+            if let Some(last) = self.last_token_at
+                && !is_first_here
+            {
+                node.note_token_gap(now.duration_since(last), now);
             }
             node.note_success();
             server = node.spec().name.clone();
@@ -361,11 +394,7 @@
         };
         match self.open_at(&node).await {
             Ok(events) => {
-                self.link = Some(StreamLink {
-                    events,
-                    guard: node.begin(),
-                    watch: StreamWatch::new(Instant::now()),
-                });
+                self.link = Some(self.link_to(&node, events));
                 None
             }
             Err(reason) => {
@@ -379,14 +408,27 @@
                         LossAction::Reconnect | LossAction::GiveUp => self.target = LinkTarget::Any,
                     }
                 } else {
-                    node.note_failure();
                     self.exclude(&node.spec().name);
+                    if matches!(reason, OpenError::Full) {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                        return Some(CallerEvent::Waiting);
+                    }
+                    node.note_failure();
                 }
                 None
             }
         }
     }
 
+    fn link_to(&self, node: &Arc<ServerNode>, events: EventStream) -> StreamLink {
+        StreamLink {
+            events,
+            guard: node.begin(),
+            watch: StreamWatch::new(Instant::now()),
+            pace: LinkPace::new(&self.state, node),
+        }
+    }
+
     fn next_node(&mut self) -> Option<Arc<ServerNode>> {
         if let LinkTarget::Same(node) = &self.target {
             return Some(Arc::clone(node));
@@ -397,11 +439,15 @@
         let query = ChoiceQuery {
             pool: &duty.pool,
             exclude: &self.excluded,
+            prefix: prefix_of(&self.open.prompt),
+            now: Instant::now(),
         };
-        servers.choose(&query, &mut rand::rng()).cloned()
+        servers
+            .choose(&self.state.policy, &query, &mut rand::rng())
+            .cloned()
     }
 
-    async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, String> {
+    async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, OpenError> {
         let open = OpenMessage {
             attempt: self.relay.attempt().0,
             delivered: self
@@ -421,9 +467,16 @@
                 if reply.status == StatusCode::SERVICE_UNAVAILABLE {
                     node.set_leaving(true);
                 }
-                Err(format!("refused with status {}", reply.status))
+                if reply.status == StatusCode::TOO_MANY_REQUESTS {
+                    return Err(OpenError::Full);
+                }
+                Err(OpenError::Other(format!(
+                    "refused with status {}",
+                    reply.status
+                )))
             }
-            Err(error) => Err(error.to_string()),
+            Err(error @ ExchangeError::NotSent { .. }) => Err(OpenError::Unreachable(error)),
+            Err(error) => Err(OpenError::Other(error.to_string())),
         }
     }
 
@@ -444,6 +497,12 @@
     }
 }
 
+/// Hash of a prompt's beginning, if it is long enough to be worth caching.
+fn prefix_of(prompt: &str) -> Option<u64> {
+    let bytes = prompt.as_bytes();
+    (bytes.len() >= PREFIX_BYTES).then(|| xxh3_64(&bytes[..PREFIX_BYTES]))
+}
+
 /// Why a generation could not be taken over.
 #[derive(Debug)]
 pub enum TakeOverError {
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -1,12 +1,16 @@
 //! Settings of an agent.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 
-use domain::{DomainName, PoolName, ServerName, backend_server::ServerKind};
+use domain::{
+    DomainName, PoolName, ServerName,
+    backend_server::{ServerKind, SlotLimits},
+};
 
 use crate::{
     FindingReport,
     field_reader::{FieldReader, read_file},
+    load_policy::{LoadPolicy, read_policy},
 };
 
 /// Whether the server refuses orders with an old fencing number.
@@ -60,6 +64,10 @@
     pub service_run_max: Duration,
     /// Time that a drain waits for work in flight.
     pub drain_max: Duration,
+    /// Whether capacity is set apart by class.
+    pub policy: LoadPolicy,
+    /// How the slots of the server are shared.
+    pub slots: SlotLimits,
 }
 
 impl AgentSettings {
@@ -112,6 +120,11 @@
                 Duration::from_secs(2),
             ),
             drain_max: fields.millis("drain_max_ms", 0..=3_600_000, Duration::from_secs(900)),
+            policy: read_policy(fields),
+            slots: SlotLimits {
+                long_milli: milli(fields, "long_slots_milli", 1..=1_000, 500),
+                queue_milli: milli(fields, "queue_milli", 0..=4_000, 500),
+            },
         };
         if settings.listen == settings.control {
             fields.finding("control", "`control` is the address that `listen` takes");
@@ -122,3 +135,12 @@
         settings
     }
 }
+
+fn milli(
+    fields: &FieldReader<'_>,
+    name: &'static str,
+    range: RangeInclusive<u64>,
+    default: u64,
+) -> u32 {
+    u32::try_from(fields.number(name, range, default)).unwrap_or(u32::MAX)
+}
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -11,6 +11,7 @@
 use crate::{
     FindingReport,
     field_reader::{FieldReader, read_file},
+    load_policy::{LoadPolicy, read_policy},
 };
 
 /// A plain service and the pool that serves it.
@@ -39,6 +40,8 @@
     pub servers: Vec<ServerSpec>,
     /// Plain services.
     pub services: Vec<ServiceRoute>,
+    /// How servers are chosen and requests taken in.
+    pub policy: LoadPolicy,
     /// Requests taken in at once.
     pub limits: ClassLimits,
     /// Largest body of a request, in bytes.
@@ -71,6 +74,7 @@
             platform: fields.address("platform"),
             servers: fields.objects("servers", read_server),
             services: fields.objects("services", read_service),
+            policy: read_policy(fields),
             limits: ClassLimits {
                 total_max: u32::try_from(total_max).unwrap_or(u32::MAX),
                 long_max: u32::try_from(long_max).unwrap_or(u32::MAX),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,9 +9,11 @@
 mod entry_settings;
 mod field_reader;
 mod finding;
+mod load_policy;
 mod note_file;
 
 pub use agent_settings::{AgentSettings, JournalOffer, OrderChecks};
 pub use entry_settings::{EntrySettings, ServiceRoute};
 pub use finding::{Finding, FindingReport};
+pub use load_policy::LoadPolicy;
 pub use note_file::read_note;
--- a/crates/stand-ins/src/engine_server.rs
+++ b/crates/stand-ins/src/engine_server.rs
@@ -38,6 +38,7 @@
 use crate::{
     front::serve,
     slot_queue::{SlotGuard, SlotQueue},
+    token_stamps::TokenStamps,
     token_text::TextSeed,
 };
 
@@ -122,6 +123,7 @@
     loaded: Mutex<Vec<PinMessage>>,
     highest_fencing: AtomicU64,
     load: Mutex<VecDeque<(Instant, EngineLoad)>>,
+    stamps: TokenStamps,
 }
 
 #[derive(Default)]
@@ -175,12 +177,14 @@
         loaded: Mutex::default(),
         highest_fencing: AtomicU64::new(0),
         load: Mutex::default(),
+        stamps: TokenStamps::default(),
     });
     let router = Router::new()
         .route("/v1/completions", post(complete))
         .route("/v1/cancel", post(cancel))
         .route("/v1/load", get(report_load))
         .route("/v1/orders", post(obey))
+        .route("/stamps", get(show_stamps))
         .route("/control", get(show_counts).post(set_faults))
         .layer(Extension(state));
     serve(router, listen).await
@@ -288,6 +292,7 @@
             position: self.position,
             text: self.seed.token(self.position),
         };
+        self.state.stamps.note(self.seed, self.position);
         self.position += 1;
         self.state.counters.decode.fetch_add(1, Ordering::Relaxed);
         Event::new()
@@ -401,6 +406,10 @@
     .into_response()
 }
 
+async fn show_stamps(Extension(state): Extension<Arc<EngineState>>) -> Response {
+    Json(state.stamps.all()).into_response()
+}
+
 async fn set_faults(
     Extension(state): Extension<Arc<EngineState>>,
     Json(faults): Json<EngineFaults>,
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -11,10 +11,12 @@
 mod platform_server;
 mod service_server;
 mod slot_queue;
+mod token_stamps;
 mod token_text;
 
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
 pub use fault_proxy::{LinkMode, ModeMessage, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
 pub use service_server::{ServiceCounts, ServiceFaults, run_service};
+pub use token_stamps::{TokenStamp, wall_clock_us};
 pub use token_text::TextSeed;
--- a/crates/stand-ins/src/token_text.rs
+++ b/crates/stand-ins/src/token_text.rs
@@ -19,6 +19,11 @@
         Self(hasher.digest())
     }
 
+    /// The seed as a number.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+
     /// Token at a position after the prompt.
     pub fn token(self, position: u32) -> String {
         let hash = xxh3_64_with_seed(&position.to_le_bytes(), self.0);
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -150,6 +150,12 @@
     pub engine_silence_ms: u32,
     /// Whether the server is leaving.
     pub leaving: bool,
+    /// Requests of all entries that run or wait at the server.
+    #[serde(default)]
+    pub held: u32,
+    /// Slots of the server; 0 while they are not known.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 impl From<BeatMessage> for BeatReport {
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -83,6 +83,8 @@
     pub token_gap_us: u32,
     /// Microseconds to read one uncached token of a prompt.
     pub prefill_us_per_token: u32,
+    /// Age of the load that is reported, in milliseconds.
+    pub load_lag_ms: u32,
     /// Whether old fencing numbers are refused.
     pub checks_fencing: bool,
 }
@@ -93,6 +95,7 @@
             slots: 16,
             token_gap_us: 10_000,
             prefill_us_per_token: 100,
+            load_lag_ms: 0,
             checks_fencing: false,
         }
     }
@@ -191,6 +194,7 @@
         let slots = plan.slots.to_string();
         let gap = plan.token_gap_us.to_string();
         let prefill = plan.prefill_us_per_token.to_string();
+        let lag = plan.load_lag_ms.to_string();
         let mut args = vec![
             "engine",
             "--listen",
@@ -201,6 +205,8 @@
             &gap,
             "--prefill-us-per-token",
             &prefill,
+            "--load-lag-ms",
+            &lag,
         ];
         if plan.checks_fencing {
             args.push("--checks-fencing");
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod demo;
 pub mod deployment;
 pub mod fleet;
+pub mod load_plan;
+pub mod load_run;
 pub mod measure;
 
 pub use caller::{CallerClient, ChatEnd, ChatOutcome};
