--- /dev/null
+++ b/crates/domain/benches/server_choice.rs
@@ -0,0 +1,84 @@
+//! Time of one choice, and of one admission, whatever the size of the pool.
+
+#![expect(missing_docs, reason = "the macros of the library define public items")]
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use domain::{
+    DomainName, PoolName, ServerName,
+    backend_server::{
+        ChoiceQuery, LoadReport, ServerAddresses, ServerKind, ServerSet, ServerSpec, WeightedChoice,
+    },
+    team_budget::ShareGate,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+const SIZES: [usize; 3] = [4, 60, 1_400];
+const TEAMS: usize = 13_000;
+
+fn pool() -> PoolName {
+    PoolName::from("writer-pool")
+}
+
+fn server_set(servers: usize, now: Instant) -> ServerSet {
+    let address = "127.0.0.1:1".parse().expect("a constant address");
+    let specs: Vec<ServerSpec> = (0..servers)
+        .map(|number| ServerSpec {
+            name: ServerName::from(format!("writer-{number}")),
+            pool: pool(),
+            domain: DomainName::from(format!("domain-{}", number % 5)),
+            kind: ServerKind::Engine,
+            addresses: ServerAddresses {
+                stream: address,
+                control: address,
+            },
+        })
+        .collect();
+    let set = ServerSet::new(&specs, &ServerSet::default(), now).narrowed("entry-1");
+    for node in set.nodes() {
+        node.note_token_gap(Duration::from_millis(40), now);
+        node.note_report(LoadReport { held: 3, slots: 8 }, now);
+    }
+    set
+}
+
+fn choices(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choice");
+    for servers in SIZES {
+        let set = server_set(servers, Instant::now());
+        let pool = pool();
+        let mut rng = SmallRng::seed_from_u64(1);
+        for (name, prefix) in [("two draws", None), ("prefix", Some(42))] {
+            group.bench_function(BenchmarkId::new(name, servers), |bencher| {
+                bencher.iter(|| {
+                    let query = ChoiceQuery {
+                        pool: &pool,
+                        exclude: &[],
+                        prefix,
+                        now: Instant::now(),
+                    };
+                    black_box(set.choose(&WeightedChoice, &query, &mut rng).is_some())
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+fn admissions(criterion: &mut Criterion) {
+    let gate = ShareGate::new(Instant::now());
+    let teams: Vec<String> = (0..TEAMS).map(|number| format!("team-{number}")).collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut at = 0;
+    criterion.bench_function("admission/13000 teams", |bencher| {
+        bencher.iter(|| {
+            at = (at + 1) % TEAMS;
+            black_box(gate.judge(&teams[at], 16, Instant::now(), &mut rng))
+        });
+    });
+}
+
+criterion_group!(benches, choices, admissions);
+criterion_main!(benches);
