--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -10,7 +10,7 @@
 
 use domain::{
     PoolName, ServerName,
-    backend_server::{ChoiceQuery, ServerNode, ServerSet},
+    backend_server::{ChoiceQuery, ServerChoice, ServerNode, ServerSet},
 };
 use tokio::time::Instant;
 use wire::service_call::{CallMessage, CallReply};
@@ -34,13 +34,17 @@
     let mut tried: Vec<ServerName> = Vec::new();
     let mut may_have_run = None;
     let request = call.key.as_deref().unwrap_or("none");
+    state.call_retries.note_first_try();
     for attempt in 0..TRIES_MAX {
+        if attempt > 0 && !state.call_retries.withdraw() {
+            break;
+        }
         let left = deadline.saturating_duration_since(Instant::now());
         if left < TRY_MIN {
             break;
         }
         let servers = state.servers.load_full();
-        let Some(node) = choose(&servers, pool, call.key.as_deref(), &tried) else {
+        let Some(node) = choose(&state.policy, &servers, pool, call.key.as_deref(), &tried) else {
             break;
         };
         let call = CallMessage {
@@ -75,6 +79,7 @@
 }
 
 fn choose(
+    policy: &impl ServerChoice,
     servers: &ServerSet,
     pool: &PoolName,
     key: Option<&str>,
@@ -83,9 +88,11 @@
     let query = ChoiceQuery {
         pool,
         exclude: tried,
+        prefix: None,
+        now: Instant::now(),
     };
     let Some(key) = key else {
-        return servers.choose(&query, &mut rand::rng()).cloned();
+        return servers.choose(policy, &query, &mut rand::rng()).cloned();
     };
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     servers
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry_settings;
 mod field_reader;
 mod finding;
+mod load_policy;
 mod note_file;
 mod port_probe;
 
@@ -17,5 +18,6 @@
 pub use daemon_settings::DaemonSettings;
 pub use entry_settings::{EntrySettings, ServiceRoute};
 pub use finding::{Finding, FindingReport};
+pub use load_policy::LoadPolicy;
 pub use note_file::read_note;
 pub use port_probe::{BindProbe, PortProbe};
