--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -5,25 +5,28 @@
     time::Duration,
 };
 
+use domain::service_call::CallOwner;
 use platform::TableStore;
 use settings::AgentSettings;
 use tokio::time::Instant;
 
 use crate::{
-    agent_metrics::AgentMetrics, engine_client::EngineClient,
-    generation_registry::GenerationRegistry, intent_log::IntentLog,
+    agent_metrics::AgentMetrics, call_registry::CallRegistry, engine_client::EngineClient,
+    generation_registry::GenerationRegistry, intent_log::IntentLog, service_client::ServiceClient,
 };
 
 /// State of the process; requests read it without a lock.
 pub struct AgentState {
     /// Settings of the process.
     pub settings: AgentSettings,
-    /// Start of the process on the wall clock, so that records of an earlier
-    /// process of the same name are told apart.
-    pub epoch: u64,
+    /// The process as records of calls name it, with its start on the wall
+    /// clock.
+    pub owner: CallOwner,
     pub(crate) registry: GenerationRegistry,
     pub(crate) engine: EngineClient,
     pub(crate) intents: IntentLog,
+    pub(crate) call_registry: CallRegistry,
+    pub(crate) service: ServiceClient,
     pub(crate) metrics: AgentMetrics,
     pub(crate) calls: AtomicU32,
     leaving: AtomicBool,
@@ -37,10 +40,15 @@
         let metrics = AgentMetrics::new();
         Self {
             engine: EngineClient::new(settings.server),
+            service: ServiceClient::new(settings.server, settings.service_run_max),
+            call_registry: CallRegistry::default(),
+            owner: CallOwner {
+                server: settings.name.clone(),
+                epoch,
+            },
             intents: IntentLog::start(table, metrics.clone()),
             registry: GenerationRegistry::default(),
             settings,
-            epoch,
             metrics,
             calls: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
--- /dev/null
+++ b/crates/agent/src/call_rows.rs
@@ -0,0 +1,81 @@
+//! Rows that hold and list the records of calls.
+
+use domain::service_call::{CallRecord, CallState};
+use platform::WriteCondition;
+use wire::service_call::{OpenMessage, RecordMessage, call_row, open_row, unknown_row};
+
+use crate::{
+    AgentState,
+    intent_log::{RowWrite, WriteUrgency},
+};
+
+/// A recorded intent that allows one run.
+#[derive(Clone, Debug)]
+pub struct CallClaim {
+    /// Version of the row.
+    pub version: u64,
+    /// The record.
+    pub record: CallRecord,
+}
+
+impl CallClaim {
+    /// Claim that was recorded under a condition.
+    pub const fn new(condition: WriteCondition, record: CallRecord) -> Self {
+        let version = match condition {
+            WriteCondition::Version(version) => version + 1,
+            WriteCondition::Absent | WriteCondition::Always => 1,
+        };
+        Self { version, record }
+    }
+}
+
+/// Write of a record, with the rows that list it while it is open.
+pub fn record_write(
+    state: &AgentState,
+    request: &str,
+    condition: WriteCondition,
+    record: &CallRecord,
+    urgency: WriteUrgency,
+) -> RowWrite {
+    let pool = state.settings.pool.as_str();
+    let owner = &record.owner;
+    let open_key = open_row(pool, owner.server.as_str(), owner.epoch, record.run);
+    let open = OpenMessage {
+        request: request.to_owned(),
+        epoch: owner.epoch,
+        run: record.run,
+    };
+    let mut listings = Vec::new();
+    match &record.state {
+        CallState::Intended => listings.push((open_key, Some(encode(&open)))),
+        CallState::Unknown => listings.push((unknown_row(request), Some(encode(&open)))),
+        CallState::Ran { .. } | CallState::NotRun => {
+            listings.push((open_key, None));
+            listings.push((unknown_row(request), None));
+        }
+    }
+    RowWrite {
+        key: call_row(request),
+        condition,
+        value: Some(encode(&RecordMessage::from(record))),
+        listings,
+        urgency,
+    }
+}
+
+/// Write that takes the listing of an open call away.
+pub fn listing_removal(state: &AgentState, epoch: u64, run: u64) -> RowWrite {
+    let pool = state.settings.pool.as_str();
+    let server = state.owner.server.as_str();
+    RowWrite {
+        key: open_row(pool, server, epoch, run),
+        condition: WriteCondition::Always,
+        value: None,
+        listings: Vec::new(),
+        urgency: WriteUrgency::Outcome,
+    }
+}
+
+fn encode(message: &impl serde::Serialize) -> String {
+    serde_json::to_string(message).expect("wire types are plain data")
+}
--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -1,176 +1,260 @@
 //! Running calls at the plain service, at most once where that is asked.
+//!
+//! A call with a key runs on a task of its own, which goes on when the
+//! connection that asked for it is lost; requests wait for its reply.
 
 use std::{
     sync::{
         Arc,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use domain::{
     BodyDigest,
-    service_call::{CallEvidence, CallOutcome, CallRecord, CallState, KeyDecision, decide_key},
+    service_call::{
+        CallEvidence, CallOutcome, CallRecord, CallState, DispatchLimit, DispatchRule, KeyDecision,
+        KeyQuery, WallTime, decide_key,
+    },
 };
-use exchange::{ExchangeCall, ExchangeError, HttpExchange};
 use platform::{TableRow, WriteCondition};
 use tokio::time::Instant;
-use wire::{
-    KEY_HEADER,
-    service_call::{CallMessage, CallReply, RecordMessage},
+use wire::service_call::{CallMessage, CallReply, RecordMessage, request_name};
+
+use crate::{
+    AgentState,
+    call_registry::{JoinOutcome, OpenCase, ReplyReceiver, ReplySender},
+    call_rows::{CallClaim, record_write},
+    intent_log::{WriteOutcome, WriteUrgency},
+    service_client::CallResult,
 };
 
-use crate::{AgentState, intent_log::WriteOutcome};
+/// Pause before the record of an outcome is tried again.
+const RECORD_PAUSE: Duration = Duration::from_millis(200);
 
-/// Prefix of the rows that hold records of calls.
-const CALL_PREFIX: &str = "call/";
+/// Time for which one write of an outcome is waited for.
+const RECORD_PATIENCE: Duration = Duration::from_secs(60);
 
-/// Time that recording an outcome is tried for.
-const OUTCOME_PATIENCE: Duration = Duration::from_secs(600);
+/// Time that is left for the way back when a request with the same key waits.
+const REPLY_MARGIN: Duration = Duration::from_millis(50);
 
 /// Runs calls at the service beside the agent.
 pub struct CallRunner {
     state: Arc<AgentState>,
-    service: HttpExchange,
+    rule: DispatchRule,
     runs: AtomicU64,
 }
 
-/// A recorded intent that allows one run.
-struct CallClaim {
-    key: String,
-    version: u64,
-    record: CallRecord,
-}
-
-/// What the service was seen to do.
-struct CallResult {
-    evidence: CallEvidence,
-    status: u16,
-    text: String,
-}
-
 impl CallRunner {
     /// Runner without calls.
     pub fn new(state: Arc<AgentState>) -> Self {
         Self {
             state,
-            // A pooled connection may be closed by the service at any moment,
-            // which would turn a plain failure into an unknown outcome.
-            service: HttpExchange::fresh(),
+            rule: DispatchRule::default(),
             runs: AtomicU64::new(0),
         }
     }
 
     /// Run a call, or answer from its record.
-    pub async fn run(&self, call: &CallMessage) -> CallReply {
-        let _counted = CountedCall::new(&self.state.calls);
+    pub async fn run(self: &Arc<Self>, call: &CallMessage) -> CallReply {
         let reply = self.run_counted(call).await;
         let outcome = match &reply {
             CallReply::Ran { .. } => "ran",
             CallReply::NotRun { .. } => "not_run",
+            CallReply::Refused { .. } => "refused",
             CallReply::Unknown { .. } => "unknown",
             CallReply::OtherBody => "other_body",
             CallReply::InFlight => "in_flight",
+            CallReply::Expired => "expired",
         };
         self.state.metrics.calls.with_label_values(&[outcome]).inc();
         reply
     }
 
-    async fn run_counted(&self, call: &CallMessage) -> CallReply {
+    async fn run_counted(self: &Arc<Self>, call: &CallMessage) -> CallReply {
+        let patience = Duration::from_millis(call.deadline_ms);
+        let deadline = Instant::now() + patience;
         if self.state.is_leaving() {
-            return not_run("the server is leaving");
+            return refusal(call, "the server is leaving");
+        }
+        if self
+            .rule
+            .is_stale(WallTime(call.sent_at_ms), patience, wall_now())
+        {
+            return refusal(call, "the request came too late");
         }
-        let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
         let Some(key) = &call.key else {
-            return reply_of(&self.send(call, deadline).await);
+            let _counted = CountedCall::new(&self.state);
+            return reply_of(&self.state.service.send(call, deadline).await);
         };
-        let row_key = format!("{CALL_PREFIX}{}/{key}", call.team);
-        let claim = match self.claim(&row_key, call, deadline).await {
+        let request = request_name(&call.team, key);
+        let digest = BodyDigest::of(&call.operation, call.body.as_bytes());
+        match self.state.call_registry.join(&request, digest) {
+            JoinOutcome::OtherBody => CallReply::OtherBody,
+            JoinOutcome::Existing(reply) => wait_for_reply(reply, deadline - REPLY_MARGIN).await,
+            JoinOutcome::New(sender, reply) => {
+                let run = KeyedRun {
+                    runner: Arc::clone(self),
+                    call: call.clone(),
+                    request,
+                    digest,
+                    deadline,
+                };
+                tokio::spawn(run.go(sender));
+                wait_for_reply(reply, deadline + REPLY_MARGIN).await
+            }
+        }
+    }
+}
+
+async fn wait_for_reply(mut reply: ReplyReceiver, deadline: Instant) -> CallReply {
+    let waited = tokio::time::timeout_at(deadline, reply.wait_for(Option::is_some)).await;
+    match waited {
+        Ok(Ok(reply)) => reply.clone().unwrap_or(CallReply::InFlight),
+        Ok(Err(_)) | Err(_) => CallReply::InFlight,
+    }
+}
+
+/// One call with a key, from its claim to its record.
+struct KeyedRun {
+    runner: Arc<CallRunner>,
+    call: CallMessage,
+    request: String,
+    digest: BodyDigest,
+    deadline: Instant,
+}
+
+impl KeyedRun {
+    async fn go(self, sender: ReplySender) {
+        let state = &self.runner.state;
+        let _counted = CountedCall::new(state);
+        let claimed_at = Instant::now();
+        let claim = match self.claim(claimed_at).await {
             Ok(claim) => claim,
-            Err(reply) => return reply,
+            Err(reply) => {
+                state.call_registry.leave(&self.request);
+                let _ = sender.send(Some(reply));
+                return;
+            }
         };
-        let result = self.send(call, deadline).await;
-        self.record_result(claim, &result);
-        reply_of(&result)
+        let result = self.dispatch(claimed_at).await;
+        let dispatched_until = Instant::now();
+        // Those who asked may have gone away.
+        let _ = sender.send(Some(reply_of(&result)));
+        self.record_result(claim, &result, dispatched_until).await;
     }
 
     /// Record an intent, or learn why the call may not run.
-    async fn claim(
-        &self,
-        row_key: &str,
-        call: &CallMessage,
-        deadline: Instant,
-    ) -> Result<CallClaim, CallReply> {
-        let digest = BodyDigest::of(&call.operation, call.body.as_bytes());
+    async fn claim(&self, now: Instant) -> Result<CallClaim, CallReply> {
+        let state = &self.runner.state;
+        let is_failing = state.intents.is_failing();
+        let patience = self
+            .runner
+            .rule
+            .intent_deadline(is_failing, now, self.deadline);
         let mut condition = WriteCondition::Absent;
-        let started = Instant::now();
         loop {
-            let record = self.new_intent(digest);
-            let value = encode(&record);
-            let written = self
-                .state
-                .intents
-                .write(row_key, condition, &value, deadline)
-                .await;
-            let row = match written {
+            let record = self.new_intent();
+            let write = record_write(
+                state,
+                &self.request,
+                condition,
+                &record,
+                WriteUrgency::Intent,
+            );
+            let row = match state.intents.write(write, patience).await {
                 WriteOutcome::Recorded => {
-                    let waited = started.elapsed().as_secs_f64();
-                    self.state.metrics.intent_seconds.observe(waited);
-                    return Ok(CallClaim {
-                        key: row_key.to_owned(),
-                        version: next_version(condition),
-                        record,
-                    });
+                    let waited = now.elapsed().as_secs_f64();
+                    state.metrics.intent_seconds.observe(waited);
+                    return Ok(CallClaim::new(condition, record));
+                }
+                WriteOutcome::Undecided(reason) => {
+                    self.abandon(&record, now);
+                    return Err(refusal(&self.call, &reason));
                 }
-                WriteOutcome::Undecided(reason) => return Err(not_run(&reason)),
                 WriteOutcome::Conflict(row) => row,
             };
-            condition = may_claim(row.as_ref(), digest)?;
+            condition = self.may_claim(row.as_ref())?;
         }
     }
 
-    fn new_intent(&self, digest: BodyDigest) -> CallRecord {
+    fn new_intent(&self) -> CallRecord {
         CallRecord {
-            digest,
-            owner: self.state.settings.name.clone(),
-            owner_epoch: self.state.epoch,
-            run: self.runs.fetch_add(1, Ordering::Relaxed),
+            digest: self.digest,
+            owner: self.runner.state.owner.clone(),
+            run: self.runner.runs.fetch_add(1, Ordering::Relaxed),
+            recorded_at: wall_now(),
             state: CallState::Intended,
         }
     }
 
-    async fn send(&self, call: &CallMessage, deadline: Instant) -> CallResult {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let path = format!("/{}", call.operation);
-        let mut request = ExchangeCall::post(self.state.settings.server, &path)
-            .body(call.body.as_bytes())
-            .timeout(left.min(self.state.settings.service_run_max));
-        if let Some(key) = &call.key {
-            request = request.header(KEY_HEADER, key);
-        }
-        match self.service.send(request).await {
-            Ok(reply) => CallResult {
-                evidence: CallEvidence::Answered,
-                status: reply.status.as_u16(),
-                text: String::from_utf8_lossy(&reply.body).into_owned(),
+    /// The intent may be recorded later, and is then to be taken back.
+    fn abandon(&self, record: &CallRecord, now: Instant) {
+        let state = &self.runner.state;
+        state.call_registry.open(OpenCase {
+            request: self.request.clone(),
+            epoch: record.owner.epoch,
+            run: record.run,
+            limit: DispatchLimit::Never,
+            opened_at: now,
+        });
+    }
+
+    /// Condition under which an intent may replace a row, or the answer instead.
+    fn may_claim(&self, row: Option<&TableRow>) -> Result<WriteCondition, CallReply> {
+        let Some(row) = row else {
+            return Ok(WriteCondition::Absent);
+        };
+        let record = decode(row)?;
+        let query = KeyQuery {
+            digest: self.digest,
+            owner: &self.runner.state.owner,
+            sent_at: WallTime(self.call.sent_at_ms),
+            now: wall_now(),
+        };
+        Err(match decide_key(Some(&record), &query) {
+            KeyDecision::Run => return Ok(WriteCondition::Version(row.version)),
+            KeyDecision::Answer { status, answer } => CallReply::Ran {
+                status,
+                answer: answer.to_owned(),
             },
-            Err(error) => CallResult {
-                evidence: match error {
-                    ExchangeError::NotSent { .. } => CallEvidence::ConnectFailed,
-                    ExchangeError::Lost { .. } | ExchangeError::Malformed { .. } => {
-                        CallEvidence::LostAfterSend
-                    }
-                },
-                status: 0,
-                text: error.to_string(),
+            KeyDecision::OtherBody => CallReply::OtherBody,
+            KeyDecision::InFlight => CallReply::InFlight,
+            KeyDecision::Expired => CallReply::Expired,
+            KeyDecision::Superseded => not_run("recorded as not run since the request was sent"),
+            KeyDecision::Unknown => CallReply::Unknown {
+                reason: "an earlier call with the key may have run".to_owned(),
             },
+        })
+    }
+
+    /// Dispatch the call, unless the process slept since it claimed it.
+    async fn dispatch(&self, claimed_at: Instant) -> CallResult {
+        let rule = &self.runner.rule;
+        if !rule.may_dispatch(claimed_at, Instant::now(), self.deadline) {
+            return CallResult {
+                evidence: CallEvidence::RefusedBefore,
+                status: 0,
+                text: "the deadline passed before the call was dispatched".to_owned(),
+            };
         }
+        self.runner
+            .state
+            .service
+            .send(&self.call, self.deadline)
+            .await
     }
 
-    /// Record what became of a call; the caller need not wait for it.
-    fn record_result(&self, claim: CallClaim, result: &CallResult) {
+    /// Record what became of the call; nobody waits for it, but the key stays
+    /// taken until it is done.
+    async fn record_result(&self, claim: CallClaim, result: &CallResult, until: Instant) {
+        let state = &self.runner.state;
+        let run = claim.record.run;
+        let outcome = result.evidence.outcome();
         let record = CallRecord {
-            state: match result.evidence.outcome() {
+            recorded_at: wall_now(),
+            state: match outcome {
                 CallOutcome::Ran => CallState::Ran {
                     status: result.status,
                     answer: result.text.clone(),
@@ -180,49 +264,46 @@
             },
             ..claim.record
         };
-        let state = Arc::clone(&self.state);
-        tokio::spawn(async move {
-            let deadline = Instant::now() + OUTCOME_PATIENCE;
-            let condition = WriteCondition::Version(claim.version);
-            let value = encode(&record);
-            let write = state.intents.write(&claim.key, condition, &value, deadline);
-            let written = write.await;
-            if written != WriteOutcome::Recorded {
-                log::error!(request = claim.key.as_str(); "outcome not recorded: {written:?}");
+        let condition = WriteCondition::Version(claim.version);
+        loop {
+            let write = record_write(
+                state,
+                &self.request,
+                condition,
+                &record,
+                WriteUrgency::Outcome,
+            );
+            let deadline = Instant::now() + RECORD_PATIENCE;
+            match state.intents.write(write, deadline).await {
+                WriteOutcome::Recorded => break,
+                WriteOutcome::Conflict(row) => {
+                    log::error!(request = self.request.as_str(); "another record stands: {row:?}");
+                    break;
+                }
+                WriteOutcome::Undecided(reason) => {
+                    log::warn!(request = self.request.as_str(); "outcome not recorded: {reason}");
+                    tokio::time::sleep(RECORD_PAUSE).await;
+                }
             }
-        });
-    }
-}
-
-/// Condition under which an intent may replace a row, or the answer instead.
-fn may_claim(row: Option<&TableRow>, digest: BodyDigest) -> Result<WriteCondition, CallReply> {
-    let Some(row) = row else {
-        return Ok(WriteCondition::Absent);
-    };
-    let record = decode(row)?;
-    match decide_key(Some(&record), digest) {
-        KeyDecision::Run => Ok(WriteCondition::Version(row.version)),
-        KeyDecision::Answer { status, answer } => Err(CallReply::Ran {
-            status,
-            answer: answer.to_owned(),
-        }),
-        KeyDecision::OtherBody => Err(CallReply::OtherBody),
-        KeyDecision::InFlight => Err(CallReply::InFlight),
-        KeyDecision::Unknown => Err(CallReply::Unknown {
-            reason: "an earlier call with the key may have run".to_owned(),
-        }),
-    }
-}
-
-const fn next_version(condition: WriteCondition) -> u64 {
-    match condition {
-        WriteCondition::Version(version) => version + 1,
-        WriteCondition::Absent | WriteCondition::Always => 1,
+        }
+        if outcome == CallOutcome::Unknown {
+            state.call_registry.open(OpenCase {
+                request: self.request.clone(),
+                epoch: state.owner.epoch,
+                run,
+                limit: DispatchLimit::Until(until),
+                opened_at: until,
+            });
+        }
+        state.call_registry.leave(&self.request);
     }
 }
 
-fn encode(record: &CallRecord) -> String {
-    serde_json::to_string(&RecordMessage::from(record)).expect("wire types are plain data")
+/// Now on the wall clock.
+pub fn wall_now() -> WallTime {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = age.unwrap_or_default().as_millis();
+    WallTime(u64::try_from(millis).unwrap_or(u64::MAX))
 }
 
 fn decode(row: &TableRow) -> Result<CallRecord, CallReply> {
@@ -246,6 +327,17 @@
     }
 }
 
+/// Refusal without a look at the record: it speaks for the key only if the
+/// caller says that this is its first use.
+fn refusal(call: &CallMessage, reason: &str) -> CallReply {
+    if call.key.is_none() || call.is_first {
+        return not_run(reason);
+    }
+    CallReply::Refused {
+        reason: reason.to_owned(),
+    }
+}
+
 fn not_run(reason: &str) -> CallReply {
     CallReply::NotRun {
         reason: reason.to_owned(),
@@ -257,9 +349,11 @@
 }
 
 impl<'a> CountedCall<'a> {
-    fn new(calls: &'a AtomicU32) -> Self {
-        calls.fetch_add(1, Ordering::Relaxed);
-        Self { calls }
+    fn new(state: &'a AgentState) -> Self {
+        state.calls.fetch_add(1, Ordering::Relaxed);
+        Self {
+            calls: &state.calls,
+        }
     }
 }
 
--- a/crates/agent/src/control_front.rs
+++ b/crates/agent/src/control_front.rs
@@ -19,14 +19,14 @@
 /// Answers control calls.
 pub struct ControlFront {
     state: Arc<AgentState>,
-    runner: CallRunner,
+    runner: Arc<CallRunner>,
 }
 
 impl ControlFront {
     /// Front of an agent.
     pub fn new(state: Arc<AgentState>) -> Self {
         Self {
-            runner: CallRunner::new(Arc::clone(&state)),
+            runner: Arc::new(CallRunner::new(Arc::clone(&state))),
             state,
         }
     }
--- a/crates/agent/src/intent_log.rs
+++ b/crates/agent/src/intent_log.rs
@@ -1,10 +1,19 @@
 //! Intents and outcomes, written to the table in groups.
 //!
 //! One task owns the writing. While a transaction is under way, further writes
-//! gather and go out together in the next one, so the number of transactions is
-//! bounded by the store's round trip and not by the number of calls.
+//! gather and go out together in the next one. Transactions also keep a least
+//! distance, so that their number is bounded whatever the number of calls:
+//! an idle log writes at once, a busy one every ten milliseconds. Outcomes are
+//! not waited for by callers and ride along with the intents that come next.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use platform::{TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use tokio::{
@@ -14,14 +23,20 @@
 
 use crate::agent_metrics::AgentMetrics;
 
-/// Rows of one transaction at most.
+/// Calls whose rows one transaction writes at most.
 const GROUP_MAX: usize = 100;
 
 /// Writes waiting at most.
 const WAITING_MAX: usize = 4_096;
 
+/// Least time between the starts of two transactions.
+const COMMIT_GAP: Duration = Duration::from_millis(10);
+
+/// Time that an outcome waits for intents to go along with.
+const OUTCOME_DELAY: Duration = Duration::from_millis(20);
+
 /// Pause before a store that is down is asked again.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
 
 /// What became of a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,56 +49,102 @@
     Undecided(String),
 }
 
+/// How soon a write has to go out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteUrgency {
+    /// A caller waits for it.
+    Intent,
+    /// Nobody waits for it.
+    Outcome,
+}
+
+/// A row and the rows that list it, written together or not at all.
+#[derive(Clone, Debug)]
+pub struct RowWrite {
+    /// Key of the row.
+    pub key: String,
+    /// What must hold of the row.
+    pub condition: WriteCondition,
+    /// New value, unlike any other that was ever written to the row, since a
+    /// write whose answer was lost is recognised by it; none deletes the row.
+    pub value: Option<String>,
+    /// Listing rows and their new values; none deletes.
+    pub listings: Vec<(String, Option<String>)>,
+    /// How soon the write goes out.
+    pub urgency: WriteUrgency,
+}
+
+impl RowWrite {
+    fn rows(&self) -> impl Iterator<Item = TableWrite<'_>> {
+        let row = TableWrite {
+            key: &self.key,
+            condition: self.condition,
+            value: self.value.as_deref(),
+        };
+        let listings = self.listings.iter().map(|(key, value)| TableWrite {
+            key,
+            condition: WriteCondition::Always,
+            value: value.as_deref(),
+        });
+        std::iter::once(row).chain(listings)
+    }
+
+    fn is_applied(&self, row: Option<&TableRow>) -> bool {
+        row.map(|row| &row.value) == self.value.as_ref()
+    }
+}
+
 struct WriteJob {
-    key: String,
-    condition: WriteCondition,
-    value: String,
-    deadline: Instant,
+    write: RowWrite,
+    due: Instant,
     reply: oneshot::Sender<WriteOutcome>,
 }
 
 /// Channel to the task that writes.
 pub struct IntentLog {
     jobs: mpsc::Sender<WriteJob>,
+    is_failing: Arc<AtomicBool>,
 }
 
 impl IntentLog {
     /// Start the writing task.
     pub fn start<T: TableStore>(table: T, metrics: AgentMetrics) -> Self {
         let (jobs, receiver) = mpsc::channel(WAITING_MAX);
+        let is_failing = Arc::new(AtomicBool::new(false));
         let writer = GroupWriter {
             table,
             metrics,
             waiting: VecDeque::new(),
+            is_failing: Arc::clone(&is_failing),
+            next_start: Instant::now(),
         };
         tokio::spawn(writer.run(receiver));
-        Self { jobs }
+        Self { jobs, is_failing }
     }
 
-    /// Write one row with the group that goes out next.
-    ///
-    /// `value` must be unlike any other value written under `key`, since a
-    /// write whose answer was lost is recognised by it.
-    pub async fn write(
-        &self,
-        key: &str,
-        condition: WriteCondition,
-        value: &str,
-        deadline: Instant,
-    ) -> WriteOutcome {
+    /// Whether the store's last answer was a failure.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing.load(Ordering::Relaxed)
+    }
+
+    /// Write a row with the group that goes out next.
+    pub async fn write(&self, write: RowWrite, deadline: Instant) -> WriteOutcome {
         let (reply, outcome) = oneshot::channel();
-        let job = WriteJob {
-            key: key.to_owned(),
-            condition,
-            value: value.to_owned(),
-            deadline,
-            reply,
+        let now = Instant::now();
+        let due = match write.urgency {
+            WriteUrgency::Intent => now,
+            WriteUrgency::Outcome => now + OUTCOME_DELAY,
         };
+        let job = WriteJob { write, due, reply };
+        let undecided = |reason: &str| WriteOutcome::Undecided(reason.to_owned());
         if self.jobs.try_send(job).is_err() {
-            return WriteOutcome::Undecided("too many writes are waiting".to_owned());
+            return undecided("too many writes are waiting");
+        }
+        match tokio::time::timeout_at(deadline, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => undecided("the writing task has ended"),
+            Err(_) => undecided("the store gave no answer in time"),
         }
-        let ended = || WriteOutcome::Undecided("the writing task has ended".to_owned());
-        outcome.await.unwrap_or_else(|_| ended())
     }
 }
 
@@ -91,43 +152,52 @@
     table: T,
     metrics: AgentMetrics,
     waiting: VecDeque<WriteJob>,
+    is_failing: Arc<AtomicBool>,
+    next_start: Instant,
 }
 
 impl<T: TableStore> GroupWriter<T> {
     async fn run(mut self, mut jobs: mpsc::Receiver<WriteJob>) {
         loop {
-            if self.waiting.is_empty() {
+            while let Ok(job) = jobs.try_recv() {
+                self.waiting.push_back(job);
+            }
+            // Writes that nobody waits for any more are given up.
+            self.waiting.retain(|job| !job.reply.is_closed());
+            let Some(start) = self.start_of_next() else {
                 match jobs.recv().await {
                     Some(job) => self.waiting.push_back(job),
                     None => return,
                 }
+                continue;
+            };
+            if start > Instant::now() {
+                tokio::select! {
+                    () = tokio::time::sleep_until(start) => {}
+                    Some(job) = jobs.recv() => self.waiting.push_back(job),
+                }
+                continue;
             }
-            while let Ok(job) = jobs.try_recv() {
-                self.waiting.push_back(job);
-            }
-            self.expire(Instant::now());
+            self.next_start = Instant::now() + COMMIT_GAP;
             self.write_group().await;
         }
     }
 
-    fn expire(&mut self, now: Instant) {
-        for job in std::mem::take(&mut self.waiting) {
-            if job.deadline <= now {
-                let reason = "the store gave no answer in time".to_owned();
-                // The caller may have gone away.
-                let _ = job.reply.send(WriteOutcome::Undecided(reason));
-                continue;
-            }
-            self.waiting.push_back(job);
+    /// When the next transaction starts; none without writes.
+    fn start_of_next(&self) -> Option<Instant> {
+        let due = self.waiting.iter().map(|job| job.due).min()?;
+        if self.waiting.len() >= GROUP_MAX {
+            return Some(due);
         }
+        Some(due.max(self.next_start))
     }
 
-    async fn write_group(&mut self) {
+    fn take_group(&mut self) -> Vec<WriteJob> {
         let mut group: Vec<WriteJob> = Vec::new();
         let mut kept = VecDeque::new();
         for job in std::mem::take(&mut self.waiting) {
             // A transaction names each row once.
-            let is_repeated = group.iter().any(|other| other.key == job.key);
+            let is_repeated = group.iter().any(|other| other.write.key == job.write.key);
             if group.len() < GROUP_MAX && !is_repeated {
                 group.push(job);
             } else {
@@ -135,35 +205,43 @@
             }
         }
         self.waiting = kept;
-        if group.is_empty() {
-            return;
+        group
+    }
+
+    async fn write_group(&mut self) {
+        let group = self.take_group();
+        // Which write of the group each row of the transaction belongs to.
+        let mut owners = Vec::new();
+        let mut rows = Vec::new();
+        for (at, job) in group.iter().enumerate() {
+            for row in job.write.rows() {
+                owners.push(at);
+                rows.push(row);
+            }
         }
-        let writes: Vec<TableWrite<'_>> = group
-            .iter()
-            .map(|job| TableWrite {
-                key: &job.key,
-                condition: job.condition,
-                value: Some(&job.value),
-            })
-            .collect();
         self.metrics.intent_commits.inc();
-        match self.table.transact(&writes).await {
+        match self.table.transact(&rows).await {
             Ok(TransactOutcome::Committed) => {
-                self.metrics.intent_rows.inc_by(group.len() as u64);
+                self.set_failing(false);
+                self.metrics.intent_rows.inc_by(rows.len() as u64);
                 for job in group {
+                    // The caller may have gone away.
                     let _ = job.reply.send(WriteOutcome::Recorded);
                 }
             }
-            Ok(TransactOutcome::Refused { failed }) => self.settle_refused(group, &failed).await,
-            Err(error) => {
-                log::warn!("intents wait: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-                self.put_back(group);
+            Ok(TransactOutcome::Refused { failed }) => {
+                self.set_failing(false);
+                let failed: Vec<usize> = failed
+                    .iter()
+                    .filter_map(|&row| owners.get(row).copied())
+                    .collect();
+                self.settle_refused(group, &failed).await;
             }
+            Err(error) => self.wait_for_store(group, &error.to_string()).await,
         }
     }
 
-    /// Tell the writes at fault and put the others back.
+    /// Tell the writes at fault and put the others back, to go out at once.
     ///
     /// A write at fault may be one of ours whose answer was lost: the row then
     /// holds our own value.
@@ -171,15 +249,11 @@
         let keys: Vec<&str> = failed
             .iter()
             .filter_map(|&at| group.get(at))
-            .map(|job| job.key.as_str())
+            .map(|job| job.write.key.as_str())
             .collect();
         let rows = match self.table.read(&keys).await {
             Ok(rows) => rows,
-            Err(error) => {
-                log::warn!("refused intents wait: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-                return self.put_back(group);
-            }
+            Err(error) => return self.wait_for_store(group, &error.to_string()).await,
         };
         let mut back = Vec::new();
         for (at, job) in group.into_iter().enumerate() {
@@ -187,19 +261,32 @@
                 back.push(job);
                 continue;
             }
-            let row = rows.iter().find(|row| row.key == job.key);
-            let outcome = match row {
-                Some(row) if row.value == job.value => WriteOutcome::Recorded,
-                row => WriteOutcome::Conflict(row.cloned()),
+            let row = rows.iter().find(|row| row.key == job.write.key);
+            let outcome = if job.write.is_applied(row) {
+                WriteOutcome::Recorded
+            } else {
+                WriteOutcome::Conflict(row.cloned())
             };
             let _ = job.reply.send(outcome);
         }
+        self.next_start = Instant::now();
         self.put_back(back);
     }
 
+    async fn wait_for_store(&mut self, group: Vec<WriteJob>, reason: &str) {
+        log::warn!("writes of calls wait: {reason}");
+        self.set_failing(true);
+        self.put_back(group);
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+
     fn put_back(&mut self, group: Vec<WriteJob>) {
         for job in group.into_iter().rev() {
             self.waiting.push_front(job);
         }
     }
+
+    fn set_failing(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::Relaxed);
+    }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,17 +7,22 @@
 
 mod agent_metrics;
 mod agent_state;
+mod call_registry;
+mod call_rows;
 mod call_runner;
+mod call_settler;
 mod control_front;
 mod engine_client;
 mod generation_registry;
 mod generation_task;
 mod intent_log;
 mod server_watch;
+mod service_client;
 mod state_dump;
 mod stream_front;
 
 pub use agent_state::AgentState;
+pub use call_settler::CallSettler;
 pub use control_front::{ControlFront, serve_control};
 pub use server_watch::watch_server;
 pub use stream_front::{serve_streams, wait_until_drained};
--- a/crates/agent/src/state_dump.rs
+++ b/crates/agent/src/state_dump.rs
@@ -21,10 +21,11 @@
         "server": state.settings.name.as_str(),
         "pool": state.settings.pool.as_str(),
         "failure_domain": state.settings.domain.as_str(),
-        "epoch": state.epoch,
+        "epoch": state.owner.epoch,
         "leaving": state.is_leaving(),
         "server_silence_ms": u64::try_from(silence).unwrap_or(u64::MAX),
         "generations": generations,
         "calls": state.calls.load(Ordering::Relaxed),
+        "calls_to_settle": state.call_registry.cases().len(),
     })
 }
--- a/crates/domain/src/service_call.rs
+++ b/crates/domain/src/service_call.rs
@@ -8,10 +8,20 @@
 //! Invariants:
 //! - `not run` needs proof that no byte of the call reached the service.
 //! - A record that left `Intended` for `Ran` never changes again.
+//! - Only the process that recorded an intent dispatches the call, and once.
+//! - A request older than a recorded `not run` never runs.
 //! - A key with another body is refused, whatever its state.
 
 mod call_outcome;
 mod call_record;
+mod dispatch_rule;
+mod retry_budget;
+mod settle_rule;
 
 pub use call_outcome::{CallEvidence, CallOutcome};
-pub use call_record::{CallRecord, CallState, KeyDecision, decide_key};
+pub use call_record::{
+    CallOwner, CallRecord, CallState, KEY_LIFETIME, KeyDecision, KeyQuery, WallTime, decide_key,
+};
+pub use dispatch_rule::DispatchRule;
+pub use retry_budget::RetryBudget;
+pub use settle_rule::{DispatchLimit, FenceRule, JournalReading, ServerVigil, settle};
--- /dev/null
+++ b/crates/domain/tests/service_call_orders.rs
@@ -0,0 +1,391 @@
+//! One key under all orders of events: never two runs, and never `not run`
+//! told of a key that ran, or whose requests up to then can still run.
+//!
+//! The model is small: two processes that may run the call, a table row, a
+//! service that works on what it received, also after a sleep. The rules of
+//! the domain decide every step.
+
+use std::time::Duration;
+
+use domain::{
+    BodyDigest, ServerName,
+    service_call::{
+        CallEvidence, CallOutcome, CallOwner, CallRecord, CallState, DispatchLimit, DispatchRule,
+        FenceRule, JournalReading, KeyDecision, KeyQuery, ServerVigil, WallTime, decide_key,
+        settle,
+    },
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const RULE: FenceRule = FenceRule {
+    run_max: Duration::from_millis(1_000),
+    gap_max: Duration::from_millis(500),
+};
+
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// One event at one of the two servers.
+#[derive(Clone, Copy, Debug)]
+enum ModelEvent {
+    /// A new request with the key comes; its message may lie on the way.
+    Request,
+    /// The message of the oldest request on the way arrives and claims.
+    Claim { is_answer_lost: bool },
+    /// The claim's call is dispatched.
+    Dispatch,
+    /// The service runs what it received.
+    Run,
+    /// The service's answer arrives, or not.
+    Answer { is_lost: bool },
+    /// The process dies and comes back without memory.
+    Restart,
+    /// The service falls asleep or wakes.
+    Sleep(bool),
+    /// The open record is looked at.
+    Settle,
+    /// Time passes.
+    Wait(u16),
+}
+
+fn events() -> impl Strategy<Value = Vec<(bool, ModelEvent)>> {
+    let event = prop_oneof![
+        3 => Just(ModelEvent::Request),
+        4 => any::<bool>().prop_map(|is_answer_lost| ModelEvent::Claim { is_answer_lost }),
+        4 => Just(ModelEvent::Dispatch),
+        3 => Just(ModelEvent::Run),
+        3 => any::<bool>().prop_map(|is_lost| ModelEvent::Answer { is_lost }),
+        1 => Just(ModelEvent::Restart),
+        1 => any::<bool>().prop_map(ModelEvent::Sleep),
+        8 => Just(ModelEvent::Settle),
+        6 => (0_u16..600).prop_map(ModelEvent::Wait),
+    ];
+    proptest::collection::vec((any::<bool>(), event), 1..120)
+}
+
+/// A message on the way to a process.
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    sent_at: WallTime,
+}
+
+/// A claim that is held in memory.
+#[derive(Clone, Copy, Debug)]
+struct HeldClaim {
+    run: u64,
+    sent_at: WallTime,
+    claimed_at: Instant,
+    is_dispatched: bool,
+}
+
+/// A call that the service received.
+#[derive(Clone, Copy, Debug)]
+struct ReceivedCall {
+    sent_at: WallTime,
+    /// Time that the service worked on it; it does not while it sleeps.
+    awake_for: Duration,
+}
+
+struct ModelServer {
+    owner: CallOwner,
+    started_at: Instant,
+    on_way: Vec<SentRequest>,
+    claim: Option<HeldClaim>,
+    /// Run whose call is open, and when it can have been dispatched.
+    open: Vec<(u64, DispatchLimit)>,
+    received: Vec<ReceivedCall>,
+    is_asleep: bool,
+    vigil: ServerVigil,
+}
+
+struct Model {
+    begun: Instant,
+    now: Instant,
+    digest: BodyDigest,
+    record: Option<CallRecord>,
+    servers: [ModelServer; 2],
+    runs: u32,
+    next_run: u64,
+    /// Requests sent until then were told that the key did not run.
+    told_not_run: WallTime,
+}
+
+impl Model {
+    fn new() -> Self {
+        let begun = Instant::now();
+        let server = |name: &str| ModelServer {
+            owner: CallOwner {
+                server: ServerName::from(name),
+                epoch: 1,
+            },
+            started_at: begun,
+            on_way: Vec::new(),
+            claim: None,
+            open: Vec::new(),
+            received: Vec::new(),
+            is_asleep: false,
+            vigil: ServerVigil::default(),
+        };
+        Self {
+            begun,
+            now: begun,
+            digest: BodyDigest::of("order", b"20 litres"),
+            record: None,
+            servers: [server("ledger-1"), server("ledger-2")],
+            runs: 0,
+            next_run: 0,
+            told_not_run: WallTime(0),
+        }
+    }
+
+    fn wall(&self) -> WallTime {
+        let age = self.now.duration_since(self.begun).as_millis();
+        WallTime(1_000_000 + u64::try_from(age).expect("the model is short"))
+    }
+
+    /// Tell a caller that no request sent until a moment ran, or ever will.
+    fn tell_not_run(&mut self, until: WallTime) {
+        assert_eq!(self.runs, 0, "told not run after a run");
+        self.told_not_run = self.told_not_run.max(until);
+    }
+
+    fn step(&mut self, at: usize, event: ModelEvent) {
+        match event {
+            ModelEvent::Request => {
+                self.advance(Duration::from_millis(1));
+                let sent_at = self.wall();
+                self.servers[at].on_way.push(SentRequest { sent_at });
+            }
+            ModelEvent::Claim { is_answer_lost } => self.claim(at, is_answer_lost),
+            ModelEvent::Dispatch => self.dispatch(at),
+            ModelEvent::Run => self.run(at),
+            ModelEvent::Answer { is_lost } => self.answer(at, is_lost),
+            ModelEvent::Restart => self.restart(at),
+            ModelEvent::Sleep(is_asleep) => self.servers[at].is_asleep = is_asleep,
+            ModelEvent::Settle => self.settle(at),
+            ModelEvent::Wait(ms) => self.advance(Duration::from_millis(ms.into())),
+        }
+    }
+
+    /// Let time pass; a service that is awake runs what is due.
+    fn advance(&mut self, time: Duration) {
+        self.now += time;
+        for at in 0..self.servers.len() {
+            let server = &mut self.servers[at];
+            if server.is_asleep {
+                continue;
+            }
+            for call in &mut server.received {
+                call.awake_for += time;
+            }
+            while self.servers[at]
+                .received
+                .first()
+                .is_some_and(|call| call.awake_for >= RULE.run_max)
+            {
+                self.run(at);
+            }
+        }
+    }
+
+    fn claim(&mut self, at: usize, is_answer_lost: bool) {
+        let now = self.wall();
+        let server = &mut self.servers[at];
+        if server.claim.is_some() || server.on_way.is_empty() {
+            return;
+        }
+        let request = server.on_way.remove(0);
+        if DispatchRule::default().is_stale(request.sent_at, PATIENCE, now) {
+            return;
+        }
+        let query = KeyQuery {
+            digest: self.digest,
+            owner: &server.owner,
+            sent_at: request.sent_at,
+            now,
+        };
+        match decide_key(self.record.as_ref(), &query) {
+            KeyDecision::Run => {}
+            KeyDecision::Superseded => return self.tell_not_run(request.sent_at),
+            _ => return,
+        }
+        let run = self.next_run;
+        self.next_run += 1;
+        self.record = Some(CallRecord {
+            digest: self.digest,
+            owner: server.owner.clone(),
+            run,
+            recorded_at: now,
+            state: CallState::Intended,
+        });
+        if is_answer_lost {
+            // Given up: never dispatched, and told so only of this request.
+            server.open.push((run, DispatchLimit::Never));
+            return;
+        }
+        server.claim = Some(HeldClaim {
+            run,
+            sent_at: request.sent_at,
+            claimed_at: self.now,
+            is_dispatched: false,
+        });
+    }
+
+    fn dispatch(&mut self, at: usize) {
+        let now = self.now;
+        let server = &mut self.servers[at];
+        let Some(claim) = server.claim.as_mut().filter(|claim| !claim.is_dispatched) else {
+            return;
+        };
+        let deadline = claim.claimed_at + PATIENCE;
+        if !DispatchRule::default().may_dispatch(claim.claimed_at, now, deadline) {
+            let run = claim.run;
+            server.claim = None;
+            if self.write(at, run, CallState::NotRun) {
+                self.tell_not_run(self.wall());
+            }
+            return;
+        }
+        claim.is_dispatched = true;
+        server.received.push(ReceivedCall {
+            sent_at: claim.sent_at,
+            awake_for: Duration::ZERO,
+        });
+    }
+
+    fn run(&mut self, at: usize) {
+        let server = &mut self.servers[at];
+        if server.is_asleep || server.received.is_empty() {
+            return;
+        }
+        let call = server.received.remove(0);
+        assert!(
+            call.sent_at > self.told_not_run,
+            "ran after not run was told"
+        );
+        self.runs += 1;
+        assert!(self.runs <= 1, "ran twice");
+    }
+
+    fn answer(&mut self, at: usize, is_lost: bool) {
+        let server = &mut self.servers[at];
+        let Some(claim) = server.claim.filter(|claim| claim.is_dispatched) else {
+            return;
+        };
+        server.claim = None;
+        let has_run = server.received.is_empty();
+        let evidence = if is_lost || !has_run {
+            CallEvidence::LostAfterSend
+        } else {
+            CallEvidence::Answered
+        };
+        let state = match evidence.outcome() {
+            CallOutcome::Ran => CallState::Ran {
+                status: 200,
+                answer: String::new(),
+            },
+            CallOutcome::NotRun => CallState::NotRun,
+            CallOutcome::Unknown => {
+                let limit = DispatchLimit::Until(self.now);
+                server.open.push((claim.run, limit));
+                CallState::Unknown
+            }
+        };
+        self.write(at, claim.run, state);
+    }
+
+    fn restart(&mut self, at: usize) {
+        let now = self.now;
+        let server = &mut self.servers[at];
+        server.owner.epoch += 1;
+        server.started_at = now;
+        server.claim = None;
+        server.on_way.clear();
+        server.vigil = ServerVigil::default();
+        server.open.clear();
+        let Some(record) = &self.record else {
+            return;
+        };
+        if record.owner.server == server.owner.server && record.state.is_open() {
+            server.open.push((record.run, DispatchLimit::Until(now)));
+        }
+    }
+
+    fn settle(&mut self, at: usize) {
+        let now = self.now;
+        let runs = self.runs;
+        let server = &mut self.servers[at];
+        let reading = match (server.is_asleep, runs) {
+            (true, _) => JournalReading::Silent,
+            (false, 0) => JournalReading::Lacks { asked_at: now },
+            (false, _) => JournalReading::Has {
+                status: 200,
+                answer: String::new(),
+            },
+        };
+        if server.is_asleep {
+            server.vigil.failed();
+        } else {
+            server.vigil.answered(&RULE, now);
+        }
+        for (run, limit) in server.open.clone() {
+            let vigil = &self.servers[at].vigil;
+            let Some(state) = settle(limit, &reading, vigil, &RULE) else {
+                continue;
+            };
+            let is_not_run = state == CallState::NotRun;
+            if self.write(at, run, state) && is_not_run {
+                self.tell_not_run(self.wall());
+            }
+            self.servers[at].open.retain(|(other, _)| *other != run);
+        }
+    }
+
+    /// Write a state if the record is still the open one of the run.
+    fn write(&mut self, at: usize, run: u64, state: CallState) -> bool {
+        let now = self.wall();
+        let server = &self.servers[at].owner.server;
+        let Some(record) = self.record.as_mut().filter(|record| {
+            record.owner.server == *server && record.run == run && record.state.is_open()
+        }) else {
+            return false;
+        };
+        record.state = state;
+        record.recorded_at = now;
+        true
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn key_runs_at_most_once(events in events()) {
+        let mut model = Model::new();
+        for (is_second, event) in events {
+            model.step(usize::from(is_second), event);
+        }
+    }
+
+    /// Whatever happened, the record closes once the faults are over.
+    #[test]
+    fn record_closes_after_faults(events in events()) {
+        let mut model = Model::new();
+        for (is_second, event) in events {
+            model.step(usize::from(is_second), event);
+        }
+        for at in 0..2 {
+            model.step(at, ModelEvent::Sleep(false));
+            model.step(at, ModelEvent::Answer { is_lost: false });
+            model.step(at, ModelEvent::Dispatch);
+            model.step(at, ModelEvent::Answer { is_lost: true });
+        }
+        for _ in 0..8 {
+            model.step(0, ModelEvent::Settle);
+            model.step(1, ModelEvent::Settle);
+            model.step(0, ModelEvent::Wait(400));
+        }
+        let is_open = model.record.is_some_and(|record| record.state.is_open());
+        prop_assert!(!is_open, "still open");
+    }
+}
--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -12,6 +12,7 @@
     PoolName, ServerName,
     backend_server::{ChoiceQuery, ServerNode, ServerSet},
 };
+use rand::Rng;
 use tokio::time::Instant;
 use wire::service_call::{CallMessage, CallReply};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -19,56 +20,126 @@
 use crate::EntryState;
 
 /// Agents that one call is sent to at most.
-const TRIES_MAX: usize = 3;
+const TRIES_MAX: u32 = 3;
 
 /// Least time that another try is worth making for.
 const TRY_MIN: Duration = Duration::from_millis(20);
 
+/// Time after which a refused call is not tried elsewhere any more, so that
+/// the caller hears of the refusal soon.
+const REFUSAL_BUDGET: Duration = Duration::from_millis(150);
+
+/// One in this many calls goes to its own server although that failed lately.
+const TRIAL_SHARE: u32 = 16;
+
+/// What the tries of a call have shown so far.
+#[derive(Debug, Default)]
+struct TryLedger {
+    tried: Vec<ServerName>,
+    may_have_run: Option<String>,
+    refused: Option<String>,
+}
+
+impl TryLedger {
+    /// What the caller is told when no try gave an answer.
+    ///
+    /// `not run` needs that every try proved it.
+    fn outcome(self, call: &CallMessage) -> CallReply {
+        if let Some(reason) = self.may_have_run {
+            return CallReply::Unknown { reason };
+        }
+        let is_only_use = call.key.is_none() || call.is_first;
+        match self.refused {
+            Some(reason) => CallReply::Refused { reason },
+            None if self.tried.is_empty() && !is_only_use => CallReply::Refused {
+                reason: "no server can be reached".to_owned(),
+            },
+            None => CallReply::NotRun {
+                reason: "no server could take the call".to_owned(),
+            },
+        }
+    }
+}
+
 /// Have a call run by one of the pool's agents.
 pub async fn route_call<P>(
     state: &EntryState<P>,
     pool: &PoolName,
     call: &CallMessage,
 ) -> CallReply {
-    let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
-    let mut tried: Vec<ServerName> = Vec::new();
-    let mut may_have_run = None;
-    for _ in 0..TRIES_MAX {
+    let begun = Instant::now();
+    let deadline = begun + Duration::from_millis(call.deadline_ms);
+    let mut ledger = TryLedger::default();
+    for turn in 0..TRIES_MAX {
         let left = deadline.saturating_duration_since(Instant::now());
-        if left < TRY_MIN {
+        // The first tries leave time for those after them.
+        let patience = if turn + 1 < TRIES_MAX { left / 2 } else { left };
+        if patience < TRY_MIN {
+            break;
+        }
+        if turn > 0 && !may_try_again(state, call) {
             break;
         }
         let servers = state.servers.load_full();
-        let Some(node) = choose(&servers, pool, call.key.as_deref(), &tried) else {
+        let Some(node) = choose(&servers, pool, call.key.as_deref(), &ledger.tried) else {
             break;
         };
         let call = CallMessage {
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            deadline_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
             ..call.clone()
         };
-        let _guard = node.begin();
-        match state.links.call(node.spec().addresses.control, &call).await {
-            Ok(CallReply::NotRun { reason }) => {
-                log::info!("call not run at {}: {reason}", node.spec().name);
-            }
-            Ok(reply) => {
-                node.note_success();
-                return reply;
-            }
-            Err(error) => {
-                log::warn!("no answer from {}: {error}", node.spec().name);
-                node.note_failure();
-                may_have_run = Some(error.to_string());
-            }
+        if let Some(reply) = try_at(state, &node, &call, &mut ledger).await {
+            return reply;
+        }
+        if ledger.refused.is_some() && begun.elapsed() > REFUSAL_BUDGET {
+            break;
         }
-        tried.push(node.spec().name.clone());
     }
-    match may_have_run {
-        Some(reason) => CallReply::Unknown { reason },
-        None => CallReply::NotRun {
-            reason: "no server could take the call".to_owned(),
-        },
+    ledger.outcome(call)
+}
+
+/// Send a call to one agent; nothing if another one may be asked.
+async fn try_at<P>(
+    state: &EntryState<P>,
+    node: &Arc<ServerNode>,
+    call: &CallMessage,
+    ledger: &mut TryLedger,
+) -> Option<CallReply> {
+    let spec = node.spec();
+    let _guard = node.begin();
+    let reply = state.links.call(spec.addresses.control, call).await;
+    ledger.tried.push(spec.name.clone());
+    match reply {
+        Ok(CallReply::NotRun { reason }) => {
+            log::info!("call not run at {}: {reason}", spec.name);
+            node.note_success();
+        }
+        Ok(CallReply::Refused { reason }) => {
+            log::info!("call refused by {}: {reason}", spec.name);
+            node.note_success();
+            ledger.refused = Some(reason);
+        }
+        Ok(CallReply::Unknown { reason }) if call.key.is_none() => {
+            // It may be repeated, so that its loss does no harm.
+            log::info!("answer of the server {} lost: {reason}", spec.name);
+            ledger.may_have_run = Some(reason);
+        }
+        Ok(reply) => {
+            node.note_success();
+            return Some(reply);
+        }
+        Err(error) => {
+            log::warn!("no answer from {}: {error}", spec.name);
+            node.note_failure();
+            ledger.may_have_run = Some(error.to_string());
+        }
     }
+    None
+}
+
+/// Whether the budget of retries has room for one more.
+fn may_try_again<P>(state: &EntryState<P>, call: &CallMessage) -> bool {
+    call.key.is_some() || state.call_retries.take()
 }
 
 fn choose(
@@ -85,11 +156,16 @@
         return servers.choose(&query, &mut rand::rng()).cloned();
     };
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let is_trial = rand::rng().random_ratio(1, TRIAL_SHARE);
     servers
         .nodes()
         .iter()
         .filter(|node| node.spec().pool == *pool && !node.is_leaving())
         .filter(|node| !tried.contains(&node.spec().name))
-        .max_by_key(|node| xxh3_64_with_seed(node.spec().name.as_str().as_bytes(), seed))
+        .max_by_key(|node| {
+            let is_trusted = is_trial || !node.is_suspect();
+            let hash = xxh3_64_with_seed(node.spec().name.as_str().as_bytes(), seed);
+            (is_trusted, hash)
+        })
         .cloned()
 }
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -28,7 +28,7 @@
     EntryState,
     chat_front::{last_event_id, resume_chat, start_chat},
     problem_reply::ProblemReply,
-    service_front::{serve_call, show_request},
+    service_front::{list_requests, serve_call, show_request},
     state_dump::dump_state,
 };
 
@@ -50,6 +50,7 @@
         .route("/v1/chat/completions", post(chat::<P>))
         .route("/v1/generations/{generation}", get(resume::<P>))
         .route("/v1/services/{service}/{operation}", post(call::<P>))
+        .route("/v1/requests", get(requests::<P>))
         .route("/v1/requests/{key}", get(request::<P>))
         .route("/ready", get(ready::<P>))
         .route("/metrics", get(show_metrics::<P>))
@@ -131,6 +132,21 @@
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
 
+async fn requests<P: TableStore>(Extension(state): SharedState<P>, request: Request) -> Response {
+    let (parts, _) = request.into_parts();
+    let listed = async {
+        if parts.uri.query() != Some("state=unknown") {
+            let detail = "must be `unknown`, as in `?state=unknown`";
+            return Err(ProblemReply::field("state", detail));
+        }
+        list_requests(&state, team_of(&parts)?).await
+    };
+    match listed.await {
+        Ok(list) => Json(list).into_response(),
+        Err(problem) => problem.into_response(),
+    }
+}
+
 async fn ready<P: TableStore>(Extension(state): SharedState<P>) -> StatusCode {
     if state.is_draining() {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -10,6 +10,7 @@
     backend_server::ServerSet,
     generation_stream::{RelayLimits, SilenceRule},
     release_note::NoteState,
+    service_call::RetryBudget,
     team_budget::AdmissionGate,
 };
 use exchange::HttpExchange;
@@ -27,6 +28,7 @@
     pub(crate) note: ArcSwap<NoteState>,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) links: AgentLinks,
+    pub(crate) call_retries: RetryBudget,
     /// One new connection for each stream, so that silence of one tells
     /// nothing about another.
     pub(crate) streams: HttpExchange,
@@ -45,6 +47,7 @@
             note: ArcSwap::from_pointee(NoteState::default()),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
             links: AgentLinks::default(),
+            call_retries: RetryBudget::default(),
             streams: HttpExchange::fresh(),
             silence: SilenceRule::default(),
             relay_limits: RelayLimits::default(),
--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -1,14 +1,23 @@
 //! Calls to plain services.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
-use domain::{WorkClass, service_call::CallState};
+use domain::{
+    WorkClass,
+    service_call::{CallRecord, CallState, KEY_LIFETIME, WallTime},
+};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use platform::TableStore;
+use platform::{StoreError, TableStore};
 use volo_http::{body::Body, response::Response};
 use wire::{
     KEY_HEADER,
-    service_call::{CallMessage, CallReply, RecordMessage},
+    service_call::{
+        CallMessage, CallReply, ListedRequest, RecordMessage, RequestList, call_row,
+        listed_request, request_name, unknown_rows,
+    },
 };
 
 use crate::{EntryState, call_router::route_call, problem_reply::ProblemReply};
@@ -19,6 +28,12 @@
 /// Longest key, in bytes.
 const KEY_MAX: usize = 200;
 
+/// Header by which a caller says that it never used the key before.
+const FIRST_USE_HEADER: &str = "x-first-use";
+
+/// Requests that one list shows at most.
+const LIST_MAX: usize = 1_000;
+
 /// Header that says which outcome an answer is.
 const OUTCOME_HEADER: &str = "x-outcome";
 
@@ -38,6 +53,12 @@
         .find(|route| route.service.as_str() == service)
         .ok_or_else(|| ProblemReply::field("service", format!("no service `{service}`")))?;
     let key = request_key(headers)?;
+    if key.is_some() && !is_plain(team) {
+        return Err(ProblemReply::field(
+            "X-Team",
+            "must be letters, digits or `-._~:@`",
+        ));
+    }
     let is_repeatable = route.repeatable.iter().any(|name| name == operation);
     if key.is_none() && !is_repeatable {
         return Err(ProblemReply::field(
@@ -55,7 +76,12 @@
         operation: operation.to_owned(),
         body: body.to_owned(),
         deadline_ms: u64::try_from(DEADLINE_DEFAULT.as_millis()).unwrap_or(u64::MAX),
+        sent_at_ms: wall_now().into(),
+        is_first: headers
+            .get(FIRST_USE_HEADER)
+            .is_some_and(|value| value == "true"),
     };
+    state.call_retries.earn();
     respond(state, route_call(state, &route.pool, &call).await)
 }
 
@@ -65,53 +91,95 @@
     team: &str,
     key: &str,
 ) -> Result<Response, ProblemReply> {
-    let row_key = format!("call/{team}/{key}");
-    let rows = state.platform.read(&[&row_key]).await.map_err(|error| {
-        ProblemReply::with_outcome(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "store-unavailable",
-            error.to_string(),
-            "unknown",
-        )
-        .retry_after(DEADLINE_DEFAULT)
-    })?;
+    let row_key = call_row(&request_name(team, key));
+    let rows = state.platform.read(&[&row_key]).await;
+    let rows = rows.map_err(|error| unreadable(&error))?;
     let Some(row) = rows.first() else {
-        return Err(ProblemReply::refused(
+        return Err(ProblemReply::with_outcome(
             StatusCode::NOT_FOUND,
             "unknown-request",
             format!("nothing is recorded under the key `{key}`"),
+            "unknown",
         ));
     };
     let record = serde_json::from_str::<RecordMessage>(&row.value)
         .ok()
-        .and_then(|message| domain::service_call::CallRecord::try_from(message).ok());
-    let reply = match record.map(|record| record.state) {
-        Some(CallState::Ran { status, answer }) => CallReply::Ran { status, answer },
-        Some(CallState::NotRun) => CallReply::NotRun {
+        .and_then(|message| CallRecord::try_from(message).ok());
+    let Some(record) = record else {
+        return respond(state, unsettled("the record cannot be read"));
+    };
+    let is_expired = !record.state.is_open() && wall_now().since(record.recorded_at) > KEY_LIFETIME;
+    if is_expired {
+        return respond(state, CallReply::Expired);
+    }
+    let reply = match record.state {
+        CallState::Ran { status, answer } => CallReply::Ran { status, answer },
+        CallState::NotRun => CallReply::NotRun {
             reason: "recorded as not run".to_owned(),
         },
-        Some(CallState::Intended) => CallReply::InFlight,
-        Some(CallState::Unknown) | None => CallReply::Unknown {
-            reason: "the outcome is not settled yet".to_owned(),
-        },
+        CallState::Intended => CallReply::InFlight,
+        CallState::Unknown => unsettled("the outcome is not settled yet"),
     };
     respond(state, reply)
 }
 
+/// List a team's requests whose outcome is unknown.
+pub async fn list_requests<P: TableStore>(
+    state: &Arc<EntryState<P>>,
+    team: &str,
+) -> Result<RequestList, ProblemReply> {
+    let prefix = unknown_rows(Some(team));
+    let rows = state.platform.scan(&prefix, "", LIST_MAX).await;
+    let rows = rows.map_err(|error| unreadable(&error))?;
+    let listed = rows.iter().filter_map(|row| listed_request(&row.key));
+    Ok(RequestList {
+        requests: listed.filter_map(ListedRequest::unknown).collect(),
+    })
+}
+
+fn unreadable(error: &StoreError) -> ProblemReply {
+    ProblemReply::with_outcome(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "store-unavailable",
+        error.to_string(),
+        "unknown",
+    )
+    .retry_after(DEADLINE_DEFAULT)
+}
+
+fn unsettled(reason: &str) -> CallReply {
+    CallReply::Unknown {
+        reason: reason.to_owned(),
+    }
+}
+
+fn wall_now() -> WallTime {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = age.unwrap_or_default().as_millis();
+    WallTime(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
 fn request_key(headers: &HeaderMap) -> Result<Option<&str>, ProblemReply> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
     };
     let key = value.to_str().ok();
-    match key.filter(|key| !key.is_empty() && key.len() <= KEY_MAX && !key.contains('/')) {
+    match key.filter(|key| key.len() <= KEY_MAX && is_plain(key)) {
         Some(key) => Ok(Some(key)),
         None => Err(ProblemReply::field(
             "Idempotency-Key",
-            format!("must be 1 to {KEY_MAX} visible characters without a slash"),
+            format!("must be 1 to {KEY_MAX} letters, digits or `-._~:@`"),
         )),
     }
 }
 
+/// Whether a text can stand in a path and in a row's key as it is.
+fn is_plain(text: &str) -> bool {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~:@".contains(&byte);
+    !text.is_empty() && text.bytes().all(is_plain)
+}
+
+/// Turn what became of a call into an answer.
 fn respond<P>(state: &EntryState<P>, reply: CallReply) -> Result<Response, ProblemReply> {
     let count = |outcome: &str| state.metrics.calls.with_label_values(&[outcome]).inc();
     match reply {
@@ -126,6 +194,27 @@
                     .retry_after(DEADLINE_DEFAULT),
             )
         }
+        CallReply::Refused { reason } => {
+            count("refused");
+            Err(ProblemReply::with_outcome(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "record-unreadable",
+                format!("not dispatched now, an earlier use of the key may have run: {reason}"),
+                "unknown",
+            )
+            .retry_after(DEADLINE_DEFAULT))
+        }
+        CallReply::Expired => {
+            count("expired");
+            Err(ProblemReply::refused(
+                StatusCode::GONE,
+                "key-expired",
+                format!(
+                    "the key was used more than {} hours ago; use a new one",
+                    KEY_LIFETIME.as_secs() / 3_600
+                ),
+            ))
+        }
         CallReply::Unknown { reason } => {
             count("unknown");
             Err(ProblemReply::with_outcome(
--- a/crates/stand-ins/src/main.rs
+++ b/crates/stand-ins/src/main.rs
@@ -44,7 +44,15 @@
                         .action(ArgAction::SetTrue),
                 ),
         )
-        .subcommand(Command::new("service").arg(listen()))
+        .subcommand(
+            Command::new("service").arg(listen()).arg(
+                Arg::new("ledger")
+                    .long("ledger")
+                    .value_name("IP:PORT")
+                    .help("Service that keeps what this one runs")
+                    .value_parser(value_parser!(SocketAddr)),
+            ),
+        )
         .subcommand(
             Command::new("platform")
                 .arg(listen())
@@ -106,6 +114,6 @@
             .await
         }
         "proxy" => run_proxies(listen).await,
-        _ => run_service(listen).await,
+        _ => run_service(listen, matches.get_one::<SocketAddr>("ledger").copied()).await,
     }
 }
--- a/crates/stand-ins/src/service_server.rs
+++ b/crates/stand-ins/src/service_server.rs
@@ -1,4 +1,8 @@
 //! A plain service that records what it ran.
+//!
+//! Several servers of a service may share a ledger, as the servers of one
+//! database do: a call has run when the ledger has it, whichever server it came
+//! through. A server that is killed thus leaves its runs behind.
 
 use std::{
     collections::BTreeMap,
@@ -7,9 +11,11 @@
     time::Duration,
 };
 
+use exchange::{ExchangeCall, ExchangeReply, HttpExchange};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use volo_http::{
+    body::Body,
     error::BoxError,
     request::Request,
     response::Response,
@@ -48,10 +54,38 @@
     pub keyless: u64,
 }
 
-#[derive(Default)]
 struct ServiceState {
     counts: Mutex<ServiceCounts>,
     faults: Mutex<ServiceFaults>,
+    ledger: Option<SocketAddr>,
+    exchange: HttpExchange,
+}
+
+impl ServiceState {
+    fn new(ledger: Option<SocketAddr>) -> Self {
+        Self {
+            counts: Mutex::default(),
+            faults: Mutex::default(),
+            ledger,
+            exchange: HttpExchange::pooled(),
+        }
+    }
+
+    /// Run a call here.
+    fn count_run(&self, key: Option<&str>) {
+        let mut counts = lock(&self.counts);
+        match key {
+            Some(key) => *counts.runs.entry(key.to_owned()).or_default() += 1,
+            None => counts.keyless += 1,
+        }
+    }
+
+    fn take_lost_answer(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let is_lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        is_lost
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -62,12 +96,12 @@
 const HELD_BACK: Duration = Duration::from_secs(3_600);
 
 /// Run a service until the process is stopped.
-pub async fn run_service(listen: SocketAddr) -> Result<(), BoxError> {
+pub async fn run_service(listen: SocketAddr, ledger: Option<SocketAddr>) -> Result<(), BoxError> {
     let router = Router::new()
         .route("/control", get(show_counts).post(set_faults))
-        .route("/v1/journal/{key}", get(show_journal))
+        .route("/v1/journal/{team}/{key}", get(show_journal))
         .route("/{operation}", post(run_call))
-        .layer(Extension(Arc::new(ServiceState::default())));
+        .layer(Extension(Arc::new(ServiceState::new(ledger))));
     serve(router, listen).await
 }
 
@@ -79,35 +113,56 @@
     let faults = lock(&state.faults).clone();
     tokio::time::sleep(Duration::from_millis(faults.delay_before_ms)).await;
     let key = request.headers().get(KEY_HEADER);
-    let key = key.and_then(|value| value.to_str().ok()).map(str::to_owned);
-    {
-        let mut counts = lock(&state.counts);
-        match &key {
-            Some(key) => *counts.runs.entry(key.clone()).or_default() += 1,
-            None => counts.keyless += 1,
+    let key = key.and_then(|value| value.to_str().ok());
+    match state.ledger {
+        None => state.count_run(key),
+        Some(ledger) => {
+            if !run_at_ledger(&state.exchange, ledger, &operation, key).await {
+                return StatusCode::BAD_GATEWAY.into_response();
+            }
         }
     }
-    let is_lost = {
-        let mut faults = lock(&state.faults);
-        let is_lost = faults.lose_answers > 0;
-        faults.lose_answers = faults.lose_answers.saturating_sub(1);
-        is_lost
-    };
-    if is_lost {
+    if state.take_lost_answer() {
         tokio::time::sleep(HELD_BACK).await;
     }
     tokio::time::sleep(Duration::from_millis(faults.delay_after_ms)).await;
     Json(serde_json::json!({ "operation": operation, "key": key, "done": true })).into_response()
 }
 
+async fn run_at_ledger(
+    exchange: &HttpExchange,
+    ledger: SocketAddr,
+    operation: &str,
+    key: Option<&str>,
+) -> bool {
+    let path = format!("/{operation}");
+    let mut call = ExchangeCall::post(ledger, &path);
+    if let Some(key) = key {
+        call = call.header(KEY_HEADER, key);
+    }
+    exchange.send(call).await.is_ok()
+}
+
 async fn show_journal(
-    PathParams(key): PathParams<String>,
+    PathParams((team, key)): PathParams<(String, String)>,
     Extension(state): Extension<Arc<ServiceState>>,
-) -> StatusCode {
+) -> Response {
+    if let Some(ledger) = state.ledger {
+        let path = format!("/v1/journal/{team}/{key}");
+        return match state.exchange.send(ExchangeCall::get(ledger, &path)).await {
+            Ok(ExchangeReply { status, body }) => {
+                let mut response = Response::new(Body::from(body));
+                *response.status_mut() = status;
+                response
+            }
+            Err(_) => StatusCode::BAD_GATEWAY.into_response(),
+        };
+    }
+    let key = format!("{team}/{key}");
     if lock(&state.counts).runs.contains_key(&key) {
-        StatusCode::OK
+        Json(serde_json::json!({ "key": key, "done": true })).into_response()
     } else {
-        StatusCode::NOT_FOUND
+        StatusCode::NOT_FOUND.into_response()
     }
 }
 
--- a/crates/wire/src/service_call.rs
+++ b/crates/wire/src/service_call.rs
@@ -2,10 +2,69 @@
 
 use domain::{
     BodyDigest, ServerName,
-    service_call::{CallRecord, CallState},
+    service_call::{CallOwner, CallRecord, CallState, WallTime},
 };
 use serde::{Deserialize, Serialize};
 
+/// Prefix of the rows that hold records of calls.
+const CALL_PREFIX: &str = "call/";
+
+/// Prefix of the rows that name calls of unknown outcome.
+const UNKNOWN_PREFIX: &str = "unknown/";
+
+/// Prefix of the rows that name calls whose outcome is not recorded.
+const OPEN_PREFIX: &str = "open/";
+
+/// A caller's request by team and key, `TEAM/KEY`.
+pub fn request_name(team: &str, key: &str) -> String {
+    format!("{team}/{key}")
+}
+
+/// Row of the record of a request.
+pub fn call_row(request: &str) -> String {
+    format!("{CALL_PREFIX}{request}")
+}
+
+/// Row that lists a request as of unknown outcome.
+pub fn unknown_row(request: &str) -> String {
+    format!("{UNKNOWN_PREFIX}{request}")
+}
+
+/// Prefix of the rows that list a team's requests of unknown outcome, or those
+/// of all teams.
+pub fn unknown_rows(team: Option<&str>) -> String {
+    match team {
+        Some(team) => format!("{UNKNOWN_PREFIX}{team}/"),
+        None => UNKNOWN_PREFIX.to_owned(),
+    }
+}
+
+/// Request that a row of `unknown_rows` lists.
+pub fn listed_request(row: &str) -> Option<&str> {
+    row.strip_prefix(UNKNOWN_PREFIX)
+}
+
+/// Prefix of the rows that name the open calls of a server.
+pub fn open_rows(pool: &str, server: &str) -> String {
+    format!("{OPEN_PREFIX}{pool}/{server}/")
+}
+
+/// Row that names one open call; its value is an [`OpenMessage`].
+pub fn open_row(pool: &str, server: &str, epoch: u64, run: u64) -> String {
+    format!("{}{epoch:016x}/{run:016x}", open_rows(pool, server))
+}
+
+/// A call whose outcome is not recorded.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OpenMessage {
+    /// The request, `TEAM/KEY`.
+    pub request: String,
+    /// Start of the owning process.
+    pub epoch: u64,
+    /// Run that the intent stands for.
+    pub run: u64,
+}
+
 /// Request that an agent runs a call.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CallMessage {
@@ -19,6 +78,11 @@
     pub body: String,
     /// Milliseconds left until the caller's deadline.
     pub deadline_ms: u64,
+    /// When the caller's request came, in milliseconds since the epoch.
+    pub sent_at_ms: u64,
+    /// Whether the caller says that it never used the key before.
+    #[serde(default)]
+    pub is_first: bool,
 }
 
 /// What became of a call.
@@ -32,11 +96,20 @@
         /// Body of the answer.
         answer: String,
     },
-    /// Proved not to have reached the service.
+    /// Proved not to have reached the service, under this request or an
+    /// earlier one with the key.
     NotRun {
         /// Why not.
         reason: String,
     },
+    /// This request was not dispatched; an earlier one with the key may have
+    /// been, since the record could not be read.
+    Refused {
+        /// Why not.
+        reason: String,
+    },
+    /// The key is older than records are given out.
+    Expired,
     /// May have run.
     Unknown {
         /// What was seen.
@@ -48,6 +121,36 @@
     InFlight,
 }
 
+/// One request of a list.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct ListedRequest {
+    /// Team that called.
+    pub team: String,
+    /// The team's key.
+    pub key: String,
+    /// State of the call.
+    pub state: String,
+}
+
+impl ListedRequest {
+    /// Request `TEAM/KEY` of unknown outcome.
+    pub fn unknown(request: &str) -> Option<Self> {
+        let (team, key) = request.split_once('/')?;
+        Some(Self {
+            team: team.to_owned(),
+            key: key.to_owned(),
+            state: "unknown".to_owned(),
+        })
+    }
+}
+
+/// Requests in one state.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct RequestList {
+    /// The requests, by team and key.
+    pub requests: Vec<ListedRequest>,
+}
+
 /// State of a recorded call.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
@@ -78,6 +181,8 @@
     pub owner_epoch: u64,
     /// Run that the intent stands for.
     pub run: u64,
+    /// When the state was recorded, in milliseconds since the epoch.
+    pub recorded_at_ms: u64,
     /// State of the call.
     pub state: StateMessage,
 }
@@ -95,9 +200,10 @@
         };
         Self {
             digest: format!("{:032x}", record.digest.to_u128()),
-            owner: record.owner.as_str().to_owned(),
-            owner_epoch: record.owner_epoch,
+            owner: record.owner.server.as_str().to_owned(),
+            owner_epoch: record.owner.epoch,
             run: record.run,
+            recorded_at_ms: record.recorded_at.into(),
             state,
         }
     }
@@ -116,9 +222,12 @@
         };
         Ok(Self {
             digest: BodyDigest::from_u128(digest),
-            owner: ServerName::from(message.owner),
-            owner_epoch: message.owner_epoch,
+            owner: CallOwner {
+                server: ServerName::from(message.owner),
+                epoch: message.owner_epoch,
+            },
             run: message.run,
+            recorded_at: WallTime(message.recorded_at_ms),
             state,
         })
     }
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -209,4 +209,10 @@
         }
         self.exchange.send(call).await.into_diagnostic()
     }
+
+    /// Read something at an entry.
+    pub async fn get(&self, entry: SocketAddr, path: &str) -> Result<ExchangeReply> {
+        let call = ExchangeCall::get(entry, path).header(TEAM_HEADER, &self.team);
+        self.exchange.send(call).await.into_diagnostic()
+    }
 }
--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -41,6 +41,7 @@
     engine: EnginePlan,
     window: u32,
     is_proxied: bool,
+    is_ledger_shared: bool,
     agent_extra: Value,
     entry_extra: Value,
     platform_args: Vec<String>,
@@ -55,6 +56,7 @@
             engine: EnginePlan::default(),
             window: 32_768,
             is_proxied: false,
+            is_ledger_shared: false,
             agent_extra: json!({}),
             entry_extra: json!({}),
             platform_args: Vec::new(),
@@ -105,6 +107,13 @@
         self
     }
 
+    /// Let all servers of the plain service share a ledger that never fails.
+    #[must_use]
+    pub const fn shared_ledger(mut self) -> Self {
+        self.is_ledger_shared = true;
+        self
+    }
+
     /// Add settings to every agent.
     #[must_use]
     pub fn agent_extra(mut self, extra: Value) -> Self {
@@ -135,9 +144,15 @@
         } else {
             None
         };
+        let ledger = if self.is_ledger_shared {
+            Some(fleet.service()?)
+        } else {
+            None
+        };
         let mut deployment = Deployment {
             fleet,
             proxy,
+            ledger,
             sites: Vec::new(),
             entries: Vec::new(),
         };
@@ -148,7 +163,7 @@
                 .await?;
         }
         for at in 0..self.services {
-            let service = deployment.fleet.service()?;
+            let service = deployment.start_service(free_address()?)?;
             deployment
                 .add_site(self, KindMessage::Service, at, service)
                 .await?;
@@ -174,6 +189,8 @@
     pub agent: AgentHandle,
     /// What the platform's list says: the agent's addresses, or the links'.
     pub vm: VmMessage,
+    /// Link between the agent and the platform.
+    pub store_link: Option<SocketAddr>,
 }
 
 /// Everything that was started.
@@ -182,6 +199,8 @@
     pub fleet: Fleet,
     /// Carries the links, if there are any.
     pub proxy: Option<ProcessHandle>,
+    /// What the plain service ran, if its servers share a ledger.
+    pub ledger: Option<ProcessHandle>,
     /// Engines first, then services.
     pub sites: Vec<ServerSite>,
     /// Entries.
@@ -226,17 +245,29 @@
 
     /// Set the mode of a server's links, both for streams and for control.
     pub async fn set_link(&self, site: usize, mode: LinkMode) -> Result<()> {
-        let Some(proxy) = &self.proxy else {
-            return Err(miette!("the deployment has no links"));
-        };
         let vm = &self.sites[site].vm;
         for listen in [vm.stream, vm.control] {
-            let message = ModeMessage { listen, mode };
-            self.fleet.post(proxy.address, "/mode", &message).await?;
+            self.set_mode(listen, mode).await?;
         }
         Ok(())
     }
 
+    /// Set the mode of the link between a server's agent and the platform.
+    pub async fn set_store_link(&self, site: usize, mode: LinkMode) -> Result<()> {
+        match self.sites[site].store_link {
+            Some(listen) => self.set_mode(listen, mode).await,
+            None => Err(miette!("the deployment has no links")),
+        }
+    }
+
+    async fn set_mode(&self, listen: SocketAddr, mode: LinkMode) -> Result<()> {
+        let Some(proxy) = &self.proxy else {
+            return Err(miette!("the deployment has no links"));
+        };
+        let message = ModeMessage { listen, mode };
+        self.fleet.post(proxy.address, "/mode", &message).await
+    }
+
     /// Kill a server's engine or service and start it anew at its address.
     pub fn restart_engine(&mut self, site: usize, plan: &EnginePlan) -> Result<()> {
         let site = &mut self.sites[site];
@@ -245,6 +276,24 @@
         Ok(())
     }
 
+    /// Kill a server of the plain service and start it anew at its address.
+    pub fn restart_service(&mut self, site: usize) -> Result<()> {
+        self.sites[site].server.kill();
+        let address = self.sites[site].server.address;
+        self.sites[site].server = self.start_service(address)?;
+        Ok(())
+    }
+
+    /// Kill an agent and start it anew, without what it had in memory.
+    pub fn restart_agent(&mut self, site: usize) -> Result<()> {
+        self.fleet.restart_agent(&mut self.sites[site].agent)
+    }
+
+    fn start_service(&mut self, listen: SocketAddr) -> Result<ProcessHandle> {
+        let ledger = self.ledger.as_ref().map(|ledger| ledger.address);
+        self.fleet.service_at(listen, ledger)
+    }
+
     async fn add_site(
         &mut self,
         plan: &DeploymentPlan,
@@ -256,20 +305,32 @@
             KindMessage::Engine => (format!("writer-{at}"), ENGINE_POOL),
             KindMessage::Service => (format!("ledger-{at}"), SERVICE_POOL),
         };
+        let mut extra = plan.agent_extra.clone();
+        let mut store_link = None;
+        if self.proxy.is_some() {
+            let link = self.add_link(self.fleet.platform()).await?;
+            crate::fleet::merge(&mut extra, &json!({ "platform": link.to_string() }));
+            store_link = Some(link);
+        }
         let agent = self.fleet.agent(&AgentPlan {
             server: name,
             pool: pool.to_owned(),
             domain: Self::domain(at).to_owned(),
             kind,
             target: server.address,
-            extra: plan.agent_extra.clone(),
+            extra,
         })?;
         let mut vm = agent.vm.clone();
         if self.proxy.is_some() {
             vm.stream = self.add_link(agent.vm.stream).await?;
             vm.control = self.add_link(agent.vm.control).await?;
         }
-        self.sites.push(ServerSite { server, agent, vm });
+        self.sites.push(ServerSite {
+            server,
+            agent,
+            vm,
+            store_link,
+        });
         Ok(())
     }
 
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -209,12 +209,24 @@
         spawn(&self.dir, &self.programs, "stand-in", &name, listen, &args)
     }
 
-    /// Start a plain service.
+    /// Start a plain service that keeps its own ledger.
     pub fn service(&mut self) -> Result<ProcessHandle> {
-        let listen = free_address()?;
+        self.service_at(free_address()?, None)
+    }
+
+    /// Start a plain service at an address, with the ledger of another one.
+    pub fn service_at(
+        &mut self,
+        listen: SocketAddr,
+        ledger: Option<SocketAddr>,
+    ) -> Result<ProcessHandle> {
         let text = listen.to_string();
+        let ledger = ledger.map(|ledger| ledger.to_string());
         let name = self.log_name("service");
-        let args = ["service", "--listen", &text];
+        let mut args = vec!["service", "--listen", &text];
+        if let Some(ledger) = &ledger {
+            args.extend(["--ledger", ledger]);
+        }
         spawn(&self.dir, &self.programs, "stand-in", &name, listen, &args)
     }
 
