Bookings under single faults, and a list of unknown outcomes

Change: a refused connection is proof that nothing was sent. Ports come from below the range of outgoing connections, each once. The service's stand-in goes on with a call whose caller is gone, which is the harder case. `GET /v1/requests?state=unknown` and `bamboocross requests` list what is not settled.

--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -13,7 +13,7 @@
 use platform::{StoreError, TableStore};
 use volo_http::{body::Body, response::Response};
 use wire::{
-    KEY_HEADER,
+    FIRST_USE_HEADER, KEY_HEADER,
     service_call::{
         CallMessage, CallReply, ListedRequest, RecordMessage, RequestList, call_row,
         listed_request, request_name, unknown_rows,
@@ -28,9 +28,6 @@
 /// Longest key, in bytes.
 const KEY_MAX: usize = 200;
 
-/// Header by which a caller says that it never used the key before.
-const FIRST_USE_HEADER: &str = "x-first-use";
-
 /// Requests that one list shows at most.
 const LIST_MAX: usize = 1_000;
 
--- a/crates/exchange/src/http_exchange.rs
+++ b/crates/exchange/src/http_exchange.rs
@@ -1,9 +1,9 @@
 //! Sending calls, and sorting their failures by what they prove.
 
-use std::time::Duration;
+use std::{error::Error, io, time::Duration};
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
+use derive_more::Display;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
@@ -18,7 +18,7 @@
 use crate::{EventStream, ExchangeCall};
 
 /// Failure of a call.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, derive_more::Error)]
 pub enum ExchangeError {
     /// No connection was made: proof that nothing was sent.
     #[display("no connection: {reason}")]
@@ -52,11 +52,22 @@
             ErrorKind::Builder | ErrorKind::Connect | ErrorKind::LoadBalance => {
                 Self::NotSent { reason }
             }
+            _ if is_refused(&error) => Self::NotSent { reason },
             _ => Self::Lost { reason },
         }
     }
 }
 
+/// Whether the other side refused the connection.
+///
+/// The library reports it as a failed request, but an open connection is never
+/// refused, so that nothing can have been sent.
+fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let refusal = error.downcast_ref::<io::Error>();
+    refusal.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+        || error.source().is_some_and(is_refused)
+}
+
 /// Answer to a call.
 #[derive(Clone, Debug)]
 pub struct ExchangeReply {
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use platform::HttpPlatform;
 
 use crate::{
     CommandResult, dump_command,
     note_command::{self, NoteSource},
+    requests_command::{self, RequestQuery},
     vm_command::{self, VmOrder},
 };
 
@@ -30,6 +31,7 @@
         .subcommand_required(true)
         .subcommand(note_commands())
         .subcommand(vm_commands())
+        .subcommand(requests_command_line())
         .subcommand(
             Command::new("dump")
                 .about("Print the state of one process as JSON")
@@ -84,6 +86,30 @@
         .subcommand(order("undo", "Take new work again"))
 }
 
+fn requests_command_line() -> Command {
+    Command::new("requests")
+        .about("List the teams' requests whose outcome is unknown")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .help("Team whose requests are listed; all unless given"),
+        )
+        .arg(
+            Arg::new("state")
+                .long("state")
+                .help("State of the requests that are listed")
+                .value_parser(["unknown"])
+                .default_value("unknown"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("Print JSON")
+                .action(ArgAction::SetTrue),
+        )
+}
+
 fn platform_arg() -> Arg {
     Arg::new("platform")
         .long("platform")
@@ -107,6 +133,13 @@
     match matches.subcommand() {
         Some(("note", matches)) => run_note(matches).await,
         Some(("vm", matches)) => run_vm(matches).await,
+        Some(("requests", matches)) => {
+            let query = RequestQuery {
+                team: matches.get_one::<String>("team").map(String::as_str),
+                is_json: matches.get_flag("json"),
+            };
+            requests_command::list(&platform_of(matches), query).await
+        }
         Some(("dump", matches)) => {
             let address = matches.get_one::<SocketAddr>("address");
             dump_command::dump(address.copied().expect("the argument is required")).await
--- a/crates/stand-ins/src/service_server.rs
+++ b/crates/stand-ins/src/service_server.rs
@@ -105,19 +105,27 @@
     serve(router, listen).await
 }
 
+/// Run a call to its end, also when its caller goes away meanwhile.
 async fn run_call(
     PathParams(operation): PathParams<String>,
     Extension(state): Extension<Arc<ServiceState>>,
     request: Request,
 ) -> Response {
+    let key = request.headers().get(KEY_HEADER);
+    let key = key.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    match tokio::spawn(carry_out(state, operation, key)).await {
+        Ok(response) => response,
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn carry_out(state: Arc<ServiceState>, operation: String, key: Option<String>) -> Response {
     let faults = lock(&state.faults).clone();
     tokio::time::sleep(Duration::from_millis(faults.delay_before_ms)).await;
-    let key = request.headers().get(KEY_HEADER);
-    let key = key.and_then(|value| value.to_str().ok());
     match state.ledger {
-        None => state.count_run(key),
+        None => state.count_run(key.as_deref()),
         Some(ledger) => {
-            if !run_at_ledger(&state.exchange, ledger, &operation, key).await {
+            if !run_at_ledger(&state.exchange, ledger, &operation, key.as_deref()).await {
                 return StatusCode::BAD_GATEWAY.into_response();
             }
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,5 +23,8 @@
 /// Header that carries the caller's key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
+/// Header by which a caller says that it never used the key before.
+pub const FIRST_USE_HEADER: &str = "x-first-use";
+
 /// Header that carries the position to resume from.
 pub const LAST_EVENT_HEADER: &str = "last-event-id";
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -9,7 +9,7 @@
 use miette::{IntoDiagnostic, Result};
 use stand_ins::TextSeed;
 use wire::{
-    KEY_HEADER, LAST_EVENT_HEADER, TEAM_HEADER,
+    FIRST_USE_HEADER, KEY_HEADER, LAST_EVENT_HEADER, TEAM_HEADER,
     chat::{ChatChunk, ChatMessage, ChatRequest},
     stream::PinMessage,
 };
@@ -89,6 +89,7 @@
 pub struct CallerClient {
     exchange: HttpExchange,
     team: String,
+    is_first_use: bool,
 }
 
 impl CallerClient {
@@ -97,9 +98,17 @@
         Self {
             exchange: HttpExchange::fresh(),
             team: team.to_owned(),
+            is_first_use: false,
         }
     }
 
+    /// Say of every key that it was never used before.
+    #[must_use]
+    pub const fn first_use(mut self) -> Self {
+        self.is_first_use = true;
+        self
+    }
+
     /// Request of a completion and the seed of its text.
     pub fn request(
         model: &str,
@@ -207,6 +216,9 @@
         if let Some(key) = key {
             call = call.header(KEY_HEADER, key);
         }
+        if self.is_first_use {
+            call = call.header(FIRST_USE_HEADER, "true");
+        }
         self.exchange.send(call).await.into_diagnostic()
     }
 
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -3,8 +3,13 @@
 use std::{
     fs::File,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -15,6 +20,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use rand::Rng;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -23,6 +29,12 @@
 /// Time within which a process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Ports that processes listen on.
+const PORTS: Range<u16> = 10_000..32_000;
+
+/// Ports that are tried until one is free.
+const ADDRESS_TRIES: u32 = 100;
+
 /// Pause between two looks at a process.
 const POLL_PAUSE: Duration = Duration::from_millis(10);
 
@@ -460,9 +472,22 @@
 }
 
 /// An address that nothing listens on now.
+///
+/// It lies below the ports that the system gives to outgoing connections, or
+/// one of those could take it before the process listens. No address is given
+/// twice by this program, and other programs begin elsewhere.
 pub fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
+    static FIRST: LazyLock<u16> = LazyLock::new(|| rand::rng().random_range(0..PORTS.end));
+    static GIVEN: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..ADDRESS_TRIES {
+        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
+        let count = PORTS.end - PORTS.start;
+        let port = PORTS.start + FIRST.wrapping_add(given) % count;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().into_diagnostic();
+        }
+    }
+    Err(miette!("no free address"))
 }
 
 /// Add the fields of `extra` to `settings`.
