--- a/crates/domain/tests/team_budget.rs
+++ b/crates/domain/tests/team_budget.rs
@@ -139,3 +139,15 @@
         }
     }
 }
+
+#[test]
+fn retries_are_a_share_of_first_tries() {
+    let budget = RetryBudget::new(200);
+    let saved = (0..1_000).filter(|_| budget.withdraw()).count();
+    assert_eq!(saved, 20);
+    for _ in 0..100 {
+        budget.note_first_try();
+    }
+    let earned = (0..1_000).filter(|_| budget.withdraw()).count();
+    assert_eq!(earned, 20);
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 mod deployment_report;
 mod dump_command;
 mod note_command;
+mod requests_command;
 mod status_command;
 mod vm_command;
 
--- a/crates/operator/src/status_command.rs
+++ b/crates/operator/src/status_command.rs
@@ -143,7 +143,7 @@
     };
     Some(UnsettledCall {
         request,
-        server: record.owner.as_str().to_owned(),
+        server: record.owner.server.as_str().to_owned(),
         state,
     })
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -4,6 +4,7 @@
 //! `NAME key=value …`. It fails when a target of the product is missed; the
 //! bounds come from the targets, not from what was measured before.
 
+mod calls;
 mod load;
 
 use miette::{Result, miette};
@@ -30,7 +31,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 1] = ["load"];
+pub const NAMES: [&str; 2] = ["calls", "load"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -51,6 +52,7 @@
 async fn measure(name: &str, options: MeasureOptions) -> Result<MeasureReport> {
     match name {
         "load" => load::run(options).await,
+        "calls" => calls::measure(options).await,
         _ => Err(miette!("no measurement `{name}`")),
     }
 }
