--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -7,11 +7,15 @@
 
 use platform::TableStore;
 use settings::AgentSettings;
-use tokio::time::Instant;
+use tokio::{sync::mpsc, time::Instant};
+use wire::agent_control::NewsMessage;
 
 use crate::{
-    agent_metrics::AgentMetrics, engine_client::EngineClient,
-    generation_registry::GenerationRegistry, intent_log::IntentLog,
+    agent_metrics::AgentMetrics,
+    engine_client::EngineClient,
+    generation_registry::GenerationRegistry,
+    intent_log::IntentLog,
+    note_keeper::{NEWS_MAX, NoteHolder},
 };
 
 /// State of the process; requests read it without a lock.
@@ -26,16 +30,24 @@
     pub(crate) intents: IntentLog,
     pub(crate) metrics: AgentMetrics,
     pub(crate) calls: AtomicU32,
+    pub(crate) notes: NoteHolder,
+    pub(crate) news: mpsc::Sender<NewsMessage>,
     leaving: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
 }
 
 impl AgentState {
-    /// State at the start of a process.
-    pub fn new<T: TableStore>(settings: AgentSettings, table: T, epoch: u64, now: Instant) -> Self {
+    /// State at the start of a process, and the news that it will hear.
+    pub fn new<T: TableStore>(
+        settings: AgentSettings,
+        table: T,
+        epoch: u64,
+        now: Instant,
+    ) -> (Self, mpsc::Receiver<NewsMessage>) {
+        let (news, heard) = mpsc::channel(NEWS_MAX);
         let metrics = AgentMetrics::new();
-        Self {
+        let state = Self {
             engine: EngineClient::new(settings.server),
             intents: IntentLog::start(table, metrics.clone()),
             registry: GenerationRegistry::default(),
@@ -43,15 +55,18 @@
             epoch,
             metrics,
             calls: AtomicU32::new(0),
+            notes: NoteHolder::default(),
+            news,
             leaving: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
-        }
+        };
+        (state, heard)
     }
 
     /// Whether the server takes no new work.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving.load(Ordering::Relaxed) || self.notes.is_leaving(Instant::now())
     }
 
     /// Take no new work, or take it again.
--- a/crates/agent/src/control_front.rs
+++ b/crates/agent/src/control_front.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::Instant;
 use wire::{
-    agent_control::{AgentControlServer, ServerReport},
+    agent_control::{AgentControlServer, NewsMessage, OrderNews, ServerReport},
     service_call::{CallMessage, CallReply},
 };
 
@@ -39,6 +39,8 @@
             generations: u32::try_from(self.state.registry.len()).unwrap_or(u32::MAX),
             calls: self.state.calls.load(Ordering::Relaxed),
             silence_ms: u64::try_from(silence).unwrap_or(u64::MAX),
+            note_version: self.state.notes.ledger().version().0,
+            epoch: self.state.epoch,
         }
     }
 }
@@ -66,6 +68,17 @@
         Ok(self.report())
     }
 
+    async fn tell(&self, news: NewsMessage) -> RpcResult<ServerReport> {
+        self.state.hear_news(news);
+        Ok(self.report())
+    }
+
+    async fn heed(&self, order: OrderNews) -> RpcResult<ServerReport> {
+        log::info!("told of stops at version {}", order.version);
+        self.state.notes.heed(&order, self.state.epoch);
+        Ok(self.report())
+    }
+
     async fn probe(&self) -> RpcResult<ServerReport> {
         Ok(self.report())
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,11 +13,14 @@
 mod generation_registry;
 mod generation_task;
 mod intent_log;
+mod note_front;
+mod note_keeper;
 mod server_watch;
 mod state_dump;
 mod stream_front;
 
 pub use agent_state::AgentState;
 pub use control_front::{ControlFront, serve_control};
+pub use note_keeper::NoteKeeper;
 pub use server_watch::watch_server;
 pub use stream_front::{serve_streams, wait_until_drained};
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,7 +6,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use agent::{AgentState, serve_control, serve_streams, watch_server};
+use agent::{AgentState, NoteKeeper, serve_control, serve_streams, watch_server};
 use miette::{IntoDiagnostic, Report, WrapErr};
 use platform::HttpPlatform;
 use settings::AgentSettings;
@@ -64,7 +64,10 @@
         .into_diagnostic()?
         .as_millis();
     let epoch = u64::try_from(epoch).into_diagnostic()?;
-    let state = Arc::new(AgentState::new(settings, table, epoch, Instant::now()));
+    let now = Instant::now();
+    let (state, news) = AgentState::new(settings, table.clone(), epoch, now);
+    let state = Arc::new(state);
+    tokio::spawn(NoteKeeper::new(Arc::clone(&state), table, now).run(news));
     tokio::spawn(watch_server(Arc::clone(&state)));
     let control = serve_control(&state)
         .await
--- /dev/null
+++ b/crates/agent/src/note_keeper.rs
@@ -0,0 +1,211 @@
+//! The task that keeps the release note and the server's own stop fresh.
+//!
+//! An agent asks one of the entries that have told it something, another one
+//! each time. The store is asked at the start, and later only when no entry
+//! answers, since a thousand agents may not poll it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use domain::{
+    NoteVersion, OrderVersion,
+    release_note::NoteLedger,
+    vm_membership::{LeaveEvidence, StopKind},
+};
+use platform::{NotePeer, NoteStore, ObjectStore, StopStore, TableStore, known_entries};
+use rand::seq::IndexedRandom;
+use tokio::{sync::mpsc, time::Instant};
+use wire::agent_control::{NewsMessage, OrderNews, StopNews};
+
+use crate::AgentState;
+
+/// Time between two questions to entries.
+const PULL_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Time without an answer of an entry after which the store is asked.
+const STORE_PATIENCE: Duration = Duration::from_secs(6);
+
+/// Entries that are remembered.
+const ENTRIES_MAX: usize = 16;
+
+/// News waiting at most; more say the same.
+pub const NEWS_MAX: usize = 16;
+
+/// Release notes and stops as an agent knows them.
+#[derive(Default)]
+pub struct NoteHolder {
+    ledger: ArcSwap<NoteLedger>,
+    evidence: ArcSwap<LeaveEvidence>,
+}
+
+impl NoteHolder {
+    /// Ledger in force.
+    pub fn ledger(&self) -> Arc<NoteLedger> {
+        self.ledger.load_full()
+    }
+
+    /// Whether a stop or the platform's list says that the server is leaving.
+    pub fn is_leaving(&self, now: Instant) -> bool {
+        self.evidence.load().is_leaving(now)
+    }
+
+    /// Take in the recorded stop of the server.
+    pub fn heed(&self, order: &OrderNews, epoch: u64) {
+        let is_leaving = order.stop.is_some_and(|stop| holds_for(&stop, epoch));
+        self.observe(|evidence| {
+            evidence.observe_order(OrderVersion(order.version), is_leaving);
+        });
+    }
+
+    fn hear(&self, news: &NewsMessage, epoch: u64, now: Instant) {
+        self.heed(&news.order, epoch);
+        self.observe(|evidence| evidence.observe_list(news.is_listed_leaving, now));
+    }
+
+    fn observe(&self, take: impl Fn(&mut LeaveEvidence)) {
+        self.evidence.rcu(|held| {
+            let mut next = **held;
+            take(&mut next);
+            next
+        });
+    }
+
+    fn take(&self, next: NoteLedger) {
+        let next = Arc::new(next);
+        // Versions only rise, whatever the store or a peer answers.
+        self.ledger.rcu(|held| {
+            let is_newer = held.version() < next.version();
+            Arc::clone(if is_newer { &next } else { held })
+        });
+        log::info!(version:% = self.ledger().version(); "release note in force");
+    }
+}
+
+fn holds_for(stop: &StopNews, epoch: u64) -> bool {
+    StopKind::from(stop.kind).holds_for(stop.epoch, epoch)
+}
+
+impl AgentState {
+    /// Take in what an entry told.
+    pub fn hear_news(&self, news: NewsMessage) {
+        self.notes.hear(&news, self.epoch, Instant::now());
+        // A full channel holds news enough.
+        let _ = self.news.try_send(news);
+    }
+}
+
+/// Keeps notes and stops fresh.
+pub struct NoteKeeper<P> {
+    state: Arc<AgentState>,
+    platform: P,
+    peer: NotePeer,
+    entries: Vec<SocketAddr>,
+    answered_at: Instant,
+}
+
+impl<P: TableStore + ObjectStore> NoteKeeper<P> {
+    /// Keeper of an agent's state.
+    pub fn new(state: Arc<AgentState>, platform: P, now: Instant) -> Self {
+        Self {
+            state,
+            platform,
+            peer: NotePeer::default(),
+            entries: Vec::new(),
+            answered_at: now,
+        }
+    }
+
+    /// Keep going for as long as the process runs.
+    pub async fn run(mut self, mut news: mpsc::Receiver<NewsMessage>) {
+        self.ask_store().await;
+        loop {
+            let pause = PULL_INTERVAL.mul_f64(rand::random_range(0.8..1.2));
+            match tokio::time::timeout(pause, news.recv()).await {
+                Ok(Some(told)) => self.hear(&told).await,
+                Ok(None) => return,
+                Err(_) => self.ask_any().await,
+            }
+        }
+    }
+
+    async fn hear(&mut self, told: &NewsMessage) {
+        if !self.entries.contains(&told.entry) {
+            if self.entries.len() >= ENTRIES_MAX {
+                self.entries.remove(0);
+            }
+            self.entries.push(told.entry);
+        }
+        self.answered_at = Instant::now();
+        if NoteVersion(told.note_version) > self.state.notes.ledger().version() {
+            self.ask_entry(told.entry).await;
+        }
+    }
+
+    async fn ask_any(&mut self) {
+        let entry = self.entries.choose(&mut rand::rng()).copied();
+        if let Some(entry) = entry {
+            self.ask_entry(entry).await;
+        }
+        if self.answered_at.elapsed() >= STORE_PATIENCE {
+            self.ask_store().await;
+            self.answered_at = Instant::now();
+        }
+    }
+
+    async fn ask_entry(&mut self, entry: SocketAddr) {
+        let ledger = self.state.notes.ledger();
+        let server = self.state.settings.name.as_str();
+        match self.peer.pull(entry, ledger.version(), server).await {
+            Ok(update) => {
+                self.answered_at = Instant::now();
+                if let Some(news) = update.news() {
+                    self.state
+                        .notes
+                        .hear(&news, self.state.epoch, self.answered_at);
+                }
+                if let Some(next) = update.follow(&ledger) {
+                    self.state.notes.take(next);
+                }
+            }
+            Err(error) => {
+                log::debug!("no notes from entry {entry}: {error}");
+                self.entries.retain(|known| *known != entry);
+            }
+        }
+    }
+
+    async fn ask_store(&mut self) {
+        if let Err(error) = self.read_notes().await {
+            log::warn!("release note not read: {error}");
+        }
+        if let Err(error) = self.read_stops().await {
+            log::warn!("recorded stops not read: {error}");
+        }
+    }
+
+    async fn read_notes(&mut self) -> Result<(), platform::NoteStoreError> {
+        let notes = NoteStore::new(self.platform.clone());
+        let head = notes.head().await?;
+        let ledger = self.state.notes.ledger();
+        if head.version > ledger.version() {
+            self.state.notes.take(notes.advance(&ledger, &head).await?);
+        }
+        Ok(())
+    }
+
+    async fn read_stops(&mut self) -> Result<(), platform::StoreError> {
+        let record = StopStore::new(self.platform.clone()).read().await?;
+        let order = record.order_of(self.state.settings.name.as_str());
+        let order = OrderNews {
+            version: record.version.0,
+            stop: order.map(StopNews::from),
+        };
+        self.state.notes.heed(&order, self.state.epoch);
+        if self.entries.is_empty() {
+            let entries = known_entries(&self.platform, 0).await?;
+            let addresses = entries.iter().map(|entry| entry.address);
+            self.entries.extend(addresses.take(ENTRIES_MAX));
+        }
+        Ok(())
+    }
+}
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -25,6 +25,7 @@
 };
 use wire::{
     ProblemReport,
+    note::NOTE_PATH,
     stream::{
         BEAT_EVENT, END_EVENT, LOST_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT, TOKEN_EVENT,
     },
@@ -33,6 +34,7 @@
 use crate::{
     AgentState,
     generation_task::{READER_ITEMS_MAX, StreamItem, TaskCommand, spawn_generation},
+    note_front::pass_notes,
     state_dump::dump_state,
 };
 
@@ -49,6 +51,7 @@
     let router = Router::new()
         .route("/v1/generations", post(open_generation))
         .route("/v1/generations/{generation}", get(take_over))
+        .route(NOTE_PATH, get(pass_notes))
         .route("/metrics", get(show_metrics))
         .route("/state", get(show_state))
         .layer(Extension(Arc::clone(&state)));
--- a/crates/domain/src/identity.rs
+++ b/crates/domain/src/identity.rs
@@ -59,6 +59,8 @@
     ServiceName;
     /// Idempotency key chosen by the caller, scoped by team.
     RequestKey;
+    /// Identity of a release note.
+    NoteId;
 }
 
 macro_rules! number_types {
@@ -88,6 +90,8 @@
     FencingNumber(u64);
     /// Version of the release note in force.
     NoteVersion(u64);
+    /// Version of the recorded orders to stop servers.
+    OrderVersion(u64);
     /// Version of a model or adapter.
     ModelVersion(u32);
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use identity::{
     AdapterName, AttemptNumber, BodyDigest, DomainName, FencingNumber, GenerationId, ModelName,
-    ModelVersion, NoteVersion, PoolName, RequestKey, ServerName, ServiceName, TeamName,
-    TokenPosition, WorkClass,
+    ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, RequestKey, ServerName, ServiceName,
+    TeamName, TokenPosition, WorkClass,
 };
--- a/crates/domain/src/vm_membership.rs
+++ b/crates/domain/src/vm_membership.rs
@@ -1,11 +1,16 @@
 //! The VM membership aggregate: which backend servers may get new work.
 //!
-//! The platform's list of VMs lags, so a process's own evidence leads it: a
-//! drain flag on a reply says at once that a server is leaving.
+//! The platform's list of VMs lags, so a process's own evidence leads it: the
+//! recorded order of an operator, or the agent's own word. Whether a server may
+//! be stopped is decided here too, since that asks who else serves its pool.
 //!
 //! Invariants:
-//! - Evidence that a VM is leaving is not undone by an older list.
+//! - Evidence that a VM is leaving is not undone by an older list, nor by orders
+//!   of an older version.
+//! - A planned stop leaves a pool in use with a server, unless it is forced.
 
-mod vm_evidence;
+mod leave_evidence;
+mod stop_order;
 
-pub use vm_evidence::{VmEvidence, VmState};
+pub use leave_evidence::LeaveEvidence;
+pub use stop_order::{PoolMember, StopDecision, StopKind, StopOrder, StopRefusal, StopWish};
--- a/crates/entry/src/agent_links.rs
+++ b/crates/entry/src/agent_links.rs
@@ -65,7 +65,8 @@
         });
     }
 
-    fn client(&self, agent: SocketAddr) -> Result<Arc<HttpClient>, ClientError> {
+    /// Client of an agent.
+    pub fn client(&self, agent: SocketAddr) -> Result<Arc<HttpClient>, ClientError> {
         let clients = self.clients.pin();
         if let Some(client) = clients.get(&agent) {
             return Ok(Arc::clone(client));
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -22,11 +22,12 @@
     },
     utils::Extension,
 };
-use wire::TEAM_HEADER;
+use wire::{TEAM_HEADER, note::NOTE_PATH};
 
 use crate::{
     EntryState,
     chat_front::{last_event_id, resume_chat, start_chat},
+    note_front::pass_notes,
     problem_reply::ProblemReply,
     service_front::{serve_call, show_request},
     state_dump::dump_state,
@@ -51,6 +52,7 @@
         .route("/v1/generations/{generation}", get(resume::<P>))
         .route("/v1/services/{service}/{operation}", post(call::<P>))
         .route("/v1/requests/{key}", get(request::<P>))
+        .route(NOTE_PATH, get(pass_notes::<P>))
         .route("/ready", get(ready::<P>))
         .route("/metrics", get(show_metrics::<P>))
         .route("/state", get(show_state::<P>))
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -15,7 +15,10 @@
 use exchange::HttpExchange;
 use settings::EntrySettings;
 
-use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics};
+use crate::{
+    agent_links::AgentLinks, entry_metrics::EntryMetrics, note_watch::NoteWatch,
+    server_membership::ServerMembership,
+};
 
 /// State of the process; requests read it without a lock.
 pub struct EntryState<P> {
@@ -25,6 +28,8 @@
     pub platform: P,
     pub(crate) servers: ArcSwap<ServerSet>,
     pub(crate) note: ArcSwap<NoteState>,
+    pub(crate) notes: NoteWatch,
+    pub(crate) membership: ServerMembership,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) links: AgentLinks,
     /// One new connection for each stream, so that silence of one tells
@@ -43,6 +48,8 @@
         Self {
             servers: ArcSwap::from_pointee(servers),
             note: ArcSwap::from_pointee(NoteState::default()),
+            notes: NoteWatch::default(),
+            membership: ServerMembership::default(),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
             links: AgentLinks::default(),
             streams: HttpExchange::fresh(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,12 +13,16 @@
 mod chat_front;
 mod entry_metrics;
 mod entry_state;
+mod note_front;
+mod note_watch;
 mod problem_reply;
 mod refresh_task;
+mod server_membership;
 mod service_front;
 mod state_dump;
 mod stream_driver;
+mod tell_task;
 
 pub use caller_front::serve_callers;
 pub use entry_state::EntryState;
-pub use refresh_task::refresh_snapshots;
+pub use refresh_task::{refresh_snapshots, retire};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{process::ExitCode, sync::Arc, time::Duration};
 
-use entry::{EntryState, refresh_snapshots, serve_callers};
+use entry::{EntryState, refresh_snapshots, retire, serve_callers};
 use miette::{IntoDiagnostic, Report, WrapErr};
 use platform::HttpPlatform;
 use settings::EntrySettings;
@@ -53,7 +53,9 @@
     let state = Arc::new(EntryState::new(settings, platform));
     tokio::spawn(refresh_snapshots(Arc::clone(&state)));
     log::info!(entry = state.settings.name.as_str(); "listening on {}", state.settings.listen);
-    serve_callers(state, stop)
+    serve_callers(Arc::clone(&state), stop)
         .await
-        .map_err(|error| miette::miette!("{error}"))
+        .map_err(|error| miette::miette!("{error}"))?;
+    retire(&state).await;
+    Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/note_front.rs
@@ -0,0 +1,29 @@
+//! Release notes and stops, passed on to peers that ask.
+
+use std::sync::Arc;
+
+use domain::NoteVersion;
+use platform::{TableStore, VmList};
+use volo_http::{
+    response::Response,
+    server::{
+        IntoResponse,
+        extract::{Json, Query},
+    },
+    utils::Extension,
+};
+use wire::note::{UpdateMessage, UpdateQuery};
+
+use crate::EntryState;
+
+/// Pass on what the asker lacks.
+pub async fn pass_notes<P: TableStore + VmList>(
+    Extension(state): Extension<Arc<EntryState<P>>>,
+    Query(query): Query<UpdateQuery>,
+) -> Response {
+    let ledger = state.notes.ledger();
+    let update = ledger.since(NoteVersion(query.after));
+    let mut message = UpdateMessage::new(ledger.version(), &update);
+    message.news = (!query.server.is_empty()).then(|| state.news_for(&query.server));
+    Json(message).into_response()
+}
--- a/crates/entry/src/refresh_task.rs
+++ b/crates/entry/src/refresh_task.rs
@@ -1,65 +1,148 @@
-//! The task that keeps the snapshots of servers and release note fresh.
+//! The tasks that keep the snapshots of servers and release note fresh.
+//!
+//! Entries alone poll the store, so that its reads do not grow with the number
+//! of servers, and the more entries there are, the more seldom each one polls.
+//! Agents hear from entries, and entries from one another through agents.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
-use domain::{
-    backend_server::{ServerSet, ServerSpec},
-    release_note::NoteState,
+use domain::backend_server::{ServerSet, ServerSpec};
+use platform::{
+    NoteHead, NoteStore, NoteStoreError, ObjectStore, StopStore, StoreError, TableStore, VmList,
+    announce_entry, known_entries, order_head, retire_entry,
+};
+use tokio::time::Instant;
+use wire::{
+    note::HEAD_KEY,
+    vm::{EntryMessage, ORDER_HEAD_KEY},
 };
-use platform::{StoreError, TableStore, VmEntry, VmList};
-use tokio::time::MissedTickBehavior;
-use wire::note::{HEAD_KEY, StateMessage};
 
-use crate::EntryState;
+use crate::{EntryState, tell_task::tell_agents};
+
+/// Readings of the head that all entries together send a second.
+const HEAD_READS_PER_SECOND: u32 = 150;
+
+/// Bytes of the platform's list that an entry reads a second, on average.
+const LIST_BYTES_PER_SECOND: u32 = 1_500;
+
+/// Bytes of one VM in the platform's list.
+const LIST_ENTRY_BYTES: u32 = 180;
+
+/// VMs up to which the list is small and read at every turn.
+const LIST_SMALL: usize = 64;
+
+/// Time between two announcements of an entry.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Age after which an entry that has not announced itself counts as gone.
+const ENTRY_AGE_MAX: Duration = Duration::from_secs(180);
 
-/// Read the platform's list and the release note, for as long as the process
-/// runs; while the platform is down, what is known stays in force.
-pub async fn refresh_snapshots<P: TableStore + VmList>(state: Arc<EntryState<P>>) {
-    let mut ticks = tokio::time::interval(state.settings.refresh);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+/// Keep everything fresh for as long as the process runs; while the platform is
+/// down, what is known stays in force.
+pub async fn refresh_snapshots<P: TableStore + ObjectStore + VmList>(state: Arc<EntryState<P>>) {
+    tokio::join!(
+        refresh_servers(&state),
+        watch_heads(&state),
+        tell_agents(&state),
+    );
+}
+
+/// Remove the announcement of an entry that ends.
+pub async fn retire<P: TableStore>(state: &EntryState<P>) {
+    if let Err(error) = retire_entry(&state.platform, &state.settings.name).await {
+        log::warn!("announcement not removed: {error}");
+    }
+}
+
+async fn refresh_servers<P: VmList>(state: &EntryState<P>) {
     loop {
-        ticks.tick().await;
-        if let Err(error) = refresh_servers(&state).await {
+        if let Err(error) = read_list(state).await {
             log::warn!("list of VMs not read: {error}");
         }
-        if let Err(error) = refresh_note(&state).await {
-            log::warn!("release note not read: {error}");
-        }
+        let known = state.servers.load().nodes().len();
+        tokio::time::sleep(list_interval(state.settings.refresh, known)).await;
+    }
+}
+
+fn list_interval(refresh: Duration, known: usize) -> Duration {
+    if known <= LIST_SMALL {
+        return refresh;
     }
+    let bytes = LIST_ENTRY_BYTES * u32::try_from(known).unwrap_or(u32::MAX);
+    refresh.max(Duration::from_secs(1) * bytes / LIST_BYTES_PER_SECOND)
 }
 
-async fn refresh_servers<P: VmList>(state: &EntryState<P>) -> Result<(), StoreError> {
+async fn read_list<P: VmList>(state: &EntryState<P>) -> Result<(), StoreError> {
     let entries = state.platform.list().await?;
     let previous = state.servers.load();
     let specs: Vec<ServerSpec> = entries.iter().map(|entry| entry.spec.clone()).collect();
     let set = ServerSet::new(&specs, &previous);
-    for VmEntry { spec, leaving } in &entries {
-        if *leaving && let Some(node) = set.get(&spec.name) {
-            node.set_leaving(true);
-        }
-    }
     state.metrics.servers.set(set.nodes().len() as i64);
     state.servers.store(Arc::new(set));
+    state.hear_list(&entries);
     Ok(())
 }
 
-async fn refresh_note<P: TableStore>(state: &EntryState<P>) -> Result<(), StoreError> {
-    let Some(row) = state.platform.read(&[HEAD_KEY]).await?.pop() else {
-        return Ok(());
-    };
-    let message: StateMessage = match serde_json::from_str(&row.value) {
-        Ok(message) => message,
-        Err(error) => {
-            log::error!("release note in the table cannot be read: {error}");
-            return Ok(());
+/// Poll the two head rows with one read, and read on where they have risen.
+async fn watch_heads<P: TableStore + ObjectStore>(state: &EntryState<P>) {
+    let mut entries = 1;
+    let mut announced_at: Option<Instant> = None;
+    loop {
+        if announced_at.is_none_or(|at| at.elapsed() >= ANNOUNCE_INTERVAL) {
+            match announce(state).await {
+                Ok(count) => {
+                    entries = count;
+                    announced_at = Some(Instant::now());
+                }
+                Err(error) => log::warn!("entry not announced: {error}"),
+            }
+        }
+        if let Err(error) = read_heads(state).await {
+            log::warn!("release note not read: {error}");
         }
+        let interval = head_interval(state.settings.refresh, entries);
+        tokio::time::sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+fn head_interval(refresh: Duration, entries: u32) -> Duration {
+    refresh.max(Duration::from_secs(1) * entries / HEAD_READS_PER_SECOND)
+}
+
+async fn announce<P: TableStore>(state: &EntryState<P>) -> Result<u32, StoreError> {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let entry = EntryMessage {
+        address: state.settings.listen,
+        known_at_ms: millis(now),
     };
-    let note = NoteState::from(message);
-    // Versions only rise, whatever the store answers.
-    if note.version() > state.note.load().version() {
-        log::info!(version:% = note.version(); "release note in force");
-        state.metrics.note_version.set(note.version().0 as i64);
-        state.note.store(Arc::new(note));
+    announce_entry(&state.platform, &state.settings.name, entry).await?;
+    let after = millis(now.saturating_sub(ENTRY_AGE_MAX));
+    let entries = known_entries(&state.platform, after).await?;
+    Ok(u32::try_from(entries.len()).unwrap_or(u32::MAX).max(1))
+}
+
+async fn read_heads<P: TableStore + ObjectStore>(
+    state: &EntryState<P>,
+) -> Result<(), NoteStoreError> {
+    let rows = state.platform.read(&[HEAD_KEY, ORDER_HEAD_KEY]).await?;
+    let row = |key| rows.iter().find(|row| row.key == key);
+    let (orders, _) = order_head(row(ORDER_HEAD_KEY));
+    if orders > state.membership.version() {
+        let record = StopStore::new(state.platform.clone()).read().await?;
+        state.membership.take_stops(record);
+        state.mark_stopped();
+    }
+    let head = NoteHead::from_row(row(HEAD_KEY))?;
+    let ledger = state.notes.ledger();
+    if head.version > ledger.version() {
+        let notes = NoteStore::new(state.platform.clone());
+        state.take_notes(notes.advance(&ledger, &head).await?);
     }
     Ok(())
 }
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -28,6 +28,7 @@
         "failure_domain": state.settings.domain.as_str(),
         "draining": state.is_draining(),
         "note_version": note.version().0,
+        "stop_version": state.membership.version().0,
         "models": models,
         "requests": total,
         "long_requests": long,
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
-use platform::HttpPlatform;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use domain::{NoteVersion, ServerName, vm_membership::StopKind};
+use platform::{HttpPlatform, NoteStore};
 
 use crate::{
     CommandResult, dump_command,
     note_command::{self, NoteSource},
-    vm_command::{self, VmOrder},
+    spread_watch::wait_until_in_force,
+    vm_command::{self, StopRequest},
 };
 
 /// Time within which the platform answers or counts as down.
@@ -57,7 +59,42 @@
             Command::new("publish")
                 .about("Publish a note")
                 .arg(platform_arg())
-                .arg(file()),
+                .arg(file())
+                .arg(
+                    Arg::new("wait")
+                        .long("wait")
+                        .help("Wait until all processes have it in force")
+                        .action(ArgAction::SetTrue),
+                )
+                .arg(
+                    Arg::new("wait-seconds")
+                        .long("wait-seconds")
+                        .help("Longest time to wait")
+                        .value_parser(value_parser!(u64))
+                        .default_value("30"),
+                ),
+        )
+        .subcommand(
+            Command::new("history")
+                .about("Show the latest notes")
+                .arg(platform_arg())
+                .arg(
+                    Arg::new("count")
+                        .long("count")
+                        .help("Notes at most")
+                        .value_parser(value_parser!(u64))
+                        .default_value("20"),
+                ),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show what changed after one version up to another")
+                .arg(platform_arg())
+                .arg(version_arg("from", "Version to start after").required(true))
+                .arg(version_arg(
+                    "to",
+                    "Version to end with; the one in force unless given",
+                )),
         )
         .subcommand(
             Command::new("show")
@@ -66,6 +103,10 @@
         )
 }
 
+fn version_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).help(help).value_parser(value_parser!(u64))
+}
+
 fn vm_commands() -> Command {
     let order = |name: &'static str, about: &'static str| {
         Command::new(name).about(about).arg(platform_arg()).arg(
@@ -74,12 +115,32 @@
                 .required(true),
         )
     };
+    let stop = |name: &'static str, about: &'static str| {
+        order(name, about)
+            .arg(
+                Arg::new("force")
+                    .long("force")
+                    .help("Stop it even if nobody else serves its pool")
+                    .action(ArgAction::SetTrue),
+            )
+            .arg(
+                Arg::new("operator")
+                    .long("operator")
+                    .help("Who asks, for those who meet the record")
+                    .env("USER")
+                    .default_value("operator"),
+            )
+    };
     Command::new("vm")
         .about("Stop backend servers on plan")
         .subcommand_required(true)
-        .subcommand(order(
+        .subcommand(stop(
             "stop",
-            "Take no new work and finish what is in flight",
+            "Take no new work until the VM is restarted; finish what is in flight",
+        ))
+        .subcommand(stop(
+            "withdraw",
+            "Take no new work until it is undone; finish what is in flight",
         ))
         .subcommand(order("undo", "Take new work again"))
 }
@@ -118,32 +179,59 @@
 async fn run_note(matches: &ArgMatches) -> CommandResult {
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
     let platform = platform_of(matches);
-    if name == "show" {
-        return note_command::show(&platform).await;
-    }
-    let path = matches
-        .get_one::<PathBuf>("file")
-        .expect("the argument is required");
-    let source = NoteSource::read(path)?;
+    let notes = NoteStore::new(platform.clone());
     match name {
-        "check" => note_command::check(&platform, &source).await,
-        "publish" => note_command::publish(&platform, &source).await,
+        "check" => note_command::check(&notes, &source_of(matches)?).await,
+        "publish" => {
+            let version = note_command::publish(&notes, &source_of(matches)?).await?;
+            if !matches.get_flag("wait") {
+                return Ok(());
+            }
+            let patience = Duration::from_secs(number_of(matches, "wait-seconds").unwrap_or(0));
+            wait_until_in_force(&platform, version, patience).await
+        }
+        "show" => note_command::show(&notes).await,
+        "history" => note_command::history(&notes, number_of(matches, "count").unwrap_or(0)).await,
+        "diff" => {
+            let from = NoteVersion(number_of(matches, "from").unwrap_or(0));
+            let to = number_of(matches, "to").map(NoteVersion);
+            note_command::diff(&notes, from, to).await
+        }
         _ => unreachable!("all commands are listed"),
     }
 }
 
+fn source_of(matches: &ArgMatches) -> miette::Result<NoteSource> {
+    let path = matches.get_one::<PathBuf>("file");
+    NoteSource::read(path.expect("the argument is required"))
+}
+
+fn number_of(matches: &ArgMatches, name: &str) -> Option<u64> {
+    matches.get_one::<u64>(name).copied()
+}
+
 async fn run_vm(matches: &ArgMatches) -> CommandResult {
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
     let platform = platform_of(matches);
-    let server = matches
-        .get_one::<String>("server")
-        .expect("the argument is required");
-    let order = match name {
-        "stop" => VmOrder::Stop,
-        "undo" => VmOrder::Undo,
+    let text = |name: &str| {
+        let text = matches.get_one::<String>(name);
+        text.expect("the argument is required or has a default")
+            .as_str()
+    };
+    let server = ServerName::from(text("server"));
+    let kind = match name {
+        "undo" => return vm_command::undo(&platform, &server).await,
+        "stop" => StopKind::Stop,
+        "withdraw" => StopKind::Withdraw,
         _ => unreachable!("all commands are listed"),
     };
-    vm_command::give_order(&platform, server, order).await
+    let request = StopRequest {
+        server,
+        kind,
+        is_forced: matches.get_flag("force"),
+        operator: text("operator").to_owned(),
+    };
+    vm_command::stop(&platform, &request).await
 }
 
 fn platform_of(matches: &ArgMatches) -> HttpPlatform {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,7 @@
 mod command_line;
 mod dump_command;
 mod note_command;
+mod spread_watch;
 mod vm_command;
 
 pub use command_line::{command_line, run_command};
--- a/crates/operator/src/note_command.rs
+++ b/crates/operator/src/note_command.rs
@@ -2,12 +2,15 @@
 
 use std::path::Path;
 
-use domain::release_note::{NoteChange, NoteState};
+use domain::{
+    BodyDigest, NoteId, NoteVersion,
+    release_note::{AcceptedNote, NoteChange, NoteLedger, NoteState},
+};
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
-use platform::{TableStore, TableWrite, TransactOutcome, WriteCondition};
-use settings::read_note;
+use platform::{HttpPlatform, NoteHead, NoteStore, PublishOutcome};
+use settings::{NoteFile, note_id, read_note};
 use telemetry::ExitStatus;
-use wire::note::{HEAD_KEY, StateMessage};
+use wire::note::{ChangeMessage, StateMessage};
 
 use crate::{CommandFailure, CommandResult};
 
@@ -27,80 +30,150 @@
             .wrap_err_with(|| format!("cannot read {name}"))?;
         Ok(Self { name, text })
     }
-}
 
-/// The state in force and the version of its row.
-struct NoteHead {
-    state: NoteState,
-    condition: WriteCondition,
+    /// Identity of a note whose file gives none: the digest of its text.
+    fn digest(&self) -> NoteId {
+        let digest = BodyDigest::of("note", self.text.as_bytes());
+        NoteId::from(format!("{:032x}", digest.to_u128()))
+    }
 }
 
 /// Check a note against the state in force.
-pub async fn check(table: &impl TableStore, source: &NoteSource) -> CommandResult {
-    let head = read_head(table).await?;
-    let changes = read_changes(source, &head.state)?;
+pub async fn check(notes: &NoteStore<HttpPlatform>, source: &NoteSource) -> CommandResult {
+    let (ledger, _) = notes.read().await.into_diagnostic()?;
+    let file = read_file(source, ledger.state())?;
     println!(
         "{}: {} changes, no findings against version {}",
         source.name,
-        changes.len(),
-        head.state.version()
+        file.changes.len(),
+        ledger.version()
     );
     Ok(())
 }
 
-/// Publish a note by one conditional write.
-pub async fn publish(table: &impl TableStore, source: &NoteSource) -> CommandResult {
-    let head = read_head(table).await?;
-    let changes = read_changes(source, &head.state)?;
-    let next = head.state.apply(&changes).map_err(|_| CommandFailure {
-        status: ExitStatus::Conflict,
-        report: miette!("the note no longer applies to the state in force"),
-    })?;
-    let value = serde_json::to_string(&StateMessage::from(&next)).into_diagnostic()?;
-    let write = TableWrite {
-        key: HEAD_KEY,
-        condition: head.condition,
-        value: Some(&value),
+/// Publish a note by one conditional write; returns the accepted version.
+pub async fn publish(
+    notes: &NoteStore<HttpPlatform>,
+    source: &NoteSource,
+) -> Result<NoteVersion, CommandFailure> {
+    let (ledger, head) = notes.read().await.into_diagnostic()?;
+    if let Some(version) = find_repeat(&ledger, &head, source) {
+        println!("version {version} accepted already, by this same note");
+        return Ok(version);
+    }
+    let file = read_file(source, ledger.state())?;
+    let next = ledger
+        .state()
+        .apply(&file.changes)
+        .map_err(|_| conflict("the note no longer applies to the state in force".to_owned()))?;
+    let note = AcceptedNote {
+        version: next.version(),
+        id: file.id.unwrap_or_else(|| source.digest()),
+        changes: file.changes,
     };
-    match table.transact(&[write]).await.into_diagnostic()? {
-        TransactOutcome::Committed => {
-            println!("version {} accepted", next.version());
-            Ok(())
+    match notes.publish(&head, &note, &next).await.into_diagnostic()? {
+        PublishOutcome::Accepted => {
+            println!("version {} accepted, note {}", note.version, note.id);
+            Ok(note.version)
         }
-        TransactOutcome::Refused { .. } => Err(CommandFailure {
-            status: ExitStatus::Conflict,
-            report: miette!(
-                "another note was accepted after version {}; check this one again",
-                head.state.version()
-            ),
-        }),
+        PublishOutcome::Lost(winner) => Err(conflict(format!(
+            "version {} was won by note {}, which says:\n{}check this note again and publish it anew",
+            winner.version,
+            winner.id,
+            lines_of(&winner.changes),
+        ))),
     }
 }
 
 /// Show the state in force.
-pub async fn show(table: &impl TableStore) -> CommandResult {
-    let head = read_head(table).await?;
-    let message = serde_json::to_value(StateMessage::from(&head.state)).into_diagnostic()?;
+pub async fn show(notes: &NoteStore<HttpPlatform>) -> CommandResult {
+    let (ledger, _) = notes.read().await.into_diagnostic()?;
+    let state: &NoteState = ledger.state();
+    let message = serde_json::to_value(StateMessage::from(state)).into_diagnostic()?;
     println!("{message:#}");
     Ok(())
 }
 
-async fn read_head(table: &impl TableStore) -> miette::Result<NoteHead> {
-    let mut rows = table.read(&[HEAD_KEY]).await.into_diagnostic()?;
-    let Some(row) = rows.pop() else {
-        return Ok(NoteHead {
-            state: NoteState::default(),
-            condition: WriteCondition::Absent,
-        });
-    };
-    let message: StateMessage = serde_json::from_str(&row.value).into_diagnostic()?;
-    Ok(NoteHead {
-        state: message.into(),
-        condition: WriteCondition::Version(row.version),
-    })
+/// Show the latest notes, newest last.
+pub async fn history(notes: &NoteStore<HttpPlatform>, count: u64) -> CommandResult {
+    let head = notes.head().await.into_diagnostic()?;
+    let from = NoteVersion(head.version.0.saturating_sub(count));
+    for note in notes_between(notes, from, head.version).await? {
+        println!("version {} note {}", note.version, note.id);
+        print!("{}", lines_of(&note.changes));
+    }
+    Ok(())
+}
+
+/// Show what changed after one version up to another.
+pub async fn diff(
+    notes: &NoteStore<HttpPlatform>,
+    from: NoteVersion,
+    to: Option<NoteVersion>,
+) -> CommandResult {
+    let head = notes.head().await.into_diagnostic()?;
+    let to = to.unwrap_or(head.version);
+    if from > to || to > head.version {
+        let report = miette!(
+            "versions run from 0 to {}, the older one first",
+            head.version
+        );
+        return Err(report.into());
+    }
+    for note in notes_between(notes, from, to).await? {
+        print!("{}", lines_of(&note.changes));
+    }
+    Ok(())
+}
+
+async fn notes_between(
+    notes: &NoteStore<HttpPlatform>,
+    from: NoteVersion,
+    to: NoteVersion,
+) -> miette::Result<Vec<AcceptedNote>> {
+    let mut found: Vec<AcceptedNote> = Vec::new();
+    let mut after = from;
+    while after < to {
+        let page = notes.notes_after(after).await.into_diagnostic()?;
+        let Some(last) = page.last() else {
+            break;
+        };
+        after = last.version;
+        found.extend(page);
+    }
+    found.retain(|note| note.version <= to);
+    Ok(found)
+}
+
+/// Version under which this very note was accepted before.
+///
+/// A note with an identity of its own is sought among the latest notes. One
+/// without is a repeat only if nothing was accepted after it, since a note may
+/// rightly say later what an older one said before.
+fn find_repeat(ledger: &NoteLedger, head: &NoteHead, source: &NoteSource) -> Option<NoteVersion> {
+    match note_id(&source.name, &source.text) {
+        Some(id) if head.id == id => Some(head.version),
+        Some(id) => ledger.version_of(&id),
+        None => (head.id == source.digest()).then_some(head.version),
+    }
+}
+
+fn lines_of(changes: &[NoteChange]) -> String {
+    let lines = changes.iter().map(|change| {
+        let message = serde_json::to_string(&ChangeMessage::from(change));
+        format!("  {}\n", message.unwrap_or_default())
+    });
+    lines.collect()
+}
+
+fn conflict(text: String) -> CommandFailure {
+    CommandFailure {
+        status: ExitStatus::Conflict,
+        report: miette!("{text}"),
+    }
 }
 
-fn read_changes(source: &NoteSource, state: &NoteState) -> Result<Vec<NoteChange>, CommandFailure> {
+fn read_file(source: &NoteSource, state: &NoteState) -> Result<NoteFile, CommandFailure> {
     read_note(&source.name, &source.text, state).map_err(|report| CommandFailure {
         status: ExitStatus::Findings,
         report: Report::new(report),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,12 +6,20 @@
 //! it by reading and not by writing again.
 
 mod http_platform;
+mod note_peer;
+mod note_store;
 mod object_store;
+mod stop_store;
 mod table_store;
 mod vm_list;
 
 pub use http_platform::HttpPlatform;
+pub use note_peer::{NotePeer, PeerUpdate};
+pub use note_store::{NoteHead, NoteStore, NoteStoreError, PublishOutcome, SNAPSHOT_EVERY};
 pub use object_store::ObjectStore;
+pub use stop_store::{
+    StopOutcome, StopRecord, StopStore, announce_entry, known_entries, order_head, retire_entry,
+};
 pub use table_store::{
     StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition,
 };
--- /dev/null
+++ b/crates/platform/src/note_peer.rs
@@ -0,0 +1,72 @@
+//! Release notes from other processes of the system.
+//!
+//! What a peer passes on is a cache of what the store accepted, so it is taken
+//! in only where it leads to a higher version.
+
+use std::{net::SocketAddr, time::Duration};
+
+use domain::{
+    NoteVersion,
+    release_note::{AcceptedNote, NoteLedger},
+};
+use exchange::{ExchangeCall, ExchangeError, HttpExchange};
+use wire::{
+    agent_control::NewsMessage,
+    note::{NOTE_PATH, UpdateMessage},
+};
+
+/// Time within which a peer answers; a silent one is passed over.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Client of peers.
+#[derive(Clone)]
+pub struct NotePeer {
+    exchange: HttpExchange,
+}
+
+impl Default for NotePeer {
+    fn default() -> Self {
+        Self {
+            exchange: HttpExchange::pooled(),
+        }
+    }
+}
+
+impl NotePeer {
+    /// Ask a peer for what follows on `version`, and for what it knows of the
+    /// stopping of `server`.
+    pub async fn pull(
+        &self,
+        peer: SocketAddr,
+        version: NoteVersion,
+        server: &str,
+    ) -> Result<PeerUpdate, ExchangeError> {
+        let path = format!("{NOTE_PATH}?after={version}&server={server}");
+        let call = ExchangeCall::get(peer, &path).timeout(PEER_TIMEOUT);
+        let message: UpdateMessage = self.exchange.send(call).await?.json()?;
+        Ok(PeerUpdate { message })
+    }
+}
+
+/// What a peer passed on.
+#[derive(Clone, Debug)]
+pub struct PeerUpdate {
+    message: UpdateMessage,
+}
+
+impl PeerUpdate {
+    /// What the peer knows of the server that was asked for.
+    pub const fn news(&self) -> Option<NewsMessage> {
+        self.message.news
+    }
+
+    /// The ledger with the update; none if it is not newer.
+    pub fn follow(self, ledger: &NoteLedger) -> Option<NoteLedger> {
+        if let Some(state) = self.message.state {
+            return ledger.replace(state.into());
+        }
+        let notes = self.message.notes.into_iter();
+        let notes: Vec<AcceptedNote> = notes.map(AcceptedNote::from).collect();
+        ledger.fold(&notes)
+    }
+}
--- a/crates/settings/src/field_reader.rs
+++ b/crates/settings/src/field_reader.rs
@@ -147,6 +147,12 @@
         self.text_of(value, name)
     }
 
+    /// Text that may be left out.
+    pub(crate) fn optional_text(&self, name: &'static str) -> Option<String> {
+        let value = self.optional(name)?;
+        Some(self.text_of(value, name))
+    }
+
     /// One of a few words; the first when the field is absent.
     pub(crate) fn word<T: Copy>(&self, name: &'static str, words: &[(&str, T)]) -> T {
         let fallback = words[0].1;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,4 +14,4 @@
 pub use agent_settings::{AgentSettings, JournalOffer, OrderChecks};
 pub use entry_settings::{EntrySettings, ServiceRoute};
 pub use finding::{Finding, FindingReport};
-pub use note_file::read_note;
+pub use note_file::{NoteFile, note_id, read_note};
--- a/crates/settings/src/note_file.rs
+++ b/crates/settings/src/note_file.rs
@@ -1,8 +1,8 @@
 //! Release notes as operators write them.
 
 use domain::{
-    AdapterName, ModelName, ModelVersion, PoolName,
-    release_note::{ModelDuty, NoteChange, NoteState},
+    AdapterName, ModelName, ModelVersion, NoteId, PoolName, ServiceName, TeamName,
+    release_note::{ModelDuty, NoteChange, NoteConflict, NoteState, ServiceLimit, TeamLimit},
 };
 
 use crate::{
@@ -10,37 +10,80 @@
     field_reader::{FieldReader, read_file},
 };
 
+/// Changes of one note; larger ones are split, so that no note is much to pass
+/// on at once.
+const CHANGES_MAX: usize = 500;
+
 /// What a line of a note does.
 #[derive(Clone, Copy)]
 enum ChangeWord {
     Add,
     Change,
     Withdraw,
+    LimitTeam,
+    LiftTeam,
+    LimitService,
+    LiftService,
+}
+
+/// A note as its file says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NoteFile {
+    /// Identity, if the file gives one.
+    pub id: Option<NoteId>,
+    /// The changes.
+    pub changes: Vec<NoteChange>,
 }
 
 /// Read a note and check it whole against the state in force.
-pub fn read_note(
-    name: &str,
-    text: &str,
-    state: &NoteState,
-) -> Result<Vec<NoteChange>, FindingReport> {
+pub fn read_note(name: &str, text: &str, state: &NoteState) -> Result<NoteFile, FindingReport> {
     read_file(name, text, |fields| {
         let mut applied = state.clone();
-        fields.objects("changes", |line| {
+        let changes = fields.objects("changes", |line| {
             let change = read_change(line);
             match applied.apply(std::slice::from_ref(&change)) {
                 Ok(next) => applied = next,
                 Err(conflicts) => {
                     for (_, conflict) in conflicts {
-                        line.finding("model", conflict.to_string());
+                        line.finding(field_of(&conflict), conflict.to_string());
                     }
                 }
             }
             change
-        })
+        });
+        if changes.is_empty() || changes.len() > CHANGES_MAX {
+            fields.finding(
+                "changes",
+                format!("a note has from 1 to {CHANGES_MAX} changes"),
+            );
+        }
+        NoteFile {
+            id: fields.optional_text("id").map(NoteId::from),
+            changes,
+        }
     })
 }
 
+/// Identity that a file gives its note, whatever else it holds.
+pub fn note_id(name: &str, text: &str) -> Option<NoteId> {
+    let id = std::cell::RefCell::new(None);
+    // The findings are those of a reading against the state, not of this one.
+    let _ = read_file(name, text, |fields| {
+        id.replace(fields.optional_text("id"));
+    });
+    id.into_inner()
+        .filter(|id| !id.is_empty())
+        .map(NoteId::from)
+}
+
+const fn field_of(conflict: &NoteConflict) -> &'static str {
+    match conflict {
+        NoteConflict::Present { .. } | NoteConflict::Absent { .. } => "model",
+        NoteConflict::TeamAbsent { .. } => "team",
+        NoteConflict::ServiceAbsent { .. } => "service",
+    }
+}
+
 fn read_change(line: &FieldReader<'_>) -> NoteChange {
     let word = line.word(
         "change",
@@ -48,19 +91,56 @@
             ("add", ChangeWord::Add),
             ("change", ChangeWord::Change),
             ("withdraw", ChangeWord::Withdraw),
+            ("limit_team", ChangeWord::LimitTeam),
+            ("lift_team", ChangeWord::LiftTeam),
+            ("limit_service", ChangeWord::LimitService),
+            ("lift_service", ChangeWord::LiftService),
         ],
     );
-    let model = ModelName::from(line.text("model"));
+    let model = || ModelName::from(line.text("model"));
+    let team = || TeamName::from(line.text("team"));
+    let service = || ServiceName::from(line.text("service"));
     match word {
         ChangeWord::Add => NoteChange::Add {
-            model,
+            model: model(),
             duty: read_duty(line),
         },
         ChangeWord::Change => NoteChange::Change {
-            model,
+            model: model(),
             duty: read_duty(line),
         },
-        ChangeWord::Withdraw => NoteChange::Withdraw { model },
+        ChangeWord::Withdraw => NoteChange::Withdraw { model: model() },
+        ChangeWord::LimitTeam => NoteChange::LimitTeam {
+            team: team(),
+            limit: Some(read_team_limit(line)),
+        },
+        ChangeWord::LiftTeam => NoteChange::LimitTeam {
+            team: team(),
+            limit: None,
+        },
+        ChangeWord::LimitService => NoteChange::LimitService {
+            service: service(),
+            limit: Some(read_service_limit(line)),
+        },
+        ChangeWord::LiftService => NoteChange::LimitService {
+            service: service(),
+            limit: None,
+        },
+    }
+}
+
+fn read_team_limit(line: &FieldReader<'_>) -> TeamLimit {
+    let requests = line.number("requests_per_second", 0..=1_000_000, 0);
+    TeamLimit {
+        weight: u32::try_from(line.number("weight", 1..=10_000, 1)).unwrap_or(1),
+        requests_per_second: u32::try_from(requests).ok().filter(|&count| count > 0),
+    }
+}
+
+fn read_service_limit(line: &FieldReader<'_>) -> ServiceLimit {
+    let calls = line.required_number("calls_max", 1..=100_000);
+    ServiceLimit {
+        calls_max: u32::try_from(calls).unwrap_or(u32::MAX),
     }
 }
 
--- a/crates/wire/src/agent_control.rs
+++ b/crates/wire/src/agent_control.rs
@@ -4,10 +4,16 @@
 //! each of them wants a connection of its own, so that silence, cuts and
 //! backpressure of one do not touch another.
 
+use std::net::SocketAddr;
+
+use domain::vm_membership::StopOrder;
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
-use crate::service_call::{CallMessage, CallReply};
+use crate::{
+    service_call::{CallMessage, CallReply},
+    vm::StopKindMessage,
+};
 
 /// What an agent says of its server.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -22,6 +28,52 @@
     pub calls: u32,
     /// Milliseconds since the server last gave a sign of life.
     pub silence_ms: u64,
+    /// Version of the release note in force at the agent.
+    #[serde(default)]
+    pub note_version: u64,
+    /// Start of the agent's process, in milliseconds since 1970.
+    #[serde(default)]
+    pub epoch: u64,
+}
+
+/// What is recorded of the stopping of a server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct OrderNews {
+    /// Version of the record.
+    pub version: u64,
+    /// The stop that stands for the server.
+    pub stop: Option<StopNews>,
+}
+
+/// What an entry tells an agent beside its requests.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct NewsMessage {
+    /// Version of the release note in force at the entry.
+    pub note_version: u64,
+    /// Where the entry passes notes on.
+    pub entry: SocketAddr,
+    /// Recorded stops.
+    pub order: OrderNews,
+    /// Whether the platform's list says that the VM is leaving.
+    pub is_listed_leaving: bool,
+}
+
+/// A recorded stop as it is told to the server's agent.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct StopNews {
+    /// How long it holds.
+    pub kind: StopKindMessage,
+    /// Start of the agent's process that is stopped.
+    pub epoch: Option<u64>,
+}
+
+impl From<&StopOrder> for StopNews {
+    fn from(order: &StopOrder) -> Self {
+        Self {
+            kind: order.kind.into(),
+            epoch: order.epoch,
+        }
+    }
 }
 
 /// Calls that an agent answers.
@@ -39,6 +91,14 @@
     #[method(name = "drain")]
     async fn drain(&self, leaving: bool) -> RpcResult<ServerReport>;
 
+    /// Hear which release note and which stops are in force.
+    #[method(name = "tell")]
+    async fn tell(&self, news: NewsMessage) -> RpcResult<ServerReport>;
+
+    /// Hear of a recorded stop or its undoing.
+    #[method(name = "heed")]
+    async fn heed(&self, order: OrderNews) -> RpcResult<ServerReport>;
+
     /// Report on the server.
     #[method(name = "probe")]
     async fn probe(&self) -> RpcResult<ServerReport>;
--- /dev/null
+++ b/xtask/tests/notes.rs
@@ -0,0 +1,183 @@
+//! Release notes and planned stops through faults of the store, as processes.
+
+use std::time::{Duration, Instant};
+
+use miette::{Result, miette};
+use serde_json::{Value, json};
+use stand_ins::{EngineCounts, PlatformCounts, PlatformFaults};
+use xtask::{CallerClient, Deployment, DeploymentPlan, deployment::MODEL};
+
+/// Time within which something that is bound to come must have come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn three_engines() -> Result<Deployment> {
+    DeploymentPlan::default()
+        .engines(3)
+        .entries(2)
+        .platform_args(&["--vm-lag-ms", "0"])
+        .start()
+        .await
+}
+
+fn limit(team: &str, weight: u32) -> Value {
+    json!({ "changes": [{ "change": "limit_team", "team": team, "weight": weight }] })
+}
+
+/// Version in force at every process, entries first.
+async fn versions(deployment: &Deployment) -> Result<Vec<u64>> {
+    let entries = deployment.entries.iter().map(|entry| entry.address);
+    let agents = deployment.sites.iter().map(|site| site.agent.vm.stream);
+    let mut versions = Vec::new();
+    for address in entries.chain(agents) {
+        let state: Value = deployment.fleet.read(address, "/state").await?;
+        versions.push(state["note_version"].as_u64().unwrap_or(0));
+    }
+    Ok(versions)
+}
+
+async fn wait_for_version(deployment: &Deployment, version: u64) -> Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        if versions(deployment)
+            .await?
+            .iter()
+            .all(|&held| held >= version)
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let held = versions(deployment).await?;
+    Err(miette!(
+        "version {version} is not in force everywhere: {held:?}"
+    ))
+}
+
+async fn set_faults(deployment: &Deployment, faults: &PlatformFaults) -> Result<()> {
+    let platform = deployment.fleet.platform();
+    deployment.fleet.control(platform, faults).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn note_comes_into_force_everywhere() -> Result<()> {
+    let deployment = three_engines().await?;
+    deployment.fleet.publish(&limit("kivu-shores", 5))?;
+    wait_for_version(&deployment, 2).await?;
+    let (status, text) = deployment.fleet.operator(&["note", "history"])?;
+    assert!(status.success(), "{text}");
+    assert!(text.contains("version 2 note "), "{text}");
+    let (_, text) = deployment.fleet.operator(&["note", "diff", "1"])?;
+    assert_eq!(
+        text.trim(),
+        r#"{"change":"limit_team","team":"kivu-shores","limit":{"weight":5}}"#
+    );
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_of_a_note_is_no_second_note() -> Result<()> {
+    let deployment = three_engines().await?;
+    let lose = PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    };
+    set_faults(&deployment, &lose).await?;
+    let first = deployment.fleet.publish(&limit("kivu-shores", 5))?;
+    assert!(first.contains("version 2 accepted"), "{first}");
+    let second = deployment.fleet.publish(&limit("kivu-shores", 5))?;
+    assert!(second.contains("version 2 accepted already"), "{second}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn note_file_with_findings_is_refused_whole() -> Result<()> {
+    let deployment = three_engines().await?;
+    let path = deployment.fleet.folder().join("bad.json");
+    let note = json!({ "changes": [
+        { "change": "lift_team", "team": "nobody" },
+        { "change": "withdraw", "model": "nothing" },
+    ] });
+    std::fs::write(&path, note.to_string()).map_err(|error| miette!("{error}"))?;
+    let path = path.display().to_string();
+    let (status, text) = deployment.fleet.operator(&["note", "publish", &path])?;
+    assert_eq!(status.code(), Some(3), "{text}");
+    assert!(text.contains("team nobody has no limit"), "{text}");
+    assert!(text.contains("model nothing is not served"), "{text}");
+    Ok(())
+}
+
+/// A VM whose store is down learns the version in force from its peers, and
+/// nobody falls back.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_restarted_without_the_store_learn_from_peers() -> Result<()> {
+    let mut deployment = three_engines().await?;
+    deployment.fleet.publish(&limit("kivu-shores", 5))?;
+    wait_for_version(&deployment, 2).await?;
+    let down = PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    };
+    set_faults(&deployment, &down).await?;
+    for site in &mut deployment.sites {
+        deployment.fleet.restart_agent(&mut site.agent)?;
+    }
+    wait_for_version(&deployment, 2).await
+}
+
+/// A stop that nobody but the store heard of still keeps new work away.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_server_gets_no_new_work() -> Result<()> {
+    let deployment = three_engines().await?;
+    let (status, text) = deployment.fleet.operator(&["vm", "stop", "writer-0"])?;
+    assert!(status.success(), "{text}");
+    assert!(text.contains("writer-0: leaving"), "{text}");
+    let engine = deployment.sites[0].server.address;
+    let before: EngineCounts = deployment.fleet.read(engine, "/control").await?;
+    let caller = CallerClient::new("kivu-shores");
+    for at in 0..20 {
+        let (request, _) = CallerClient::request(MODEL, 3, &format!("report {at}"), 2);
+        let outcome = caller
+            .chat(deployment.entry(at), &request, None, |_| {})
+            .await;
+        assert_eq!(outcome.tokens.len(), 2);
+    }
+    let after: EngineCounts = deployment.fleet.read(engine, "/control").await?;
+    assert_eq!(after.requests, before.requests);
+    let (status, text) = deployment.fleet.operator(&["vm", "undo", "writer-0"])?;
+    assert!(status.success(), "{text}");
+    assert!(text.contains("writer-0: serving"), "{text}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stops_leave_a_model_with_a_server() -> Result<()> {
+    let deployment = three_engines().await?;
+    let stop = |args: &[&str]| deployment.fleet.operator(args);
+    assert!(stop(&["vm", "stop", "writer-0"])?.0.success());
+    assert!(stop(&["vm", "withdraw", "writer-1"])?.0.success());
+    let (status, text) = stop(&["vm", "stop", "writer-2"])?;
+    assert_eq!(status.code(), Some(5), "{text}");
+    assert!(text.contains("would be left without"), "{text}");
+    let (status, text) = stop(&["vm", "stop", "writer-2", "--force"])?;
+    assert!(status.success(), "{text}");
+    let (status, text) = stop(&["vm", "stop", "writer-1"])?;
+    assert_eq!(status.code(), Some(5), "{text}");
+    assert!(text.contains("withdraw of writer-1 by"), "{text}");
+    Ok(())
+}
+
+/// The store's reads stay within those of the entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_do_not_poll_the_store() -> Result<()> {
+    let mut deployment = three_engines().await?;
+    // Entries gone, agents alone would be all that reads.
+    wait_for_version(&deployment, 1).await?;
+    deployment.entries.clear();
+    let platform = deployment.fleet.platform();
+    let before: PlatformCounts = deployment.fleet.read(platform, "/control").await?;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let after: PlatformCounts = deployment.fleet.read(platform, "/control").await?;
+    // Three agents may each turn to the store once in six seconds.
+    assert!(after.reads - before.reads <= 18, "{before:?} {after:?}");
+    Ok(())
+}
