--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -11,11 +11,17 @@
 use domain::{backend_server::SlotGate, service_call::CallOwner};
 use platform::TableStore;
 use settings::{AgentSettings, LoadPolicy};
-use tokio::time::Instant;
+use tokio::{sync::mpsc, time::Instant};
+use wire::agent_control::NewsMessage;
 
 use crate::{
-    agent_metrics::AgentMetrics, call_registry::CallRegistry, engine_client::EngineClient,
-    generation_registry::GenerationRegistry, intent_log::IntentLog, service_client::ServiceClient,
+    agent_metrics::AgentMetrics,
+    call_registry::CallRegistry,
+    engine_client::EngineClient,
+    generation_registry::GenerationRegistry,
+    intent_log::IntentLog,
+    note_keeper::{NEWS_MAX, NoteHolder},
+    service_client::ServiceClient,
 };
 
 /// State of the process; requests read it without a lock.
@@ -33,20 +39,28 @@
     pub(crate) metrics: AgentMetrics,
     pub(crate) calls: AtomicU32,
     pub(crate) slots: Arc<SlotGate>,
+    pub(crate) notes: NoteHolder,
+    pub(crate) news: mpsc::Sender<NewsMessage>,
     leaving: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
 }
 
 impl AgentState {
-    /// State at the start of a process.
-    pub fn new<T: TableStore>(settings: AgentSettings, table: T, epoch: u64, now: Instant) -> Self {
+    /// State at the start of a process, and the news that it will hear.
+    pub fn new<T: TableStore>(
+        settings: AgentSettings,
+        table: T,
+        epoch: u64,
+        now: Instant,
+    ) -> (Self, mpsc::Receiver<NewsMessage>) {
+        let (news, heard) = mpsc::channel(NEWS_MAX);
         let metrics = AgentMetrics::new();
         let limits = match settings.policy {
             LoadPolicy::Balanced => Some(settings.slots),
             LoadPolicy::Plain => None,
         };
-        Self {
+        let state = Self {
             engine: EngineClient::new(settings.server),
             service: ServiceClient::new(settings.server, settings.service_run_max),
             call_registry: CallRegistry::default(),
@@ -60,15 +74,18 @@
             metrics,
             calls: AtomicU32::new(0),
             slots: Arc::new(SlotGate::new(limits)),
+            notes: NoteHolder::default(),
+            news,
             leaving: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
-        }
+        };
+        (state, heard)
     }
 
     /// Whether the server takes no new work.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving.load(Ordering::Relaxed) || self.notes.is_leaving(Instant::now())
     }
 
     /// Take no new work, or take it again.
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,7 +6,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use agent::{AgentState, CallSettler, serve_control, serve_streams, watch_server};
+use agent::{AgentState, CallSettler, NoteKeeper, serve_control, serve_streams, watch_server};
 use domain::backend_server::ServerKind;
 use miette::{IntoDiagnostic, WrapErr};
 use platform::HttpPlatform;
@@ -37,10 +37,12 @@
         .as_millis();
     let epoch = u64::try_from(epoch).into_diagnostic()?;
     let now = Instant::now();
-    let state = Arc::new(AgentState::new(settings, table.clone(), epoch, now));
+    let (state, news) = AgentState::new(settings, table.clone(), epoch, now);
+    let state = Arc::new(state);
     if state.settings.kind == ServerKind::Service {
-        tokio::spawn(CallSettler::new(Arc::clone(&state), table, now).run());
+        tokio::spawn(CallSettler::new(Arc::clone(&state), table.clone(), now).run());
     }
+    tokio::spawn(NoteKeeper::new(Arc::clone(&state), table, now).run(news));
     tokio::spawn(watch_server(Arc::clone(&state)));
     let control = serve_control(&state)
         .await
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -16,7 +16,10 @@
 use settings::EntrySettings;
 use tokio::time::Instant;
 
-use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics, load_policy::ProcessPolicy};
+use crate::{
+    agent_links::AgentLinks, entry_metrics::EntryMetrics, load_policy::ProcessPolicy,
+    note_watch::NoteWatch, server_membership::ServerMembership,
+};
 
 /// State of the process; requests read it without a lock.
 pub struct EntryState<P> {
@@ -26,6 +29,8 @@
     pub platform: P,
     pub(crate) servers: ArcSwap<ServerSet>,
     pub(crate) note: ArcSwap<NoteState>,
+    pub(crate) notes: NoteWatch,
+    pub(crate) membership: ServerMembership,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) policy: ProcessPolicy,
     pub(crate) call_retries: RetryBudget,
@@ -48,6 +53,8 @@
         Self {
             servers: ArcSwap::from_pointee(servers),
             note: ArcSwap::from_pointee(NoteState::default()),
+            notes: NoteWatch::default(),
+            membership: ServerMembership::default(),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
             policy: ProcessPolicy::new(settings.policy, now),
             call_retries: ProcessPolicy::call_retries(),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,6 +8,7 @@
 mod dump_command;
 mod note_command;
 mod requests_command;
+mod spread_watch;
 mod status_command;
 mod vm_command;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,5 +19,5 @@
 pub use entry_settings::{EntrySettings, ServiceRoute};
 pub use finding::{Finding, FindingReport};
 pub use load_policy::LoadPolicy;
-pub use note_file::read_note;
+pub use note_file::{NoteFile, note_id, read_note};
 pub use port_probe::{BindProbe, PortProbe};
