Measurement of resumption, with its baseline

Cause: nothing measured what a loss costs callers and engines. Judged by what callers received and by the engines' own counts.

--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -9,7 +9,7 @@
 use miette::{IntoDiagnostic, Result};
 use stand_ins::TextSeed;
 use wire::{
-    KEY_HEADER, LAST_EVENT_HEADER, TEAM_HEADER,
+    EventId, KEY_HEADER, LAST_EVENT_HEADER, TEAM_HEADER,
     chat::{ChatChunk, ChatMessage, ChatRequest},
     stream::PinMessage,
 };
@@ -18,7 +18,7 @@
 const EVENT_PATIENCE: Duration = Duration::from_secs(40);
 
 /// How a stream ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum ChatEnd {
     /// The finish came.
     Finished,
@@ -27,18 +27,21 @@
     /// The request was refused.
     Refused(u16, String),
     /// The connection ended without a word.
+    #[default]
     Cut,
     /// Nothing came for as long as a caller waits.
     Silent,
 }
 
 /// What a caller received.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ChatOutcome {
     /// The tokens, in order.
     pub tokens: Vec<String>,
     /// When each token came.
     pub times: Vec<Instant>,
+    /// Server that each token came from, as its event id says.
+    pub servers: Vec<String>,
     /// Event id of the last token.
     pub last_event_id: Option<String>,
     /// How the stream ended.
@@ -133,12 +136,7 @@
         last_event_id: Option<&str>,
         mut on_token: impl FnMut(usize),
     ) -> ChatOutcome {
-        let mut outcome = ChatOutcome {
-            tokens: Vec::new(),
-            times: Vec::new(),
-            last_event_id: None,
-            end: ChatEnd::Cut,
-        };
+        let mut outcome = ChatOutcome::default();
         let mut call = ExchangeCall::post(entry, "/v1/chat/completions")
             .header(TEAM_HEADER, &self.team)
             .json(request);
@@ -186,6 +184,7 @@
             if let Some(text) = &choice.delta.content {
                 outcome.tokens.push(text.clone());
                 outcome.times.push(Instant::now());
+                outcome.servers.push(server_of(event.id.as_deref()));
                 outcome.last_event_id = event.id.or(outcome.last_event_id.take());
                 on_token(outcome.tokens.len());
             }
@@ -210,3 +209,8 @@
         self.exchange.send(call).await.into_diagnostic()
     }
 }
+
+fn server_of(event_id: Option<&str>) -> String {
+    let id = event_id.and_then(|text| text.parse::<EventId>().ok());
+    id.map_or_else(String::new, |id| id.server.as_str().to_owned())
+}
--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -202,7 +202,20 @@
 
     /// Start one more entry and wait until it is ready.
     pub async fn add_entry(&mut self, plan: &DeploymentPlan) -> Result<()> {
-        let at = self.entries.len();
+        let entry = self.start_entry(plan, self.entries.len()).await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Start an entry in place of the one at an index, which ends at once
+    /// unless it has ended.
+    pub async fn replace_entry(&mut self, plan: &DeploymentPlan, at: usize) -> Result<()> {
+        self.entries[at] = self.start_entry(plan, at).await?;
+        Ok(())
+    }
+
+    /// Start an entry that is not listed yet and wait until it is ready.
+    pub async fn start_entry(&mut self, plan: &DeploymentPlan, at: usize) -> Result<ProcessHandle> {
         let mut extra = json!({ "services": [{
             "service": SERVICE, "pool": SERVICE_POOL, "repeatable": [REPEATABLE_OPERATION],
         }] });
@@ -215,8 +228,7 @@
         self.fleet
             .wait_until_ready(entry.address, self.sites.len())
             .await?;
-        self.entries.push(entry);
-        Ok(())
+        Ok(entry)
     }
 
     /// Where an entry listens.
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod deployment;
 pub mod fleet;
 pub mod measure;
+pub mod patient_caller;
 
 pub use caller::{CallerClient, ChatEnd, ChatOutcome};
 pub use deployment::{Deployment, DeploymentPlan, ServerSite};
 pub use fleet::{AgentPlan, EnginePlan, EntryPlan, Fleet, ProcessHandle};
+pub use patient_caller::{PatientOutcome, TokenArrival};
