Bounded losses: sooner detection, fenced take-over, known-dead engines

Cause: opening a stream at a hung engine blocked heartbeats; a new connection was waited for longer than a silent one; engines known to be dead were given new work, and a suspect server never came back; an entry whose connection was silent could take a stream back from the entry that had taken it over; a cancelled generation lost its log before its caller knew a later place; after a withdrawal the note no longer named the pool to go on in. Change: the agent opens its engine beside the heartbeats and refuses new work while the engine answers nobody; 200 ms bound the first event of a connection; silence to everyone counts after 400 ms; a take-over raises the attempt; the log of a stopped attempt stays for the grace time; callers are told a new place as soon as it is known; the driver keeps its pool; room for a whole answer is reserved before it starts; a drain hands over what would not end.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -1,10 +1,14 @@
 //! What the parts of an agent share.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use domain::generation_stream::LogBudget;
 use platform::TableStore;
 use settings::AgentSettings;
 use tokio::time::Instant;
@@ -14,6 +18,9 @@
     generation_registry::GenerationRegistry, intent_log::IntentLog,
 };
 
+/// Bytes of token logs that an agent keeps at most.
+const LOG_BYTES_MAX: u64 = 48 << 20;
+
 /// State of the process; requests read it without a lock.
 pub struct AgentState {
     /// Settings of the process.
@@ -26,7 +33,9 @@
     pub(crate) intents: IntentLog,
     pub(crate) metrics: AgentMetrics,
     pub(crate) calls: AtomicU32,
+    pub(crate) log_budget: Arc<LogBudget>,
     leaving: AtomicBool,
+    handing_over: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
 }
@@ -43,7 +52,9 @@
             epoch,
             metrics,
             calls: AtomicU32::new(0),
+            log_budget: Arc::new(LogBudget::new(LOG_BYTES_MAX)),
             leaving: AtomicBool::new(false),
+            handing_over: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
         }
@@ -59,6 +70,16 @@
         self.leaving.store(leaving, Ordering::Relaxed);
     }
 
+    /// Whether generations in flight are to go on elsewhere.
+    pub fn is_handing_over(&self) -> bool {
+        self.handing_over.load(Ordering::Relaxed)
+    }
+
+    /// Have generations in flight go on elsewhere.
+    pub fn begin_hand_over(&self) {
+        self.handing_over.store(true, Ordering::Relaxed);
+    }
+
     /// The server gave a sign of life.
     pub fn note_sign(&self, now: Instant) {
         let age = now.duration_since(self.started_at).as_millis();
--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -10,11 +10,12 @@
 
 use domain::{
     AttemptNumber, GenerationId, TokenPosition,
-    generation_stream::{AttemptGate, AttemptVerdict, TokenLog},
+    generation_stream::{AttemptGate, AttemptVerdict, LogReservation, TokenLog},
 };
 use exchange::{EventStream, ExchangeError, StreamEvent};
 use tokio::{
     sync::mpsc,
+    task::JoinHandle,
     time::{Instant, MissedTickBehavior},
 };
 use wire::{
@@ -80,23 +81,31 @@
 }
 
 enum EngineState {
+    Opening(JoinHandle<Result<EventStream, String>>),
     Reading(EventStream),
     Ended(EndMessage),
     Lost(String),
 }
 
+enum EngineEvent {
+    Opened(Result<EventStream, String>),
+    Read(Result<Option<StreamEvent>, ExchangeError>),
+}
+
 /// The generation, its engine stream and its reader.
 pub struct GenerationTask {
     state: Arc<AgentState>,
     generation: GenerationId,
-    open: OpenMessage,
+    open: Arc<OpenMessage>,
     gate: AttemptGate,
     log: TokenLog,
     engine: EngineState,
     engine_heard: Instant,
     has_first_token: bool,
+    is_stopped: bool,
     reader: Option<StreamReader>,
     reader_gone_at: Instant,
+    _room: LogReservation,
 }
 
 /// Start the task of a generation; the first `open` starts its engine.
@@ -104,6 +113,7 @@
     state: &Arc<AgentState>,
     generation: GenerationId,
     open: Box<OpenMessage>,
+    room: LogReservation,
     reader: mpsc::Sender<StreamItem>,
 ) -> Result<(), (Box<OpenMessage>, mpsc::Sender<TaskCommand>)> {
     let (sender, commands) = mpsc::channel(COMMANDS_MAX);
@@ -113,7 +123,7 @@
     let state = Arc::clone(state);
     tokio::spawn(async move {
         state.metrics.generations.inc();
-        let task = GenerationTask::start(Arc::clone(&state), generation, *open, reader).await;
+        let task = GenerationTask::start(Arc::clone(&state), generation, *open, room, reader);
         task.run(commands).await;
         state.registry.remove(generation);
         state.metrics.generations.dec();
@@ -122,10 +132,11 @@
 }
 
 impl GenerationTask {
-    async fn start(
+    fn start(
         state: Arc<AgentState>,
         generation: GenerationId,
         open: OpenMessage,
+        room: LogReservation,
         reader: mpsc::Sender<StreamItem>,
     ) -> Self {
         let now = Instant::now();
@@ -137,11 +148,13 @@
             engine: EngineState::Lost(String::new()),
             engine_heard: now,
             has_first_token: false,
+            is_stopped: false,
             reader: None,
             reader_gone_at: now,
-            open,
+            open: Arc::new(open),
+            _room: room,
         };
-        task.start_engine().await;
+        task.start_engine();
         task.attach(task.log.next_position(), reader);
         task
     }
@@ -154,17 +167,17 @@
             let sender = self.waiting_sender();
             tokio::select! {
                 command = commands.recv() => match command {
-                    Some(command) => {
-                        if !self.obey(command).await {
-                            break;
-                        }
-                    }
+                    Some(command) => self.obey(command),
                     None => break,
                 },
-                event = read_engine(&mut self.engine), if may_read => self.take_event(event),
+                event = read_engine(&mut self.engine), if may_read => match event {
+                    EngineEvent::Opened(opened) => self.take_opened(opened),
+                    EngineEvent::Read(event) => self.take_event(event),
+                },
                 permit = reserve(sender) => self.feed_reader(permit),
                 _ = beats.tick() => {
                     let now = Instant::now();
+                    self.hand_over_if_due();
                     self.beat(now);
                     if self.is_abandoned(now) {
                         break;
@@ -172,24 +185,48 @@
                 }
             }
         }
-        if matches!(self.engine, EngineState::Reading(_)) {
-            self.cancel_engine().await;
-        }
+        self.cancel_engine();
     }
 
-    async fn start_engine(&mut self) {
+    fn start_engine(&mut self) {
         self.log = self.open.delivered.iter().map(String::as_str).collect();
         self.engine_heard = Instant::now();
         self.has_first_token = false;
-        self.engine = match self.state.engine.open(self.generation, &self.open).await {
-            Ok(events) => EngineState::Reading(events),
-            Err(reason) => EngineState::Lost(reason),
-        };
+        self.is_stopped = false;
+        let client = self.state.engine.clone();
+        let generation = self.generation;
+        let open = Arc::clone(&self.open);
+        // Heartbeats go on while the engine takes the request in.
+        let opening = async move { client.open(generation, &open).await };
+        self.engine = EngineState::Opening(tokio::spawn(opening));
     }
 
-    async fn cancel_engine(&self) {
+    /// Have the engine stop what it still does, without waiting for it.
+    fn cancel_engine(&self) {
+        match &self.engine {
+            EngineState::Opening(opening) => opening.abort(),
+            EngineState::Reading(_) => {}
+            EngineState::Ended(_) | EngineState::Lost(_) => return,
+        }
+        let client = self.state.engine.clone();
+        let generation = self.generation;
         let attempt = AttemptNumber(self.open.attempt);
-        self.state.engine.cancel(self.generation, attempt).await;
+        tokio::spawn(async move { client.cancel(generation, attempt).await });
+    }
+
+    /// Let the reader go on elsewhere while this server still can tell it.
+    fn hand_over_if_due(&mut self) {
+        if self.state.is_handing_over() && self.is_engine_at_work() {
+            self.cancel_engine();
+            self.lose_engine("the server is leaving");
+        }
+    }
+
+    const fn is_engine_at_work(&self) -> bool {
+        matches!(
+            self.engine,
+            EngineState::Opening(_) | EngineState::Reading(_)
+        )
     }
 
     /// Whether the engine may run further ahead of the reader.
@@ -198,8 +235,19 @@
             Some(reader) => reader.next,
             None => TokenPosition(self.open.delivered.len() as u32),
         };
-        matches!(self.engine, EngineState::Reading(_))
-            && self.log.next_position().0 < read.0 + self.state.settings.window
+        self.is_engine_at_work() && self.log.next_position().0 < read.0 + self.state.settings.window
+    }
+
+    fn take_opened(&mut self, opened: Result<EventStream, String>) {
+        match opened {
+            Ok(events) => {
+                let now = Instant::now();
+                self.engine_heard = now;
+                self.state.note_sign(now);
+                self.engine = EngineState::Reading(events);
+            }
+            Err(reason) => self.lose_engine(&reason),
+        }
     }
 
     fn take_event(&mut self, event: Result<Option<StreamEvent>, ExchangeError>) {
@@ -232,7 +280,7 @@
                     .with_label_values(&["whole"])
                     .inc();
                 self.engine = EngineState::Ended(EndMessage {
-                    attempt: self.open.attempt,
+                    attempt: self.gate.current().0,
                     total: self.log.next_position().0,
                     reason: event.data,
                 });
@@ -259,7 +307,7 @@
     fn waiting_sender(&self) -> Option<mpsc::Sender<StreamItem>> {
         let reader = self.reader.as_ref()?;
         let has_token = reader.next < self.log.next_position();
-        let has_end = !reader.told_end && !matches!(self.engine, EngineState::Reading(_));
+        let has_end = !reader.told_end && !self.is_engine_at_work();
         (has_token || has_end).then(|| reader.sender.clone())
     }
 
@@ -270,9 +318,10 @@
         let Some(reader) = self.reader.as_mut() else {
             return;
         };
+        let attempt = self.gate.current().0;
         if let Some(text) = self.log.get(reader.next) {
             permit.send(StreamItem::Token(TokenMessage {
-                attempt: self.open.attempt,
+                attempt,
                 position: reader.next.0,
                 text: text.to_owned(),
             }));
@@ -281,10 +330,14 @@
         }
         reader.told_end = true;
         permit.send(match &self.engine {
-            EngineState::Ended(end) => StreamItem::End(end.clone()),
+            // A reader that took over reads under a later attempt.
+            EngineState::Ended(end) => StreamItem::End(EndMessage {
+                attempt,
+                ..end.clone()
+            }),
             EngineState::Lost(reason) => StreamItem::Lost(reason.clone()),
             // The engine was started anew in between; go on with its tokens.
-            EngineState::Reading(_) => {
+            EngineState::Opening(_) | EngineState::Reading(_) => {
                 reader.told_end = false;
                 return;
             }
@@ -297,6 +350,7 @@
         };
         let beat = BeatMessage {
             engine_silence_ms: millis(self.engine_silence(now)),
+            server_silence_ms: millis(self.state.server_silence(now)),
             leaving: self.state.is_leaving(),
         };
         // A full channel needs no sign of life: its reader has items to read.
@@ -309,8 +363,7 @@
 
     /// Time without a sign of life of the engine, as far as it is at fault.
     fn engine_silence(&self, now: Instant) -> Duration {
-        let is_reading = matches!(self.engine, EngineState::Reading(_));
-        if !is_reading || !self.may_read() {
+        if !self.may_read() {
             return Duration::ZERO;
         }
         let stream_silence = now.duration_since(self.engine_heard);
@@ -327,25 +380,40 @@
     }
 
     fn is_abandoned(&self, now: Instant) -> bool {
+        if self.reader.is_some() {
+            return false;
+        }
+        if self.is_stopped && self.state.is_leaving() {
+            return true;
+        }
         let grace = self.state.settings.reader_grace;
-        self.reader.is_none() && now.duration_since(self.reader_gone_at) >= grace
+        now.duration_since(self.reader_gone_at) >= grace
     }
 
-    async fn obey(&mut self, command: TaskCommand) -> bool {
+    fn obey(&mut self, command: TaskCommand) {
         match command {
-            TaskCommand::Open { open, reader } => self.reopen(*open, reader).await,
+            TaskCommand::Open { open, reader } => self.reopen(*open, reader),
             TaskCommand::TakeOver { from, reader } => self.take_over(from, reader),
             TaskCommand::Cancel { attempt } => {
                 if attempt >= self.gate.current() {
-                    self.tell_stale();
-                    return false;
+                    self.stop();
                 }
             }
         }
-        true
     }
 
-    async fn reopen(&mut self, open: OpenMessage, reader: mpsc::Sender<StreamItem>) {
+    /// Stop the engine's work; the log stays for the grace time, since the
+    /// caller may know no later place to come back to.
+    fn stop(&mut self) {
+        self.tell_stale();
+        self.cancel_engine();
+        if self.is_engine_at_work() {
+            self.engine = EngineState::Lost("cancelled".to_owned());
+        }
+        self.is_stopped = true;
+    }
+
+    fn reopen(&mut self, open: OpenMessage, reader: mpsc::Sender<StreamItem>) {
         let from = TokenPosition(open.delivered.len() as u32);
         match self.gate.admit(AttemptNumber(open.attempt)) {
             AttemptVerdict::Stale => {
@@ -356,9 +424,9 @@
             AttemptVerdict::Attach => self.attach(from, reader),
             AttemptVerdict::Start => {
                 self.tell_stale();
-                self.cancel_engine().await;
-                self.open = open;
-                self.start_engine().await;
+                self.cancel_engine();
+                self.open = Arc::new(open);
+                self.start_engine();
                 self.attach(from, reader);
             }
         }
@@ -371,13 +439,15 @@
             .collect();
         let record = RecordMessage {
             open: OpenMessage {
+                attempt: self.gate.take_over().0,
                 delivered: Vec::new(),
-                ..self.open.clone()
+                ..OpenMessage::clone(&self.open)
             },
             delivered,
         };
         // The channel is new and empty.
         let _ = reader.try_send(StreamItem::Record(Box::new(record)));
+        // Attempts below the new one are refused from now on.
         self.attach(from, reader);
     }
 
@@ -388,6 +458,8 @@
             next: from,
             told_end: false,
         });
+        // The reader need not wait for the next beat to know that this works.
+        self.beat(Instant::now());
     }
 
     fn tell_stale(&mut self) {
@@ -399,9 +471,13 @@
     }
 }
 
-async fn read_engine(engine: &mut EngineState) -> Result<Option<StreamEvent>, ExchangeError> {
+async fn read_engine(engine: &mut EngineState) -> EngineEvent {
     match engine {
-        EngineState::Reading(events) => events.read().await,
+        EngineState::Opening(opening) => {
+            let opened = opening.await;
+            EngineEvent::Opened(opened.unwrap_or_else(|error| Err(error.to_string())))
+        }
+        EngineState::Reading(events) => EngineEvent::Read(events.read().await),
         EngineState::Ended(_) | EngineState::Lost(_) => std::future::pending().await,
     }
 }
--- a/crates/agent/src/server_watch.rs
+++ b/crates/agent/src/server_watch.rs
@@ -8,7 +8,7 @@
 use crate::AgentState;
 
 /// Time between two questions to the server.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Ask the server for a sign of life, for as long as the process runs.
 pub async fn watch_server(state: Arc<AgentState>) {
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use domain::{GenerationId, TokenPosition};
+use domain::{GenerationId, TokenPosition, generation_stream::LogReservation};
 use futures_util::{Stream, future::BoxFuture, stream};
 use http::StatusCode;
 use telemetry::StopSignal;
@@ -39,6 +39,9 @@
 /// Time between two looks at whether a drain is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Silence of the engine beyond which it is given nothing new.
+const SERVER_SILENCE_MAX: Duration = Duration::from_millis(400);
+
 type SharedState = Extension<Arc<AgentState>>;
 
 /// Serve until the process is told to stop and has drained.
@@ -61,17 +64,28 @@
         .await
 }
 
-/// Refuse new work and wait for what is in flight.
+/// Refuse new work and wait for what is in flight; what would not end in time
+/// is handed over while there still is time for it.
 pub async fn wait_until_drained(state: Arc<AgentState>, mut stop: StopSignal) {
     stop.stopped().await;
     state.set_leaving(true);
-    let deadline = Instant::now() + state.settings.drain_max;
-    while is_busy(&state) && Instant::now() < deadline {
-        tokio::time::sleep(DRAIN_POLL).await;
+    let drain_max = state.settings.drain_max;
+    let began_at = Instant::now();
+    wait_while_busy(&state, began_at + drain_max * 3 / 4).await;
+    if state.registry.len() > 0 {
+        log::info!("handing {} generations over", state.registry.len());
+        state.begin_hand_over();
     }
+    wait_while_busy(&state, began_at + drain_max).await;
     log::info!("drained");
 }
 
+async fn wait_while_busy(state: &AgentState, deadline: Instant) {
+    while is_busy(state) && Instant::now() < deadline {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 fn is_busy(state: &AgentState) -> bool {
     state.registry.len() > 0 || state.calls.load(Ordering::Relaxed) > 0
 }
@@ -82,17 +96,18 @@
     };
     let (sender, receiver) = mpsc::channel(READER_ITEMS_MAX);
     let known = state.registry.get(generation);
-    // A leaving server finishes what it has and starts nothing.
-    if known.is_none() && state.is_leaving() {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", "");
-    }
-    let open = Box::new(open);
     let (open, task) = match known {
-        Some(task) => (open, task),
-        None => match spawn_generation(&state, generation, open, sender.clone()) {
-            Ok(()) => return events(receiver),
-            Err((open, task)) => (open, task),
-        },
+        Some(task) => (Box::new(open), task),
+        None => {
+            let room = match admit(&state, &open) {
+                Ok(room) => room,
+                Err(refusal) => return refusal,
+            };
+            match spawn_generation(&state, generation, Box::new(open), room, sender.clone()) {
+                Ok(()) => return events(receiver),
+                Err((open, task)) => (open, task),
+            }
+        }
     };
     let reader = sender;
     if task.send(TaskCommand::Open { open, reader }).await.is_err() {
@@ -101,6 +116,20 @@
     events(receiver)
 }
 
+/// Room for a new generation, or why this server does not start it.
+fn admit(state: &AgentState, open: &OpenMessage) -> Result<LogReservation, Response> {
+    // A leaving server finishes what it has and starts nothing.
+    if state.is_leaving() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(refuse(status, "leaving", ""));
+    }
+    if state.server_silence(Instant::now()) >= SERVER_SILENCE_MAX {
+        return Err(refuse(StatusCode::BAD_GATEWAY, "engine-silent", ""));
+    }
+    let room = state.log_budget.reserve(&open.prompt, open.max_tokens);
+    room.ok_or_else(|| refuse(StatusCode::INSUFFICIENT_STORAGE, "log-full", ""))
+}
+
 /// Where a new entry wants to begin.
 #[derive(Debug, serde::Deserialize)]
 struct TakeOverQuery {
--- a/crates/domain/src/backend_server/server_choice.rs
+++ b/crates/domain/src/backend_server/server_choice.rs
@@ -12,6 +12,9 @@
     backend_server::{ServerKind, ServerNode, ServerSpec},
 };
 
+/// One choice in so many also takes suspect servers.
+const TRIAL_ONE_IN: u32 = 4;
+
 /// What a request needs of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceQuery<'a> {
@@ -60,7 +63,9 @@
 
     /// Draw two servers that can take the request and return the less loaded.
     pub fn choose(&self, query: &ChoiceQuery<'_>, rng: &mut impl Rng) -> Option<&Arc<ServerNode>> {
-        let healthy = self.draw(query, rng, |node| !node.is_suspect());
+        // A suspect server comes back by trial.
+        let is_trial = rng.random_ratio(1, TRIAL_ONE_IN);
+        let healthy = self.draw(query, rng, |node| is_trial || !node.is_suspect());
         // A suspect server is better than none.
         healthy.or_else(|| self.draw(query, rng, |_| true))
     }
--- a/crates/domain/src/generation_stream.rs
+++ b/crates/domain/src/generation_stream.rs
@@ -12,11 +12,13 @@
 //!   token.
 
 mod attempt_gate;
+mod log_budget;
 mod silence_rule;
 mod stream_relay;
 mod token_log;
 
 pub use attempt_gate::{AttemptGate, AttemptVerdict};
+pub use log_budget::{LogBudget, LogReservation};
 pub use silence_rule::{BeatReport, SilenceRule, SilenceVerdict, StreamWatch};
 pub use stream_relay::{EndVerdict, LossAction, RelayLimits, StreamRelay, TokenVerdict};
 pub use token_log::TokenLog;
--- a/crates/domain/src/generation_stream/attempt_gate.rs
+++ b/crates/domain/src/generation_stream/attempt_gate.rs
@@ -45,4 +45,13 @@
         self.current = attempt;
         AttemptVerdict::Start
     }
+
+    /// Give the stream to an entry that takes it over from another one.
+    ///
+    /// The engine goes on, but under a new number, so that the entry that had
+    /// the stream can neither take it back nor have it cancelled.
+    pub fn take_over(&mut self) -> AttemptNumber {
+        self.current = self.current.next();
+        self.current
+    }
 }
--- a/crates/domain/src/generation_stream/silence_rule.rs
+++ b/crates/domain/src/generation_stream/silence_rule.rs
@@ -4,6 +4,10 @@
 //! was told nothing for a while is first asked for again over a new connection
 //! at the same server. Only when that fails too, or the server itself reports
 //! that its engine has stopped, does the generation move.
+//!
+//! An engine that is silent on one stream may be slow or busy with others; one
+//! that is silent on all of them and answers no question either is taken for
+//! dead after less than half the time.
 
 use std::time::Duration;
 
@@ -14,15 +18,22 @@
 pub struct SilenceRule {
     /// Silence of the connection that leads to a new one.
     pub connection_silence: Duration,
-    /// Silence of the engine that leads to another server.
+    /// Time within which a new connection must bring its first event.
+    pub first_sign: Duration,
+    /// Silence of the engine on this stream that leads to another server.
     pub engine_silence: Duration,
+    /// Silence of the engine on this stream, and towards everyone else, that
+    /// leads to another server.
+    pub server_silence: Duration,
 }
 
 impl Default for SilenceRule {
     fn default() -> Self {
         Self {
             connection_silence: Duration::from_millis(350),
+            first_sign: Duration::from_millis(200),
             engine_silence: Duration::from_millis(900),
+            server_silence: Duration::from_millis(400),
         }
     }
 }
@@ -30,8 +41,10 @@
 /// What an agent's heartbeat says of its engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BeatReport {
-    /// Time since the engine last gave a sign of life.
+    /// Time since the engine last gave a sign of life on this stream.
     pub engine_silence: Duration,
+    /// Time since the engine last gave a sign of life to anyone.
+    pub server_silence: Duration,
 }
 
 /// What silence calls for.
@@ -49,39 +62,57 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StreamWatch {
     last_heard: Instant,
-    engine_silence: Duration,
+    is_new: bool,
+    report: BeatReport,
 }
 
 impl StreamWatch {
-    /// Watch that starts now.
+    /// Watch of a connection that is opened now.
     pub const fn new(now: Instant) -> Self {
         Self {
             last_heard: now,
-            engine_silence: Duration::ZERO,
+            is_new: true,
+            report: BeatReport {
+                engine_silence: Duration::ZERO,
+                server_silence: Duration::ZERO,
+            },
         }
     }
 
     /// A token arrived.
     pub fn heard_token(&mut self, now: Instant) {
         self.last_heard = now;
-        self.engine_silence = Duration::ZERO;
+        self.is_new = false;
+        self.report.engine_silence = Duration::ZERO;
     }
 
     /// A heartbeat arrived.
     pub fn heard_beat(&mut self, report: BeatReport, now: Instant) {
         self.last_heard = now;
-        self.engine_silence = report.engine_silence;
+        self.is_new = false;
+        self.report = report;
     }
 
     /// Judge the silence so far.
     pub fn judge(&self, rule: &SilenceRule, now: Instant) -> SilenceVerdict {
-        if self.engine_silence >= rule.engine_silence {
+        if self.is_engine_dead(rule) {
             return SilenceVerdict::Move;
         }
-        let suspicion = self.last_heard + rule.connection_silence;
+        let patience = if self.is_new {
+            rule.first_sign
+        } else {
+            rule.connection_silence
+        };
+        let suspicion = self.last_heard + patience;
         if now >= suspicion {
             return SilenceVerdict::Reconnect;
         }
         SilenceVerdict::Wait(suspicion)
     }
+
+    fn is_engine_dead(&self, rule: &SilenceRule) -> bool {
+        let on_stream = self.report.engine_silence;
+        let is_silent_to_all = self.report.server_silence >= rule.server_silence;
+        on_stream >= rule.engine_silence || (on_stream >= rule.server_silence && is_silent_to_all)
+    }
 }
--- a/crates/domain/src/generation_stream/stream_relay.rs
+++ b/crates/domain/src/generation_stream/stream_relay.rs
@@ -169,7 +169,8 @@
         self.resume()
     }
 
-    fn is_hopeless(&self, now: Instant) -> bool {
+    /// Whether no token came for so long that the generation is given up.
+    pub fn is_hopeless(&self, now: Instant) -> bool {
         now.duration_since(self.progress_at) >= self.limits.patience
     }
 
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -3,7 +3,8 @@
 use std::{convert::Infallible, sync::Arc};
 
 use domain::{
-    AdapterName, AttemptNumber, GenerationId, ModelName, TokenPosition, WorkClass,
+    AdapterName, AttemptNumber, GenerationId, ModelName, PoolName, ServerName, TokenPosition,
+    WorkClass,
     generation_stream::{ModelPin, StreamRelay, TokenLog},
 };
 use futures_util::stream;
@@ -45,7 +46,7 @@
     body: &[u8],
 ) -> Result<Response, ProblemReply> {
     let request = read_request(body)?;
-    let pin = pin_of(state, &request)?;
+    let (pin, pool) = pin_of(state, &request)?;
     let class = WorkClass::of_generation(request.max_tokens);
     let permit = state.gate.admit(class).inspect_err(|_| {
         let refusals = state.metrics.refusals.with_label_values(&["over-capacity"]);
@@ -74,7 +75,7 @@
         state.relay_limits,
         Instant::now(),
     );
-    let driver = StreamDriver::new(Arc::clone(state), generation, open, relay, permit);
+    let driver = StreamDriver::new(Arc::clone(state), generation, open, pool, relay, permit);
     Ok(chunk_stream(driver))
 }
 
@@ -120,7 +121,10 @@
     Err(ProblemReply::field(first.field, all.join("; ")))
 }
 
-fn pin_of<P>(state: &EntryState<P>, request: &ChatRequest) -> Result<ModelPin, ProblemReply> {
+fn pin_of<P>(
+    state: &EntryState<P>,
+    request: &ChatRequest,
+) -> Result<(ModelPin, PoolName), ProblemReply> {
     let note = state.note.load();
     let model = request.model_name();
     let Some(duty) = note.duty(model) else {
@@ -143,11 +147,12 @@
         );
         return Err(ProblemReply::field("messages", detail));
     }
-    Ok(ModelPin {
+    let pin = ModelPin {
         model: ModelName::from(model),
         adapter,
         version: duty.version,
-    })
+    };
+    Ok((pin, duty.pool.clone()))
 }
 
 fn chunk_stream<P: Send + Sync + 'static>(driver: StreamDriver<P>) -> Response {
@@ -164,13 +169,14 @@
 fn encode(generation: GenerationId, id: &str, model: &str, event: &CallerEvent) -> Event {
     match event {
         CallerEvent::Token { text, next, server } => {
-            let event_id = EventId {
-                generation,
-                position: TokenPosition(next.0),
-                server: server.clone(),
-            };
+            let event_id = event_id(generation, *next, server);
             data(&ChatChunk::token(id, model, text)).id(event_id.to_string())
         }
+        CallerEvent::Moved { next, server } => {
+            let event_id = event_id(generation, *next, server);
+            let event = Event::new().event(WAITING_EVENT).data("{}");
+            event.id(event_id.to_string())
+        }
         CallerEvent::Waiting => Event::new().event(WAITING_EVENT).data("{}"),
         CallerEvent::Finish { reason } => data(&ChatChunk::finish(id, model, reason)),
         CallerEvent::Incomplete { reason } => Event::new()
@@ -179,6 +185,14 @@
     }
 }
 
+fn event_id(generation: GenerationId, position: TokenPosition, server: &ServerName) -> EventId {
+    EventId {
+        generation,
+        position,
+        server: server.clone(),
+    }
+}
+
 fn data(chunk: &ChatChunk) -> Event {
     Event::new().data(serde_json::to_string(chunk).expect("wire types are plain data"))
 }
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    AttemptNumber, GenerationId, ServerName, TokenPosition,
+    AttemptNumber, GenerationId, PoolName, ServerName, TokenPosition,
     backend_server::{ChoiceQuery, InflightGuard, ServerNode},
     generation_stream::{
         EndVerdict, LossAction, SilenceVerdict, StreamRelay, StreamWatch, TokenVerdict,
@@ -24,14 +24,14 @@
 
 use crate::EntryState;
 
-/// Time within which an agent opens a stream, before any prefill.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time within which an agent gives the record of a generation.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Pause before servers are tried again when none could be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Servers that failed and are not tried again at once.
-const EXCLUDED_MAX: usize = 4;
+const EXCLUDED_MAX: usize = 8;
 
 /// What the caller is told.
 #[derive(Debug)]
@@ -47,6 +47,13 @@
     },
     /// Nothing can be sent now; the generation goes on.
     Waiting,
+    /// The generation goes on at another server, before its next token.
+    Moved {
+        /// Position of the next token.
+        next: TokenPosition,
+        /// Server whose agent keeps the log from now on.
+        server: ServerName,
+    },
     /// All tokens have been sent.
     Finish {
         /// Why the generation ended.
@@ -75,6 +82,7 @@
     state: Arc<EntryState<P>>,
     generation: GenerationId,
     open: OpenMessage,
+    pool: PoolName,
     relay: StreamRelay,
     link: Option<StreamLink>,
     target: LinkTarget,
@@ -92,6 +100,7 @@
         state: Arc<EntryState<P>>,
         generation: GenerationId,
         open: OpenMessage,
+        pool: PoolName,
         relay: StreamRelay,
         permit: AdmissionPermit,
     ) -> Self {
@@ -99,6 +108,7 @@
             state,
             generation,
             open,
+            pool,
             relay,
             link: None,
             target: LinkTarget::Any,
@@ -120,15 +130,17 @@
         permit: AdmissionPermit,
     ) -> Result<Self, TakeOverError> {
         let path = format!("/v1/generations/{generation}?from={from}");
-        let call = ExchangeCall::get(node.spec().addresses.stream, &path).timeout(OPEN_TIMEOUT);
+        let call = ExchangeCall::get(node.spec().addresses.stream, &path).timeout(RECORD_TIMEOUT);
         let mut events = state.streams.open_events(call).await??;
-        let read = tokio::time::timeout(OPEN_TIMEOUT, events.read()).await;
+        let read = tokio::time::timeout(RECORD_TIMEOUT, events.read()).await;
         let record = match read {
             Ok(Ok(Some(event))) if event.name == RECORD_EVENT => {
                 serde_json::from_str::<RecordMessage>(&event.data).ok()
             }
             _ => None,
         };
+        // A shorter log cannot be gone on with: tokens would come again.
+        let record = record.filter(|record| record.delivered.len() == from.index());
         let record = record.ok_or(TakeOverError::NoRecord)?;
         let now = Instant::now();
         let relay = StreamRelay::new(
@@ -143,7 +155,8 @@
             guard: node.begin(),
             watch: StreamWatch::new(now),
         };
-        let mut driver = Self::new(state, generation, record.open, relay, permit);
+        let pool = node.spec().pool.clone();
+        let mut driver = Self::new(state, generation, record.open, pool, relay, permit);
         driver.link = Some(link);
         Ok(driver)
     }
@@ -355,6 +368,13 @@
     }
 
     async fn connect(&mut self) -> Option<CallerEvent> {
+        let opened_at = Instant::now();
+        if self.relay.is_hopeless(opened_at) {
+            return Some(self.give_up());
+        }
+        if self.excluded.len() >= EXCLUDED_MAX {
+            return self.wait_for_server().await;
+        }
         let is_reconnect = matches!(self.target, LinkTarget::Same(_));
         let Some(node) = self.next_node() else {
             return self.wait_for_server().await;
@@ -364,9 +384,9 @@
                 self.link = Some(StreamLink {
                     events,
                     guard: node.begin(),
-                    watch: StreamWatch::new(Instant::now()),
+                    watch: StreamWatch::new(opened_at),
                 });
-                None
+                self.place(&node)
             }
             Err(reason) => {
                 log::warn!(
@@ -387,15 +407,23 @@
         }
     }
 
+    /// Tell a caller that has tokens where to come back to from now on.
+    fn place(&self, node: &ServerNode) -> Option<CallerEvent> {
+        let next = self.relay.log().next_position();
+        (next > TokenPosition(0)).then(|| CallerEvent::Moved {
+            next,
+            server: node.spec().name.clone(),
+        })
+    }
+
     fn next_node(&mut self) -> Option<Arc<ServerNode>> {
         if let LinkTarget::Same(node) = &self.target {
             return Some(Arc::clone(node));
         }
-        let note = self.state.note.load();
-        let duty = note.duty(&self.open.pin.model)?;
+        // The pool that it began with, whatever later notes say of the model.
         let servers = self.state.servers.load();
         let query = ChoiceQuery {
-            pool: &duty.pool,
+            pool: &self.pool,
             exclude: &self.excluded,
         };
         servers.choose(&query, &mut rand::rng()).cloned()
@@ -414,7 +442,7 @@
         };
         let call = ExchangeCall::post(node.spec().addresses.stream, "/v1/generations")
             .json(&open)
-            .timeout(OPEN_TIMEOUT);
+            .timeout(self.state.silence.first_sign);
         match self.state.streams.open_events(call).await {
             Ok(Ok(events)) => Ok(events),
             Ok(Err(reply)) => {
@@ -427,21 +455,17 @@
         }
     }
 
-    /// No server can be tried: wait, or give up when patience is over.
+    /// No server can be tried: wait and try all of them again.
     async fn wait_for_server(&mut self) -> Option<CallerEvent> {
         self.excluded.clear();
-        let since = self.last_token_at.unwrap_or(self.started_at);
-        if since.elapsed() >= self.state.relay_limits.patience {
-            return Some(self.finish(
-                "incomplete",
-                CallerEvent::Incomplete {
-                    reason: "no server can go on with the generation".to_owned(),
-                },
-            ));
-        }
         tokio::time::sleep(RETRY_PAUSE).await;
         Some(CallerEvent::Waiting)
     }
+
+    fn give_up(&mut self) -> CallerEvent {
+        let reason = "no server can go on with the generation".to_owned();
+        self.finish("incomplete", CallerEvent::Incomplete { reason })
+    }
 }
 
 /// Why a generation could not be taken over.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -146,8 +146,11 @@
 /// A sign of life between tokens.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct BeatMessage {
-    /// Milliseconds since the engine last gave a sign of life.
+    /// Milliseconds since the engine last gave a sign of life on this stream.
     pub engine_silence_ms: u32,
+    /// Milliseconds since the engine last gave a sign of life to anyone.
+    #[serde(default)]
+    pub server_silence_ms: u32,
     /// Whether the server is leaving.
     pub leaving: bool,
 }
@@ -156,6 +159,7 @@
     fn from(message: BeatMessage) -> Self {
         Self {
             engine_silence: Duration::from_millis(u64::from(message.engine_silence_ms)),
+            server_silence: Duration::from_millis(u64::from(message.server_silence_ms)),
         }
     }
 }
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -169,7 +169,10 @@
             };
             match event.name.as_str() {
                 "incomplete" => return ChatEnd::Incomplete(event.data),
-                "waiting" => continue,
+                "waiting" => {
+                    outcome.last_event_id = event.id.or(outcome.last_event_id.take());
+                    continue;
+                }
                 _ => {}
             }
             let Ok(chunk) = serde_json::from_str::<ChatChunk>(&event.data) else {
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -365,6 +365,26 @@
         std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// Lines of all logs that hold a text, in the order of their time.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let files = std::fs::read_dir(self.dir.path()).into_iter().flatten();
+        let logs = files.flatten().filter_map(|file| {
+            let name = file.file_name().into_string().ok()?;
+            Some(name.strip_suffix(".log")?.to_owned())
+        });
+        let mut lines: Vec<String> = logs
+            .flat_map(|name| {
+                let log = self.log(&name);
+                let found = log.lines().filter(|line| line.contains(text));
+                found
+                    .map(|line| format!("{line} [{name}]"))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        lines.sort();
+        lines
+    }
+
     async fn send(&self, call: ExchangeCall<'_>) -> Result<Vec<u8>> {
         let reply = self.exchange.send(call).await.into_diagnostic()?;
         if !reply.status.is_success() {
