--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use domain::{backend_server::SlotGate, service_call::CallOwner};
+use domain::{backend_server::SlotGate, generation_stream::LogBudget, service_call::CallOwner};
 use platform::TableStore;
 use settings::{AgentSettings, LoadPolicy};
 use tokio::{sync::mpsc, time::Instant};
@@ -24,6 +24,9 @@
     service_client::ServiceClient,
 };
 
+/// Bytes of token logs that an agent keeps at most.
+const LOG_BYTES_MAX: u64 = 48 << 20;
+
 /// State of the process; requests read it without a lock.
 pub struct AgentState {
     /// Settings of the process.
@@ -41,7 +44,9 @@
     pub(crate) slots: Arc<SlotGate>,
     pub(crate) notes: NoteHolder,
     pub(crate) news: mpsc::Sender<NewsMessage>,
+    pub(crate) log_budget: Arc<LogBudget>,
     leaving: AtomicBool,
+    handing_over: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
 }
@@ -76,7 +81,9 @@
             slots: Arc::new(SlotGate::new(limits)),
             notes: NoteHolder::default(),
             news,
+            log_budget: Arc::new(LogBudget::new(LOG_BYTES_MAX)),
             leaving: AtomicBool::new(false),
+            handing_over: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
         };
@@ -93,6 +100,16 @@
         self.leaving.store(leaving, Ordering::Relaxed);
     }
 
+    /// Whether generations in flight are to go on elsewhere.
+    pub fn is_handing_over(&self) -> bool {
+        self.handing_over.load(Ordering::Relaxed)
+    }
+
+    /// Have generations in flight go on elsewhere.
+    pub fn begin_hand_over(&self) {
+        self.handing_over.store(true, Ordering::Relaxed);
+    }
+
     /// The server gave a sign of life.
     pub fn note_sign(&self, now: Instant) {
         let age = now.duration_since(self.started_at).as_millis();
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -3,7 +3,8 @@
 use std::{convert::Infallible, sync::Arc};
 
 use domain::{
-    AdapterName, AttemptNumber, GenerationId, ModelName, TokenPosition, WorkClass,
+    AdapterName, AttemptNumber, GenerationId, ModelName, PoolName, ServerName, TokenPosition,
+    WorkClass,
     generation_stream::{ModelPin, StreamRelay, TokenLog},
     team_budget::{AdmissionRefusal, RefusalCause},
 };
@@ -47,7 +48,7 @@
     body: &[u8],
 ) -> Result<Response, ProblemReply> {
     let request = read_request(body)?;
-    let pin = pin_of(state, &request)?;
+    let (pin, pool) = pin_of(state, &request)?;
     let class = WorkClass::of_generation(request.max_tokens);
     let permit = state
         .gate
@@ -85,7 +86,7 @@
         state.relay_limits,
         Instant::now(),
     );
-    let mut driver = StreamDriver::new(Arc::clone(state), generation, open, relay, permit);
+    let mut driver = StreamDriver::new(Arc::clone(state), generation, open, pool, relay, permit);
     let opened = driver.open_first().await;
     opened.inspect_err(|refusal| count_refusal(state, refusal))?;
     Ok(chunk_stream(driver))
@@ -142,7 +143,10 @@
     Err(ProblemReply::field(first.field, all.join("; ")))
 }
 
-fn pin_of<P>(state: &EntryState<P>, request: &ChatRequest) -> Result<ModelPin, ProblemReply> {
+fn pin_of<P>(
+    state: &EntryState<P>,
+    request: &ChatRequest,
+) -> Result<(ModelPin, PoolName), ProblemReply> {
     let note = state.note.load();
     let model = request.model_name();
     let Some(duty) = note.duty(model) else {
@@ -165,11 +169,12 @@
         );
         return Err(ProblemReply::field("messages", detail));
     }
-    Ok(ModelPin {
+    let pin = ModelPin {
         model: ModelName::from(model),
         adapter,
         version: duty.version,
-    })
+    };
+    Ok((pin, duty.pool.clone()))
 }
 
 fn chunk_stream<P: Send + Sync + 'static>(driver: StreamDriver<P>) -> Response {
@@ -186,13 +191,14 @@
 fn encode(generation: GenerationId, id: &str, model: &str, event: &CallerEvent) -> Event {
     match event {
         CallerEvent::Token { text, next, server } => {
-            let event_id = EventId {
-                generation,
-                position: TokenPosition(next.0),
-                server: server.clone(),
-            };
+            let event_id = event_id(generation, *next, server);
             data(&ChatChunk::token(id, model, text)).id(event_id.to_string())
         }
+        CallerEvent::Moved { next, server } => {
+            let event_id = event_id(generation, *next, server);
+            let event = Event::new().event(WAITING_EVENT).data("{}");
+            event.id(event_id.to_string())
+        }
         CallerEvent::Waiting => Event::new().event(WAITING_EVENT).data("{}"),
         CallerEvent::Finish { reason } => data(&ChatChunk::finish(id, model, reason)),
         CallerEvent::Incomplete { reason } => Event::new()
@@ -201,6 +207,14 @@
     }
 }
 
+fn event_id(generation: GenerationId, position: TokenPosition, server: &ServerName) -> EventId {
+    EventId {
+        generation,
+        position,
+        server: server.clone(),
+    }
+}
+
 fn data(chunk: &ChatChunk) -> Event {
     Event::new().data(serde_json::to_string(chunk).expect("wire types are plain data"))
 }
--- a/crates/entry/src/stream_driver/first_open.rs
+++ b/crates/entry/src/stream_driver/first_open.rs
@@ -6,6 +6,8 @@
 
 use domain::team_budget::{AdmissionGate, AdmissionRefusal, RefusalCause};
 
+use tokio::time::Instant;
+
 use super::{OpenError, StreamDriver};
 use crate::load_policy::EntryPolicy;
 
@@ -22,9 +24,10 @@
             let Some(node) = self.next_node() else {
                 break;
             };
+            let opened_at = Instant::now();
             match self.open_at(&node).await {
                 Ok(events) => {
-                    self.link = Some(self.link_to(&node, events));
+                    self.link = Some(self.link_to(&node, events, opened_at));
                     return Ok(());
                 }
                 Err(OpenError::Full) => self.exclude(&node.spec().name),
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod load_plan;
 pub mod load_run;
 pub mod measure;
+pub mod patient_caller;
 
 pub use caller::{CallerClient, ChatEnd, ChatOutcome};
 pub use deployment::{Deployment, DeploymentPlan, ServerSite};
 pub use fleet::{AgentPlan, EnginePlan, EntryPlan, Fleet, ProcessHandle};
+pub use patient_caller::{PatientOutcome, TokenArrival};
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod load;
+mod resume;
 
 use miette::{Result, miette};
 use serde_json::Value;
@@ -31,7 +32,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 2] = ["calls", "load"];
+pub const NAMES: [&str; 3] = ["calls", "load", "resume"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -53,6 +54,7 @@
     match name {
         "load" => load::run(options).await,
         "calls" => calls::measure(options).await,
+        "resume" => resume::measure(options).await,
         _ => Err(miette!("no measurement `{name}`")),
     }
 }
