Open calls of servers that are gone are taken over

Cause: a VM that is replaced under another name left its intents in flight for ever, listed nowhere; a call with a key was cut at half its deadline by the entry's first try; a settling task would have starved behind a hundred cases that cannot be settled.

A call with a key keeps its whole deadline while the entry asks other agents about it, and one that another agent runs is asked about again instead of refused with 409 at once. All cases have their turn, and writes of settled records go out together.

--- a/crates/agent/src/call_registry.rs
+++ b/crates/agent/src/call_registry.rs
@@ -5,7 +5,10 @@
 //! when its outcome is recorded, so that an intent of this process for a key
 //! that is not here was never dispatched.
 
-use domain::{BodyDigest, service_call::DispatchLimit};
+use domain::{
+    BodyDigest,
+    service_call::{CallOwner, DispatchLimit},
+};
 use papaya::HashMap;
 use tokio::{sync::watch, time::Instant};
 use wire::service_call::CallReply;
@@ -28,8 +31,8 @@
 pub struct OpenCase {
     /// The request, `TEAM/KEY`.
     pub request: String,
-    /// Start of the process that recorded the intent.
-    pub epoch: u64,
+    /// Process that recorded the intent.
+    pub owner: CallOwner,
     /// Run that the intent stands for.
     pub run: u64,
     /// When the call can have been dispatched.
--- a/crates/agent/src/call_rows.rs
+++ b/crates/agent/src/call_rows.rs
@@ -1,6 +1,6 @@
 //! Rows that hold and list the records of calls.
 
-use domain::service_call::{CallRecord, CallState};
+use domain::service_call::{CallOwner, CallRecord, CallState};
 use platform::WriteCondition;
 use wire::service_call::{OpenMessage, RecordMessage, call_row, open_row, unknown_row};
 
@@ -42,7 +42,8 @@
     let open_key = open_row(pool, owner.server.as_str(), owner.epoch, record.run);
     let open = OpenMessage {
         request: request.to_owned(),
-        epoch: owner.epoch,
+        owner: owner.server.as_str().to_owned(),
+        owner_epoch: owner.epoch,
         run: record.run,
     };
     let mut listings = Vec::new();
@@ -64,11 +65,10 @@
 }
 
 /// Write that takes the listing of an open call away.
-pub fn listing_removal(state: &AgentState, epoch: u64, run: u64) -> RowWrite {
+pub fn listing_removal(state: &AgentState, owner: &CallOwner, run: u64) -> RowWrite {
     let pool = state.settings.pool.as_str();
-    let server = state.owner.server.as_str();
     RowWrite {
-        key: open_row(pool, server, epoch, run),
+        key: open_row(pool, owner.server.as_str(), owner.epoch, run),
         condition: WriteCondition::Always,
         value: None,
         listings: Vec::new(),
--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -194,7 +194,7 @@
         let state = &self.runner.state;
         state.call_registry.open(OpenCase {
             request: self.request.clone(),
-            epoch: record.owner.epoch,
+            owner: record.owner.clone(),
             run: record.run,
             limit: DispatchLimit::Never,
             opened_at: now,
@@ -289,7 +289,7 @@
         if outcome == CallOutcome::Unknown {
             state.call_registry.open(OpenCase {
                 request: self.request.clone(),
-                epoch: state.owner.epoch,
+                owner: state.owner.clone(),
                 run,
                 limit: DispatchLimit::Until(until),
                 opened_at: until,
--- a/crates/agent/src/call_settler.rs
+++ b/crates/agent/src/call_settler.rs
@@ -1,7 +1,7 @@
 //! Settling calls whose outcome is open.
 //!
 //! One task looks at the calls that this process gave up or lost the answer
-//! of, and at those that an earlier process of the same server left behind.
+//! of, and at those that processes left behind which are gone.
 //! It moves their records as far as the evidence goes; what stays unknown is
 //! listed for its team until evidence comes.
 
@@ -10,17 +10,19 @@
 use domain::service_call::{
     CallRecord, CallState, DispatchLimit, FenceRule, JournalReading, ServerVigil, settle,
 };
-use platform::{StoreError, TableRow, TableStore, WriteCondition};
+use futures_util::future::join_all;
+use platform::{StoreError, TableRow, TableStore, VmList, WriteCondition};
 use settings::JournalOffer;
 use tokio::time::{Instant, MissedTickBehavior};
-use wire::service_call::{OpenMessage, RecordMessage, call_row, open_rows};
+use wire::service_call::{RecordMessage, call_row};
 
 use crate::{
     AgentState,
     call_registry::OpenCase,
     call_rows::{listing_removal, record_write},
     call_runner::wall_now,
-    intent_log::{WriteOutcome, WriteUrgency},
+    intent_log::{RowWrite, WriteOutcome, WriteUrgency},
+    orphan_calls::OrphanCalls,
 };
 
 /// Time between two looks.
@@ -32,24 +34,37 @@
 /// Cases looked at in one go.
 const CASES_MAX: usize = 100;
 
+/// Pause before a server that does not answer is asked again.
+const ASLEEP_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time after which a transaction that got no answer takes no effect any more.
 const STORE_LATE_MAX: Duration = Duration::from_secs(60);
 
 /// Time for which the write of a settled record is waited for.
 const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 
+/// What is written of a case.
+struct SettledCase<'a> {
+    case: &'a OpenCase,
+    write: RowWrite,
+    /// Whether the case is closed by the write.
+    is_final: bool,
+}
+
 /// Settles calls for as long as the process runs.
 pub struct CallSettler<T> {
     state: Arc<AgentState>,
     table: T,
     rule: FenceRule,
     vigil: ServerVigil,
-    started_at: Instant,
-    /// Calls of earlier processes of the server; none before they are read.
-    inherited: Option<Vec<OpenCase>>,
+    /// The server is not asked before, since it did not answer.
+    asleep_until: Instant,
+    /// Case that the next look begins with.
+    next_case: usize,
+    orphans: OrphanCalls,
 }
 
-impl<T: TableStore> CallSettler<T> {
+impl<T: TableStore + VmList> CallSettler<T> {
     /// Settler of the calls at the server beside the agent.
     pub fn new(state: Arc<AgentState>, table: T, now: Instant) -> Self {
         let rule = FenceRule {
@@ -61,8 +76,9 @@
             table,
             rule,
             vigil: ServerVigil::default(),
-            started_at: now,
-            inherited: None,
+            asleep_until: now,
+            next_case: 0,
+            orphans: OrphanCalls::new(now),
         }
     }
 
@@ -79,123 +95,116 @@
     }
 
     async fn look(&mut self) -> Result<(), StoreError> {
-        if self.inherited.is_none() {
-            self.inherited = Some(self.read_inherited().await?);
-        }
-        let mut cases = self.state.call_registry.cases();
-        cases.extend(self.inherited.iter().flatten().cloned());
-        cases.sort_by_key(|case| case.opened_at);
-        cases.truncate(CASES_MAX);
+        self.orphans.look(&self.state, &self.table).await?;
+        let cases = self.next_cases();
         if cases.is_empty() {
             return Ok(());
         }
         let keys: Vec<String> = cases.iter().map(|case| call_row(&case.request)).collect();
         let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
         let rows = self.table.read(&keys).await?;
+        let mut writes = Vec::new();
         for (case, key) in cases.iter().zip(keys) {
             let row = rows.iter().find(|row| row.key == key);
-            self.look_at(case, row).await;
+            writes.extend(self.judge(case, row).await);
+        }
+        let deadline = Instant::now() + WRITE_PATIENCE;
+        let intents = &self.state.intents;
+        let written = writes.into_iter().map(|settled| async move {
+            let written = intents.write(settled.write, deadline).await;
+            (written == WriteOutcome::Recorded && settled.is_final).then_some(settled.case)
+        });
+        for case in join_all(written).await.into_iter().flatten() {
+            self.forget(case);
         }
         Ok(())
     }
 
-    /// Calls that earlier processes of the server left open.
-    ///
-    /// They can have dispatched them until this process started, not later:
-    /// both listen on the same address.
-    async fn read_inherited(&self) -> Result<Vec<OpenCase>, StoreError> {
-        let owner = &self.state.owner;
-        let pool = self.state.settings.pool.as_str();
-        let prefix = open_rows(pool, owner.server.as_str());
-        let mut cases = Vec::new();
-        let mut after = String::new();
-        loop {
-            let rows = self.table.scan(&prefix, &after, CASES_MAX).await?;
-            let Some(last) = rows.last() else {
-                break;
-            };
-            after.clone_from(&last.key);
-            let open = rows
-                .iter()
-                .filter_map(|row| serde_json::from_str::<OpenMessage>(&row.value).ok());
-            cases.extend(
-                open.filter(|open| open.epoch != owner.epoch)
-                    .map(|open| OpenCase {
-                        request: open.request,
-                        epoch: open.epoch,
-                        run: open.run,
-                        limit: DispatchLimit::Until(self.started_at),
-                        opened_at: self.started_at,
-                    }),
-            );
-        }
-        if !cases.is_empty() {
-            log::info!("{} calls of an earlier process are open", cases.len());
+    /// The cases of this look; all have their turn.
+    fn next_cases(&mut self) -> Vec<OpenCase> {
+        let mut cases = self.state.call_registry.cases();
+        cases.extend(self.orphans.cases().cloned());
+        if cases.is_empty() {
+            return cases;
         }
-        Ok(cases)
+        cases.sort_by(|one, other| one.request.cmp(&other.request));
+        let first = self.next_case % cases.len();
+        cases.rotate_left(first);
+        cases.truncate(CASES_MAX);
+        self.next_case = first + cases.len();
+        cases
     }
 
-    async fn look_at(&mut self, case: &OpenCase, row: Option<&TableRow>) {
+    /// What is to be written of a case now, if anything.
+    async fn judge<'a>(
+        &mut self,
+        case: &'a OpenCase,
+        row: Option<&TableRow>,
+    ) -> Option<SettledCase<'a>> {
         let Some((row, record)) = row.and_then(|row| Some((row, own_record(case, row)?))) else {
             // The write may still take effect, but not for ever.
-            if row.is_some() || case.opened_at.elapsed() > STORE_LATE_MAX {
-                self.close(case).await;
-            }
-            return;
+            let is_over = row.is_some() || case.opened_at.elapsed() > STORE_LATE_MAX;
+            return is_over.then(|| SettledCase {
+                case,
+                write: listing_removal(&self.state, &case.owner, case.run),
+                is_final: true,
+            });
         };
         let reading = self.read_journal(case).await;
         let state = match settle(case.limit, &reading, &self.vigil, &self.rule) {
             Some(state) => state,
             // The owner is gone, so the team is told at once.
             None if record.state == CallState::Intended => CallState::Unknown,
-            None => return,
+            None => return None,
         };
         let settled = CallRecord {
             recorded_at: wall_now(),
             state,
             ..record
         };
-        let write = record_write(
-            &self.state,
-            &case.request,
-            WriteCondition::Version(row.version),
-            &settled,
-            WriteUrgency::Intent,
-        );
-        let deadline = Instant::now() + WRITE_PATIENCE;
-        let written = self.state.intents.write(write, deadline).await;
-        if written == WriteOutcome::Recorded && !settled.state.is_open() {
-            log::info!(request = case.request.as_str(); "settled as {:?}", settled.state);
-            self.forget(case);
-        }
+        log::info!(request = case.request.as_str(); "settled as {:?}", settled.state);
+        Some(SettledCase {
+            case,
+            is_final: !settled.state.is_open(),
+            write: record_write(
+                &self.state,
+                &case.request,
+                WriteCondition::Version(row.version),
+                &settled,
+                WriteUrgency::Intent,
+            ),
+        })
     }
 
     async fn read_journal(&mut self, case: &OpenCase) -> JournalReading {
-        if self.state.settings.journal == JournalOffer::None || case.limit == DispatchLimit::Never {
+        let is_told = match self.state.settings.journal {
+            JournalOffer::None => false,
+            JournalOffer::ByKey => case.owner.server == self.state.owner.server,
+            JournalOffer::ByPool => true,
+        };
+        if !is_told || case.limit == DispatchLimit::Never {
+            return JournalReading::Silent;
+        }
+        if Instant::now() < self.asleep_until {
             return JournalReading::Silent;
         }
         let reading = self.state.service.read_journal(&case.request).await;
+        let now = Instant::now();
         match reading {
-            JournalReading::Silent => self.vigil.failed(),
-            _ => self.vigil.answered(&self.rule, Instant::now()),
+            JournalReading::Silent => {
+                self.vigil.failed();
+                self.asleep_until = now + ASLEEP_PAUSE;
+            }
+            _ => self.vigil.answered(&self.rule, now),
         }
         reading
     }
 
-    /// Another record stands in the place of the case's.
-    async fn close(&mut self, case: &OpenCase) {
-        let write = listing_removal(&self.state, case.epoch, case.run);
-        let deadline = Instant::now() + WRITE_PATIENCE;
-        if self.state.intents.write(write, deadline).await == WriteOutcome::Recorded {
-            self.forget(case);
-        }
-    }
-
     fn forget(&mut self, case: &OpenCase) {
-        if case.epoch == self.state.owner.epoch {
+        if case.owner == self.state.owner {
             self.state.call_registry.close(case.run);
-        } else if let Some(inherited) = &mut self.inherited {
-            inherited.retain(|other| other != case);
+        } else {
+            self.orphans.forget(case);
         }
     }
 }
@@ -204,6 +213,6 @@
 fn own_record(case: &OpenCase, row: &TableRow) -> Option<CallRecord> {
     let message = serde_json::from_str::<RecordMessage>(&row.value).ok()?;
     let record = CallRecord::try_from(message).ok()?;
-    let is_own = record.owner.epoch == case.epoch && record.run == case.run;
+    let is_own = record.owner == case.owner && record.run == case.run;
     (is_own && record.state.is_open()).then_some(record)
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod generation_registry;
 mod generation_task;
 mod intent_log;
+mod orphan_calls;
 mod server_watch;
 mod service_client;
 mod state_dump;
--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -3,8 +3,9 @@
 //! Calls with a key go to the server that the key hashes to, so that requests
 //! with the same key meet at one agent; the record in the table keeps them at
 //! most once even when they do not. A call with a key may therefore be sent to
-//! a second agent after a failure, while one without a key may be sent again
-//! only if its operation may be repeated.
+//! a second agent after a failure, which answers from the record or waits for
+//! it. One without a key is of an operation that may be repeated, and is sent
+//! again within the deadline and a budget of retries.
 
 use std::{sync::Arc, time::Duration};
 
@@ -25,6 +26,12 @@
 /// Least time that another try is worth making for.
 const TRY_MIN: Duration = Duration::from_millis(20);
 
+/// Pause before a call that another agent runs is asked about again.
+const IN_FLIGHT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Least time left for asking again about a call that another agent runs.
+const IN_FLIGHT_LEFT_MIN: Duration = Duration::from_millis(400);
+
 /// Time after which a refused call is not tried elsewhere any more, so that
 /// the caller hears of the refusal soon.
 const REFUSAL_BUDGET: Duration = Duration::from_millis(150);
@@ -61,6 +68,16 @@
     }
 }
 
+/// What one try asks of the loop.
+enum TryStep {
+    /// The caller has its answer.
+    Done(CallReply),
+    /// Another agent may be asked.
+    Next,
+    /// Another agent runs the call: ask again a little later.
+    Wait,
+}
+
 /// Have a call run by one of the pool's agents.
 pub async fn route_call<P>(
     state: &EntryState<P>,
@@ -70,26 +87,22 @@
     let begun = Instant::now();
     let deadline = begun + Duration::from_millis(call.deadline_ms);
     let mut ledger = TryLedger::default();
-    for turn in 0..TRIES_MAX {
+    let mut turn = 0;
+    while turn < TRIES_MAX {
         let left = deadline.saturating_duration_since(Instant::now());
         // The first tries leave time for those after them.
         let patience = if turn + 1 < TRIES_MAX { left / 2 } else { left };
-        if patience < TRY_MIN {
-            break;
-        }
-        if turn > 0 && !may_try_again(state, call) {
+        if patience < TRY_MIN || (turn > 0 && !may_try_again(state, call)) {
             break;
         }
         let servers = state.servers.load_full();
         let Some(node) = choose(&servers, pool, call.key.as_deref(), &ledger.tried) else {
             break;
         };
-        let call = CallMessage {
-            deadline_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
-            ..call.clone()
-        };
-        if let Some(reply) = try_at(state, &node, &call, &mut ledger).await {
-            return reply;
+        match try_at(state, &node, call, (patience, left), &mut ledger).await {
+            TryStep::Done(reply) => return reply,
+            TryStep::Next => turn += 1,
+            TryStep::Wait => tokio::time::sleep(IN_FLIGHT_PAUSE).await,
         }
         if ledger.refused.is_some() && begun.elapsed() > REFUSAL_BUDGET {
             break;
@@ -98,43 +111,57 @@
     ledger.outcome(call)
 }
 
-/// Send a call to one agent; nothing if another one may be asked.
+/// Send a call to one agent and wait for `patience`.
 async fn try_at<P>(
     state: &EntryState<P>,
     node: &Arc<ServerNode>,
     call: &CallMessage,
+    (patience, left): (Duration, Duration),
     ledger: &mut TryLedger,
-) -> Option<CallReply> {
+) -> TryStep {
     let spec = node.spec();
+    // A call with a key may go on while others are asked about it; one that
+    // may be repeated is given up with its try.
+    let limit = if call.key.is_some() { left } else { patience };
+    let call = CallMessage {
+        deadline_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+        ..call.clone()
+    };
     let _guard = node.begin();
-    let reply = state.links.call(spec.addresses.control, call).await;
-    ledger.tried.push(spec.name.clone());
+    let sent = state.links.call(spec.addresses.control, &call);
+    let reply = match tokio::time::timeout(patience, sent).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(error)) => return lose(node, ledger, &error.to_string()),
+        Err(_) => return lose(node, ledger, "no answer in time"),
+    };
+    node.note_success();
     match reply {
-        Ok(CallReply::NotRun { reason }) => {
+        CallReply::InFlight if left > IN_FLIGHT_LEFT_MIN => return TryStep::Wait,
+        CallReply::NotRun { reason } => {
             log::info!("call not run at {}: {reason}", spec.name);
-            node.note_success();
         }
-        Ok(CallReply::Refused { reason }) => {
+        CallReply::Refused { reason } => {
             log::info!("call refused by {}: {reason}", spec.name);
-            node.note_success();
             ledger.refused = Some(reason);
         }
-        Ok(CallReply::Unknown { reason }) if call.key.is_none() => {
+        CallReply::Unknown { reason } if call.key.is_none() => {
             // It may be repeated, so that its loss does no harm.
             log::info!("answer of the server {} lost: {reason}", spec.name);
             ledger.may_have_run = Some(reason);
         }
-        Ok(reply) => {
-            node.note_success();
-            return Some(reply);
-        }
-        Err(error) => {
-            log::warn!("no answer from {}: {error}", spec.name);
-            node.note_failure();
-            ledger.may_have_run = Some(error.to_string());
-        }
+        reply => return TryStep::Done(reply),
     }
-    None
+    ledger.tried.push(spec.name.clone());
+    TryStep::Next
+}
+
+fn lose(node: &ServerNode, ledger: &mut TryLedger, reason: &str) -> TryStep {
+    let name = &node.spec().name;
+    log::warn!("no answer from {name}: {reason}");
+    node.note_failure();
+    ledger.tried.push(name.clone());
+    ledger.may_have_run = Some(reason.to_owned());
+    TryStep::Next
 }
 
 /// Whether the budget of retries has room for one more.
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -23,8 +23,10 @@
 pub enum JournalOffer {
     /// It does not.
     None,
-    /// `GET /v1/journal/KEY` tells.
+    /// `GET /v1/journal/TEAM/KEY` tells for the calls of this server.
     ByKey,
+    /// The same, for the calls of all servers of the pool.
+    ByPool,
 }
 
 /// What an agent is told at its start.
@@ -58,6 +60,9 @@
     pub window: u32,
     /// Longest time that the service works on a call.
     pub service_run_max: Duration,
+    /// Time after which a server that the platform does not list counts as
+    /// gone for good.
+    pub peer_gone: Duration,
     /// Time that a drain waits for work in flight.
     pub drain_max: Duration,
 }
@@ -96,6 +101,7 @@
                 &[
                     ("none", JournalOffer::None),
                     ("by_key", JournalOffer::ByKey),
+                    ("by_pool", JournalOffer::ByPool),
                 ],
             ),
             beat: fields.millis("beat_ms", 10..=1_000, Duration::from_millis(100)),
@@ -111,6 +117,7 @@
                 100..=60_000,
                 Duration::from_secs(2),
             ),
+            peer_gone: fields.millis("peer_gone_ms", 1_000..=3_600_000, Duration::from_secs(60)),
             drain_max: fields.millis("drain_max_ms", 0..=3_600_000, Duration::from_secs(900)),
         };
         if settings.listen == settings.control {
--- a/crates/wire/src/service_call.rs
+++ b/crates/wire/src/service_call.rs
@@ -44,6 +44,11 @@
     row.strip_prefix(UNKNOWN_PREFIX)
 }
 
+/// Prefix of the rows that name the open calls of a pool.
+pub fn pool_open_rows(pool: &str) -> String {
+    format!("{OPEN_PREFIX}{pool}/")
+}
+
 /// Prefix of the rows that name the open calls of a server.
 pub fn open_rows(pool: &str, server: &str) -> String {
     format!("{OPEN_PREFIX}{pool}/{server}/")
@@ -59,8 +64,10 @@
 pub struct OpenMessage {
     /// The request, `TEAM/KEY`.
     pub request: String,
+    /// Server whose agent recorded the intent.
+    pub owner: String,
     /// Start of the owning process.
-    pub epoch: u64,
+    pub owner_epoch: u64,
     /// Run that the intent stands for.
     pub run: u64,
 }
--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -30,6 +30,9 @@
 /// Operation of the service that may be repeated.
 pub const REPEATABLE_OPERATION: &str = "stock";
 
+/// Addresses that are tried for a link.
+const LINK_TRIES: u32 = 5;
+
 const DOMAINS: [&str; 4] = ["goma-shed", "bukavu-shed", "gisenyi-shed", "kibuye-shed"];
 
 /// What to start; built step by step.
@@ -338,9 +341,19 @@
         let Some(proxy) = &self.proxy else {
             return Ok(target);
         };
+        // Another program may take the address before the link does.
+        for _ in 1..LINK_TRIES {
+            if let Ok(listen) = self.open_link(proxy.address, target).await {
+                return Ok(listen);
+            }
+        }
+        self.open_link(proxy.address, target).await
+    }
+
+    async fn open_link(&self, proxy: SocketAddr, target: SocketAddr) -> Result<SocketAddr> {
         let listen = free_address()?;
         let link = ProxyMessage { listen, target };
-        self.fleet.post(proxy.address, "/links", &link).await?;
+        self.fleet.post(proxy, "/links", &link).await?;
         Ok(listen)
     }
 }
--- a/xtask/tests/calls.rs
+++ b/xtask/tests/calls.rs
@@ -23,7 +23,7 @@
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
-async fn ledger(services: usize) -> Result<Deployment> {
+fn plan(services: usize) -> DeploymentPlan {
     DeploymentPlan::default()
         .engines(0)
         .services(services)
@@ -32,8 +32,10 @@
         .shared_ledger()
         .agent_extra(json!({ "journal": "by_key", "service_run_max_ms": 600 }))
         .platform_args(&["--vm-lag-ms", "0"])
-        .start()
-        .await
+}
+
+async fn ledger(services: usize) -> Result<Deployment> {
+    plan(services).start().await
 }
 
 /// Status and `outcome` of an answer; answers of the service have none.
@@ -284,3 +286,46 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_settle_for_a_server_that_is_gone() -> Result<()> {
+    let mut deployment = plan(2)
+        .agent_extra(json!({
+            "journal": "by_pool", "service_run_max_ms": 600, "peer_gone_ms": 1_000,
+        }))
+        .start()
+        .await?;
+    let slow = ServiceFaults {
+        delay_before_ms: 300,
+        ..ServiceFaults::default()
+    };
+    for site in 0..2 {
+        set_service(&deployment, site, slow.clone()).await?;
+    }
+    let keys: Vec<String> = (0..8).map(|at| format!("gone-{at}")).collect();
+    let entry = deployment.entry(0);
+    let bookings: Vec<_> = keys
+        .iter()
+        .cloned()
+        .map(|key| {
+            tokio::spawn(async move {
+                let caller = CallerClient::new(TEAM);
+                caller.call(entry, ORDER, Some(&key), "{}").await
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    deployment.sites[0].agent.process.kill();
+    let gone = deployment.sites.remove(0);
+    deployment.publish_vms().await?;
+    for booking in bookings {
+        booking.await.map_err(|error| miette!("{error}"))??;
+    }
+    drop(gone);
+    for key in &keys {
+        let outcome = final_outcome(&deployment, key).await?;
+        let expected = u64::from(outcome == "ran");
+        assert_eq!(runs(&deployment, key).await?, expected, "{key}: {outcome}");
+    }
+    Ok(())
+}
