A short storm of faults among the tests of calls

Six hundred bookings under faults drawn by seed 7 must come out without a doubled, lost, falsely refused or unsettled one.

--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -4,7 +4,7 @@
 //! `NAME key=value …`. It fails when a target of the product is missed; the
 //! bounds come from the targets, not from what was measured before.
 
-mod calls;
+pub mod calls;
 
 use miette::{Result, miette};
 use serde_json::Value;
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -92,14 +92,13 @@
     println!("crest: {crest}");
     let outage = crest::measure_outage(&deployment).await?;
     println!("store down: {outage}");
-    let (records, faults_caused) = book_under_faults(&mut deployment, &mut rng).await?;
+    let StormOutcome {
+        records,
+        faults_caused,
+        settle_s,
+        faults,
+    } = weather(&mut deployment, &mut rng, BOOKINGS).await?;
     println!("{} bookings under {faults_caused} faults", records.len());
-    calm(&mut deployment).await?;
-    let settled_from = Instant::now();
-    let finals = settle(&deployment, &records).await;
-    let settle_s = settled_from.elapsed().as_secs_f64();
-    let runs = ledger(&deployment).await?;
-    let faults = judge(&records, &finals, &runs);
     let baseline_doubled = measure_baseline(&deployment).await?;
     let answers = count_answers(&records);
     let figures = json!({
@@ -114,6 +113,43 @@
     Ok(report(figures, faults))
 }
 
+/// Place bookings under faults and say what the ledger and the callers disagree
+/// on in the end.
+pub async fn storm_faults(seed: u64, bookings: usize) -> Result<CallFaults> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut deployment = plan().start().await?;
+    let outcome = weather(&mut deployment, &mut rng, bookings).await?;
+    Ok(outcome.faults)
+}
+
+/// What came of bookings under faults.
+struct StormOutcome {
+    records: Vec<BookingRecord>,
+    faults_caused: usize,
+    settle_s: f64,
+    faults: CallFaults,
+}
+
+async fn weather(
+    deployment: &mut Deployment,
+    rng: &mut SmallRng,
+    bookings: usize,
+) -> Result<StormOutcome> {
+    let (records, faults_caused) = book_under_faults(deployment, rng, bookings).await?;
+    calm(deployment).await?;
+    let settled_from = Instant::now();
+    let finals = settle(deployment, &records).await;
+    let settle_s = settled_from.elapsed().as_secs_f64();
+    let runs = ledger(deployment).await?;
+    let faults = judge(&records, &finals, &runs);
+    Ok(StormOutcome {
+        records,
+        faults_caused,
+        settle_s,
+        faults,
+    })
+}
+
 fn report(figures: Value, faults: CallFaults) -> MeasureReport {
     let figure = |group: &str, name: &str| figures[group][name].as_f64().unwrap_or(f64::NAN);
     let per_write = figure("crest", "per_write");
@@ -160,9 +196,10 @@
 async fn book_under_faults(
     deployment: &mut Deployment,
     rng: &mut SmallRng,
+    bookings: usize,
 ) -> Result<(Vec<BookingRecord>, usize)> {
     let entries = [deployment.entry(0), deployment.entry(1)];
-    let plans: Vec<BookingPlan> = (0..BOOKINGS)
+    let plans: Vec<BookingPlan> = (0..bookings)
         .map(|at| BookingPlan::draw(format!("booking-{at}"), rng))
         .collect();
     let is_over = Arc::new(AtomicBool::new(false));
--- a/xtask/tests/calls.rs
+++ b/xtask/tests/calls.rs
@@ -11,7 +11,10 @@
 use serde_json::{Value, json};
 use stand_ins::{PlatformFaults, ServiceCounts, ServiceFaults};
 use wire::service_call::RequestList;
-use xtask::{CallerClient, Deployment, DeploymentPlan};
+use xtask::{
+    CallerClient, Deployment, DeploymentPlan,
+    measure::calls::{CallFaults, storm_faults},
+};
 
 const ORDER: &str = "/v1/services/ledger/order";
 
@@ -329,3 +332,9 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn storm_of_faults_leaves_nothing_open() -> Result<()> {
+    assert_eq!(storm_faults(7, 600).await?, CallFaults::default());
+    Ok(())
+}
