Intents that take effect late are taken back

An intent in a transaction that the store applied after its process had died was listed after the next process had read the listings; one that was to replace a `not run` record was forgotten as soon as that record was seen, and landed later.

Change: the listings of earlier processes are read again for as long as a write may be late; an intent that was given up is watched for as long, and only if a transaction with it was sent and not refused, which the writing task now says.

--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -169,8 +169,10 @@
                     state.metrics.intent_seconds.observe(waited);
                     return Ok(CallClaim::new(condition, record));
                 }
-                WriteOutcome::Undecided(reason) => {
-                    self.abandon(&record, now);
+                WriteOutcome::Undecided { reason, may_apply } => {
+                    if may_apply {
+                        self.abandon(&record, now);
+                    }
                     return Err(refusal(&self.call, &reason));
                 }
                 WriteOutcome::Conflict(row) => row,
@@ -280,7 +282,7 @@
                     log::error!(request = self.request.as_str(); "another record stands: {row:?}");
                     break;
                 }
-                WriteOutcome::Undecided(reason) => {
+                WriteOutcome::Undecided { reason, .. } => {
                     log::warn!(request = self.request.as_str(); "outcome not recorded: {reason}");
                     tokio::time::sleep(RECORD_PAUSE).await;
                 }
--- a/crates/agent/src/call_settler.rs
+++ b/crates/agent/src/call_settler.rs
@@ -22,7 +22,7 @@
     call_rows::{listing_removal, record_write},
     call_runner::wall_now,
     intent_log::{RowWrite, WriteOutcome, WriteUrgency},
-    orphan_calls::OrphanCalls,
+    orphan_calls::{OrphanCalls, STORE_LATE_MAX},
 };
 
 /// Time between two looks.
@@ -37,9 +37,6 @@
 /// Pause before a server that does not answer is asked again.
 const ASLEEP_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time after which a transaction that got no answer takes no effect any more.
-const STORE_LATE_MAX: Duration = Duration::from_secs(60);
-
 /// Time for which the write of a settled record is waited for.
 const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -142,8 +139,9 @@
         row: Option<&TableRow>,
     ) -> Option<SettledCase<'a>> {
         let Some((row, record)) = row.and_then(|row| Some((row, own_record(case, row)?))) else {
-            // The write may still take effect, but not for ever.
-            let is_over = row.is_some() || case.opened_at.elapsed() > STORE_LATE_MAX;
+            // A write that was given up may still take effect, but not for ever.
+            let is_late = case.opened_at.elapsed() > STORE_LATE_MAX;
+            let is_over = is_late || case.limit != DispatchLimit::Never && row.is_some();
             return is_over.then(|| SettledCase {
                 case,
                 write: listing_removal(&self.state, &case.owner, case.run),
--- a/crates/agent/src/intent_log.rs
+++ b/crates/agent/src/intent_log.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use platform::{TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
+use platform::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use tokio::{
     sync::{mpsc, oneshot},
     time::Instant,
@@ -45,8 +45,13 @@
     Recorded,
     /// The condition failed; the row, if there is one, as it was read.
     Conflict(Option<TableRow>),
-    /// Not recorded before the deadline; it may still be later.
-    Undecided(String),
+    /// Not recorded before the deadline.
+    Undecided {
+        /// What was seen.
+        reason: String,
+        /// Whether it may still be recorded later.
+        may_apply: bool,
+    },
 }
 
 /// How soon a write has to go out.
@@ -97,6 +102,8 @@
 struct WriteJob {
     write: RowWrite,
     due: Instant,
+    /// Whether a transaction with the write was sent and not refused.
+    may_apply: Arc<AtomicBool>,
     reply: oneshot::Sender<WriteOutcome>,
 }
 
@@ -129,21 +136,36 @@
 
     /// Write a row with the group that goes out next.
     pub async fn write(&self, write: RowWrite, deadline: Instant) -> WriteOutcome {
-        let (reply, outcome) = oneshot::channel();
+        let (reply, mut outcome) = oneshot::channel();
         let now = Instant::now();
         let due = match write.urgency {
             WriteUrgency::Intent => now,
             WriteUrgency::Outcome => now + OUTCOME_DELAY,
         };
-        let job = WriteJob { write, due, reply };
-        let undecided = |reason: &str| WriteOutcome::Undecided(reason.to_owned());
+        let may_apply = Arc::new(AtomicBool::new(false));
+        let job = WriteJob {
+            write,
+            due,
+            may_apply: Arc::clone(&may_apply),
+            reply,
+        };
+        let undecided = |reason: &str| WriteOutcome::Undecided {
+            reason: reason.to_owned(),
+            may_apply: may_apply.load(Ordering::SeqCst),
+        };
         if self.jobs.try_send(job).is_err() {
             return undecided("too many writes are waiting");
         }
-        match tokio::time::timeout_at(deadline, outcome).await {
+        match tokio::time::timeout_at(deadline, &mut outcome).await {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) => undecided("the writing task has ended"),
-            Err(_) => undecided("the store gave no answer in time"),
+            Err(_) => {
+                // From here on the write is not begun any more, so that what
+                // is read next of `may_apply` stays true.
+                outcome.close();
+                let late = outcome.try_recv();
+                late.unwrap_or_else(|_| undecided("the store gave no answer in time"))
+            }
         }
     }
 }
@@ -209,7 +231,20 @@
     }
 
     async fn write_group(&mut self) {
-        let group = self.take_group();
+        let mut group = self.take_group();
+        // Writes that are open from an earlier transaction stay so.
+        let mut was_open = Vec::with_capacity(group.len());
+        group.retain(|job| {
+            let is_open = job.may_apply.swap(true, Ordering::SeqCst);
+            let is_wanted = !job.reply.is_closed();
+            if is_wanted {
+                was_open.push(is_open);
+            }
+            is_wanted
+        });
+        if group.is_empty() {
+            return;
+        }
         // Which write of the group each row of the transaction belongs to.
         let mut owners = Vec::new();
         let mut rows = Vec::new();
@@ -237,7 +272,14 @@
                     .collect();
                 self.settle_refused(group, &failed).await;
             }
-            Err(error) => self.wait_for_store(group, &error.to_string()).await,
+            Err(error) => {
+                if matches!(error, StoreError::Unavailable { .. }) {
+                    for (job, was_open) in group.iter().zip(was_open) {
+                        job.may_apply.store(was_open, Ordering::SeqCst);
+                    }
+                }
+                self.wait_for_store(group, &error.to_string()).await;
+            }
         }
     }
 
--- a/crates/agent/src/orphan_calls.rs
+++ b/crates/agent/src/orphan_calls.rs
@@ -20,14 +20,19 @@
 /// Rows read at once.
 const PAGE_ROWS: usize = 100;
 
+/// Time after which a transaction that got no answer takes no effect any more.
+pub const STORE_LATE_MAX: Duration = Duration::from_secs(60);
+
+/// Time between two looks for calls of earlier processes, soon after a start.
+const OWN_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time between two looks for calls of other servers at most.
 const PEER_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Calls that their owners cannot settle any more.
 pub struct OrphanCalls {
     started_at: Instant,
-    /// Whether the calls of earlier processes of the server were read.
-    has_own: bool,
+    next_own_look: Instant,
     next_peer_look: Instant,
     /// Servers with open calls that the platform does not list, and since when.
     absent: HashMap<ServerName, Instant>,
@@ -39,7 +44,7 @@
     pub fn new(started_at: Instant) -> Self {
         Self {
             started_at,
-            has_own: false,
+            next_own_look: started_at,
             next_peer_look: started_at,
             absent: HashMap::new(),
             cases: Vec::new(),
@@ -61,11 +66,11 @@
     where
         T: TableStore + VmList,
     {
-        if !self.has_own {
+        let now = Instant::now();
+        if now >= self.next_own_look {
+            self.next_own_look = now + self.own_interval(now);
             self.read_own(state, store).await?;
-            self.has_own = true;
         }
-        let now = Instant::now();
         if now >= self.next_peer_look {
             self.next_peer_look = now + PEER_INTERVAL.min(state.settings.peer_gone);
             self.read_peers(state, store, now).await?;
@@ -73,6 +78,16 @@
         Ok(())
     }
 
+    /// Writes of a process that died may take effect after the start of the
+    /// next one, but not for ever.
+    fn own_interval(&self, now: Instant) -> Duration {
+        if now.duration_since(self.started_at) <= STORE_LATE_MAX {
+            OWN_INTERVAL
+        } else {
+            PEER_INTERVAL
+        }
+    }
+
     /// Calls of earlier processes of the server.
     ///
     /// They can have dispatched them until this process started, not later:
@@ -84,12 +99,12 @@
     ) -> Result<(), StoreError> {
         let prefix = open_rows(state.settings.pool.as_str(), state.owner.server.as_str());
         for row in read_all(table, &prefix).await? {
-            let case = open_case(&row, self.started_at);
-            self.cases
-                .extend(case.filter(|case| case.owner != state.owner));
-        }
-        if !self.cases.is_empty() {
-            log::info!("{} calls of an earlier process are open", self.cases.len());
+            let Some(case) = open_case(&row, self.started_at) else {
+                continue;
+            };
+            if case.owner != state.owner {
+                self.add(case);
+            }
         }
         Ok(())
     }
@@ -125,17 +140,21 @@
         for case in open {
             let since = *self.absent.entry(case.owner.server.clone()).or_insert(now);
             let is_gone = now.duration_since(since) >= state.settings.peer_gone;
-            let is_known = self
-                .cases
-                .iter()
-                .any(|known| known.owner == case.owner && known.run == case.run);
-            if is_gone && !is_known {
-                log::info!(request = case.request.as_str(); "taken over from {}", case.owner.server);
-                self.cases.push(case);
+            if is_gone {
+                self.add(case);
             }
         }
         Ok(())
     }
+
+    fn add(&mut self, case: OpenCase) {
+        let mut known = self.cases.iter();
+        if known.any(|known| known.owner == case.owner && known.run == case.run) {
+            return;
+        }
+        log::info!(request = case.request.as_str(); "left open by {}", case.owner.server);
+        self.cases.push(case);
+    }
 }
 
 async fn read_all(table: &impl TableStore, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
