--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,6 +18,7 @@
 mod intent_log;
 mod note_front;
 mod note_keeper;
+mod orphan_calls;
 mod server_watch;
 mod service_client;
 mod state_dump;
