--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -101,7 +101,7 @@
         None => {
             let room = match admit(&state, &open) {
                 Ok(room) => room,
-                Err(refusal) => return refusal,
+                Err(refusal) => return refusal.into_response(),
             };
             match spawn_generation(&state, generation, Box::new(open), room, sender.clone()) {
                 Ok(()) => return events(receiver),
@@ -116,18 +116,35 @@
     events(receiver)
 }
 
+/// Why this server does not start a generation.
+#[derive(Clone, Copy, Debug)]
+enum StartRefusal {
+    Leaving,
+    EngineSilent,
+    LogFull,
+}
+
+impl StartRefusal {
+    fn into_response(self) -> Response {
+        match self {
+            Self::Leaving => refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", ""),
+            Self::EngineSilent => refuse(StatusCode::BAD_GATEWAY, "engine-silent", ""),
+            Self::LogFull => refuse(StatusCode::INSUFFICIENT_STORAGE, "log-full", ""),
+        }
+    }
+}
+
 /// Room for a new generation, or why this server does not start it.
-fn admit(state: &AgentState, open: &OpenMessage) -> Result<LogReservation, Response> {
+fn admit(state: &AgentState, open: &OpenMessage) -> Result<LogReservation, StartRefusal> {
     // A leaving server finishes what it has and starts nothing.
     if state.is_leaving() {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(refuse(status, "leaving", ""));
+        return Err(StartRefusal::Leaving);
     }
     if state.server_silence(Instant::now()) >= SERVER_SILENCE_MAX {
-        return Err(refuse(StatusCode::BAD_GATEWAY, "engine-silent", ""));
+        return Err(StartRefusal::EngineSilent);
     }
     let room = state.log_budget.reserve(&open.prompt, open.max_tokens);
-    room.ok_or_else(|| refuse(StatusCode::INSUFFICIENT_STORAGE, "log-full", ""))
+    room.ok_or(StartRefusal::LogFull)
 }
 
 /// Where a new entry wants to begin.
--- a/crates/domain/src/generation_stream.rs
+++ b/crates/domain/src/generation_stream.rs
@@ -13,12 +13,14 @@
 
 mod attempt_gate;
 mod log_budget;
+mod resume_queue;
 mod silence_rule;
 mod stream_relay;
 mod token_log;
 
 pub use attempt_gate::{AttemptGate, AttemptVerdict};
 pub use log_budget::{LogBudget, LogReservation};
+pub use resume_queue::{ResumeLimits, ResumeQueue, ResumeVerdict};
 pub use silence_rule::{BeatReport, SilenceRule, SilenceVerdict, StreamWatch};
 pub use stream_relay::{EndVerdict, LossAction, RelayLimits, StreamRelay, TokenVerdict};
 pub use token_log::TokenLog;
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -8,14 +8,14 @@
 use arc_swap::ArcSwap;
 use domain::{
     backend_server::ServerSet,
-    generation_stream::{RelayLimits, SilenceRule},
+    generation_stream::{RelayLimits, ResumeLimits, SilenceRule},
     release_note::NoteState,
     team_budget::AdmissionGate,
 };
 use exchange::HttpExchange;
 use settings::EntrySettings;
 
-use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics};
+use crate::{agent_links::AgentLinks, entry_metrics::EntryMetrics, resume_task::ResumeLine};
 
 /// State of the process; requests read it without a lock.
 pub struct EntryState<P> {
@@ -32,6 +32,7 @@
     pub(crate) streams: HttpExchange,
     pub(crate) silence: SilenceRule,
     pub(crate) relay_limits: RelayLimits,
+    pub(crate) resumes: ResumeLine,
     pub(crate) metrics: EntryMetrics,
     draining: AtomicBool,
 }
@@ -48,6 +49,7 @@
             streams: HttpExchange::fresh(),
             silence: SilenceRule::default(),
             relay_limits: RelayLimits::default(),
+            resumes: ResumeLine::start(ResumeLimits::default()),
             metrics: EntryMetrics::new(),
             draining: AtomicBool::new(false),
             settings,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod entry_state;
 mod problem_reply;
 mod refresh_task;
+mod resume_task;
 mod service_front;
 mod state_dump;
 mod stream_driver;
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -16,7 +16,7 @@
 };
 use exchange::{EventStream, ExchangeCall, ExchangeError, ExchangeReply, StreamEvent};
 use http::StatusCode;
-use tokio::time::Instant;
+use tokio::{sync::oneshot, time::Instant};
 use wire::stream::{
     BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
     RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
@@ -30,6 +30,12 @@
 /// Pause before servers are tried again when none could be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two signs to a caller whose generation waits for its turn.
+const WAITING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Bytes of a prompt that count as one token of prefill.
+const BYTES_PER_TOKEN: usize = 4;
+
 /// Servers that failed and are not tried again at once.
 const EXCLUDED_MAX: usize = 8;
 
@@ -86,6 +92,7 @@
     relay: StreamRelay,
     link: Option<StreamLink>,
     target: LinkTarget,
+    turn: Option<oneshot::Receiver<()>>,
     excluded: Vec<ServerName>,
     started_at: Instant,
     last_token_at: Option<Instant>,
@@ -112,6 +119,7 @@
             relay,
             link: None,
             target: LinkTarget::Any,
+            turn: None,
             excluded: Vec::new(),
             started_at: Instant::now(),
             last_token_at: None,
@@ -358,6 +366,19 @@
             .cancel(spec.addresses.control, self.generation, older);
         self.exclude(&spec.name);
         self.target = LinkTarget::Any;
+        self.turn = self.ask_turn();
+    }
+
+    /// Ask for a turn to have the delivered tokens read again.
+    fn ask_turn(&self) -> Option<oneshot::Receiver<()>> {
+        if self.relay.log().next_position() == TokenPosition(0) {
+            return None;
+        }
+        let silent_since = self.last_token_at.unwrap_or(self.started_at);
+        let prompt_tokens = self.open.prompt.len() / BYTES_PER_TOKEN;
+        let cost = prompt_tokens + self.relay.log().next_position().index();
+        let cost = u32::try_from(cost).unwrap_or(u32::MAX);
+        Some(self.state.resumes.enter(silent_since, cost))
     }
 
     fn exclude(&mut self, name: &ServerName) {
@@ -372,6 +393,14 @@
         if self.relay.is_hopeless(opened_at) {
             return Some(self.give_up());
         }
+        if let Some(turn) = &mut self.turn {
+            // An error means that the queue has ended; nothing is waited for.
+            if tokio::time::timeout(WAITING_INTERVAL, turn).await.is_err() {
+                return Some(CallerEvent::Waiting);
+            }
+            self.turn = None;
+        }
+        let opened_at = Instant::now();
         if self.excluded.len() >= EXCLUDED_MAX {
             return self.wait_for_server().await;
         }
