--- a/crates/domain/tests/generation_stream.rs
+++ b/crates/domain/tests/generation_stream.rs
@@ -1,12 +1,13 @@
 //! No order of events makes a relay miss, repeat or mix tokens.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use domain::{
     AttemptNumber, ModelName, ModelVersion, TokenPosition,
     generation_stream::{
-        AttemptGate, AttemptVerdict, BeatReport, EndVerdict, LossAction, ModelPin, RelayLimits,
-        SilenceRule, SilenceVerdict, StreamRelay, StreamWatch, TokenLog, TokenVerdict,
+        AttemptGate, AttemptVerdict, BeatReport, EndVerdict, LogBudget, LossAction, ModelPin,
+        RelayLimits, ResumeLimits, ResumeQueue, ResumeVerdict, SilenceRule, SilenceVerdict,
+        StreamRelay, StreamWatch, TokenLog, TokenVerdict,
     },
 };
 use proptest::prelude::*;
@@ -170,3 +171,132 @@
     assert_eq!(watch.judge(&rule, now), SilenceVerdict::Wait(suspicion));
     tokio::time::advance(Duration::from_millis(1)).await;
 }
+
+#[derive(Clone, Debug)]
+enum AgentStep {
+    Open { attempt: u32 },
+    TakeOver,
+}
+
+fn agent_step() -> impl Strategy<Value = AgentStep> {
+    prop_oneof![
+        4 => (0..8_u32).prop_map(|attempt| AgentStep::Open { attempt }),
+        1 => Just(AgentStep::TakeOver),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn attempts_only_rise(steps in prop::collection::vec(agent_step(), 0..100)) {
+        let mut gate = AttemptGate::new(AttemptNumber(0));
+        for step in steps {
+            let before = gate.current();
+            match step {
+                AgentStep::Open { attempt } => {
+                    let attempt = AttemptNumber(attempt);
+                    let expected = match attempt.cmp(&before) {
+                        std::cmp::Ordering::Less => AttemptVerdict::Stale,
+                        std::cmp::Ordering::Equal => AttemptVerdict::Attach,
+                        std::cmp::Ordering::Greater => AttemptVerdict::Start,
+                    };
+                    prop_assert_eq!(gate.admit(attempt), expected);
+                    prop_assert_eq!(gate.current(), before.max(attempt));
+                }
+                AgentStep::TakeOver => prop_assert_eq!(gate.take_over(), before.next()),
+            }
+        }
+    }
+
+    /// Two entries and the servers they read, in any order of events: what each
+    /// delivers is a prefix of the one text, whoever takes over when.
+    #[test]
+    fn two_entries_never_mix(steps in prop::collection::vec((0..2_usize, 0..5_u32), 0..300)) {
+        let now = Instant::now();
+        let mut gate = AttemptGate::new(AttemptNumber(0));
+        let mut relays = [relay(now), relay(now)];
+        let mut produced = 0_u32;
+        for (at, step) in steps {
+            let relay = &mut relays[at];
+            match step {
+                // The engine runs on.
+                0 => produced += 1,
+                // The agent sends the reader's next token, if it may read.
+                1 | 2 => {
+                    let next = relay.log().next_position();
+                    if next.0 < produced && gate.admit(relay.attempt()) != AttemptVerdict::Stale {
+                        let text = format!("{next} ");
+                        let verdict = relay.accept(gate.current(), next, &text, now);
+                        prop_assert_eq!(verdict, TokenVerdict::Deliver);
+                    }
+                }
+                // The entry takes the stream over where it stands.
+                3 => {
+                    let attempt = gate.take_over();
+                    let log = relay.log().clone();
+                    *relay = StreamRelay::new(
+                        relay.pin().clone(), log, attempt, RelayLimits::default(), now,
+                    );
+                }
+                // Its connection is lost.
+                _ => {
+                    relay.lost_connection(now);
+                }
+            }
+            for relay in &relays {
+                let log: String = relay.log().tokens_from(TokenPosition(0)).collect();
+                let owed: String = (0..relay.log().next_position().0)
+                    .map(|position| format!("{position} "))
+                    .collect();
+                prop_assert_eq!(log, owed);
+            }
+        }
+    }
+
+    #[test]
+    fn resumptions_keep_to_budget_and_order(
+        costs in prop::collection::vec((0..1_000_u64, 1..50_000_u32), 1..60)
+    ) {
+        let start = Instant::now();
+        let limits = ResumeLimits::default();
+        let mut queue = ResumeQueue::new(limits, start);
+        for &(silent_ms, cost) in &costs {
+            queue.enter(start + Duration::from_millis(silent_ms), cost, (silent_ms, cost));
+        }
+        let mut now = start;
+        let mut spent = 0_u64;
+        let mut last_silent = 0;
+        loop {
+            match queue.release(now) {
+                ResumeVerdict::Release((silent_ms, cost)) => {
+                    prop_assert!(silent_ms >= last_silent);
+                    last_silent = silent_ms;
+                    let earned = now.duration_since(start).as_secs_f64()
+                        * f64::from(limits.tokens_per_second);
+                    // What was spent before this one fits what was earned.
+                    prop_assert!(spent as f64 <= earned + f64::from(limits.burst) + 1.0);
+                    spent += u64::from(cost);
+                }
+                ResumeVerdict::Wait(until) => {
+                    prop_assert!(until > now);
+                    now = until;
+                }
+                ResumeVerdict::Empty => break,
+            }
+        }
+        prop_assert!(queue.is_empty());
+        prop_assert_eq!(spent, costs.iter().map(|&(_, cost)| u64::from(cost)).sum::<u64>());
+    }
+}
+
+#[test]
+fn log_budget_refuses_what_does_not_fit() {
+    let budget = Arc::new(LogBudget::new(1_000));
+    let first = budget.reserve("prompt", 100);
+    assert!(first.is_some());
+    let held = budget.held();
+    assert!(budget.reserve("prompt", 100).is_none());
+    assert_eq!(budget.held(), held);
+    drop(first);
+    assert_eq!(budget.held(), 0);
+    assert!(budget.reserve("prompt", u32::MAX).is_none());
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,3 +23,4 @@
 pub use caller_front::serve_callers;
 pub use entry_state::EntryState;
 pub use refresh_task::refresh_snapshots;
+pub use resume_task::ResumeLine;
