One request sent twice under a key

Cause: two sendings of one request were two generations, and nothing kept one key from naming two bodies; two entries that came to the same attempt number by different ways could have continued one another's text. Change: identity from team and key, the same first server for every entry, 422 for another body, stale for another version or other delivered tokens.

--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -46,6 +46,8 @@
     End(EndMessage),
     /// Another reader or a later attempt has taken over.
     Stale,
+    /// The identity belongs to another request.
+    Mismatch,
     /// The engine cannot go on.
     Lost(String),
 }
@@ -415,12 +417,21 @@
 
     fn reopen(&mut self, open: OpenMessage, reader: mpsc::Sender<StreamItem>) {
         let from = TokenPosition(open.delivered.len() as u32);
+        if !open.is_same_request(&self.open) {
+            // The channel is new and empty.
+            let _ = reader.try_send(StreamItem::Mismatch);
+            return;
+        }
         match self.gate.admit(AttemptNumber(open.attempt)) {
             AttemptVerdict::Stale => {
                 self.state.metrics.stale_attempts.inc();
                 // The channel is new and empty.
                 let _ = reader.try_send(StreamItem::Stale);
             }
+            // Two entries may have come to the same number with other texts.
+            AttemptVerdict::Attach if !self.agrees_with(&open) => {
+                let _ = reader.try_send(StreamItem::Stale);
+            }
             AttemptVerdict::Attach => self.attach(from, reader),
             AttemptVerdict::Start => {
                 self.tell_stale();
@@ -432,6 +443,17 @@
         }
     }
 
+    /// Whether version and delivered tokens are those of the log.
+    fn agrees_with(&self, open: &OpenMessage) -> bool {
+        if open.pin.version != self.open.pin.version {
+            return false;
+        }
+        let mut kept = self.log.tokens_from(TokenPosition(0));
+        open.delivered
+            .iter()
+            .all(|token| kept.next() == Some(token.as_str()))
+    }
+
     fn take_over(&mut self, from: TokenPosition, reader: mpsc::Sender<StreamItem>) {
         let delivered = (0..from.0.min(self.log.next_position().0))
             .filter_map(|at| self.log.get(TokenPosition(at)))
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -26,7 +26,8 @@
 use wire::{
     ProblemReport,
     stream::{
-        BEAT_EVENT, END_EVENT, LOST_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT, TOKEN_EVENT,
+        BEAT_EVENT, END_EVENT, LOST_EVENT, MISMATCH_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT,
+        TOKEN_EVENT,
     },
 };
 
@@ -217,6 +218,7 @@
         StreamItem::Beat(beat) => named(BEAT_EVENT, beat),
         StreamItem::End(end) => named(END_EVENT, end),
         StreamItem::Stale => Event::new().event(STALE_EVENT).data("{}"),
+        StreamItem::Mismatch => Event::new().event(MISMATCH_EVENT).data("{}"),
         StreamItem::Lost(reason) => Event::new()
             .event(LOST_EVENT)
             .data(reason.replace(['\n', '\r'], " ")),
--- a/crates/domain/src/identity.rs
+++ b/crates/domain/src/identity.rs
@@ -99,11 +99,19 @@
     }
 }
 
-/// Generation identity, drawn at random by the entry that admitted it.
+/// Generation identity, drawn at random by the entry that admitted it or
+/// derived from the caller's key.
 #[derive(Clone, Copy, Debug, Display, From, Into, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[display("{_0:032x}")]
 pub struct GenerationId(pub u128);
 
+impl GenerationId {
+    /// Identity of the generation that a team's key names.
+    pub fn of_key(team: &str, key: &str) -> Self {
+        Self(BodyDigest::of(team, key.as_bytes()).to_u128())
+    }
+}
+
 /// Text that is not a generation identity.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
 #[display("not a generation identity: 32 hexadecimal digits expected")]
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -28,7 +28,7 @@
     EntryState,
     chat_front::{last_event_id, resume_chat, start_chat},
     problem_reply::ProblemReply,
-    service_front::{serve_call, show_request},
+    service_front::{request_key, serve_call, show_request},
     state_dump::dump_state,
 };
 
@@ -81,8 +81,9 @@
         if let Some(id) = last_event_id(&parts.headers)? {
             return resume_chat(&state, &id).await;
         }
+        let key = request_key(&parts.headers)?;
         let body = read_body(&state, body).await?;
-        start_chat(&state, team, &body)
+        start_chat(&state, team, key, &body).await
     };
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -7,7 +7,7 @@
     WorkClass,
     generation_stream::{ModelPin, StreamRelay, TokenLog},
 };
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::{HeaderMap, StatusCode};
 use sync_wrapper::SyncStream;
 use tokio::time::Instant;
@@ -39,10 +39,14 @@
 /// Name of the event that tells that the generation cannot be finished.
 const INCOMPLETE_EVENT: &str = "incomplete";
 
+/// What a caller is told whose key belongs to another request.
+const KEY_REUSED: &str = "the key is bound to another request";
+
 /// Serve a completion that no server has seen.
-pub fn start_chat<P: Send + Sync + 'static>(
+pub async fn start_chat<P: Send + Sync + 'static>(
     state: &Arc<EntryState<P>>,
     team: &str,
+    key: Option<&str>,
     body: &[u8],
 ) -> Result<Response, ProblemReply> {
     let request = read_request(body)?;
@@ -57,7 +61,10 @@
         .requests
         .with_label_values(&[&class.to_string()])
         .inc();
-    let generation = GenerationId(rand::random());
+    let generation = match key {
+        Some(key) => GenerationId::of_key(team, key),
+        None => GenerationId(rand::random()),
+    };
     let open = OpenMessage {
         generation: generation.to_string(),
         attempt: 0,
@@ -76,7 +83,18 @@
         Instant::now(),
     );
     let driver = StreamDriver::new(Arc::clone(state), generation, open, pool, relay, permit);
-    Ok(chunk_stream(driver))
+    if key.is_none() {
+        return Ok(chunk_stream(driver, None));
+    }
+    let mut driver = driver.keyed();
+    match driver.next().await {
+        Some(CallerEvent::KeyReused) => Err(key_reused()),
+        first => Ok(chunk_stream(driver, first)),
+    }
+}
+
+fn key_reused() -> ProblemReply {
+    ProblemReply::refused(StatusCode::UNPROCESSABLE_ENTITY, "key-reused", KEY_REUSED)
 }
 
 /// Go on with a completion whose caller comes back.
@@ -90,7 +108,7 @@
     let taken =
         StreamDriver::take_over(Arc::clone(state), id.generation, id.position, &node, permit).await;
     match taken {
-        Ok(driver) => Ok(chunk_stream(driver)),
+        Ok(driver) => Ok(chunk_stream(driver, None)),
         Err(TakeOverError::Unreachable(error)) => Err(gone(&error.to_string())),
         Err(TakeOverError::Unknown(reply)) => Err(gone(&format!(
             "the agent answered with status {}",
@@ -155,14 +173,19 @@
     Ok((pin, duty.pool.clone()))
 }
 
-fn chunk_stream<P: Send + Sync + 'static>(driver: StreamDriver<P>) -> Response {
+fn chunk_stream<P: Send + Sync + 'static>(
+    driver: StreamDriver<P>,
+    first: Option<CallerEvent>,
+) -> Response {
     let id = driver.generation().to_string();
     let model = driver.model();
-    let events = stream::unfold((driver, id, model), |(mut driver, id, model)| async move {
+    let first = first.map(|event| encode(driver.generation(), &id, &model, &event));
+    let rest = stream::unfold((driver, id, model), |(mut driver, id, model)| async move {
         let event = driver.next().await?;
         let encoded = encode(driver.generation(), &id, &model, &event);
-        Some((Ok::<Event, Infallible>(encoded), (driver, id, model)))
+        Some((encoded, (driver, id, model)))
     });
+    let events = stream::iter(first).chain(rest).map(Ok::<Event, Infallible>);
     Sse::new(SyncStream::new(events)).into_response()
 }
 
@@ -179,6 +202,7 @@
         }
         CallerEvent::Waiting => Event::new().event(WAITING_EVENT).data("{}"),
         CallerEvent::Finish { reason } => data(&ChatChunk::finish(id, model, reason)),
+        CallerEvent::KeyReused => Event::new().event(INCOMPLETE_EVENT).data(KEY_REUSED),
         CallerEvent::Incomplete { reason } => Event::new()
             .event(INCOMPLETE_EVENT)
             .data(reason.replace(['\n', '\r'], " ")),
--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -98,7 +98,8 @@
     respond(state, reply)
 }
 
-fn request_key(headers: &HeaderMap) -> Result<Option<&str>, ProblemReply> {
+/// Idempotency key of a request, if it has one.
+pub fn request_key(headers: &HeaderMap) -> Result<Option<&str>, ProblemReply> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
     };
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -18,9 +18,10 @@
 use http::StatusCode;
 use tokio::{sync::oneshot, time::Instant};
 use wire::stream::{
-    BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
-    RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
+    BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, MISMATCH_EVENT, OpenMessage,
+    RECORD_EVENT, RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
 };
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::EntryState;
 
@@ -65,6 +66,8 @@
         /// Why the generation ended.
         reason: String,
     },
+    /// The caller's key is bound to another request; nothing ran.
+    KeyReused,
     /// The generation cannot be finished.
     Incomplete {
         /// Why not.
@@ -96,6 +99,7 @@
     excluded: Vec<ServerName>,
     started_at: Instant,
     last_token_at: Option<Instant>,
+    is_keyed: bool,
     is_resuming: bool,
     is_finished: bool,
     _permit: AdmissionPermit,
@@ -123,12 +127,21 @@
             excluded: Vec::new(),
             started_at: Instant::now(),
             last_token_at: None,
+            is_keyed: false,
             is_resuming: false,
             is_finished: false,
             _permit: permit,
         }
     }
 
+    /// Have every entry ask the same server first, since the generation is
+    /// known by its caller's key.
+    #[must_use]
+    pub const fn keyed(mut self) -> Self {
+        self.is_keyed = true;
+        self
+    }
+
     /// Take a generation over from its agent, for a caller that comes back.
     pub async fn take_over(
         state: Arc<EntryState<P>>,
@@ -237,6 +250,7 @@
                     reason: "the generation was taken over by another connection".to_owned(),
                 },
             )),
+            MISMATCH_EVENT => Some(self.finish("key_reused", CallerEvent::KeyReused)),
             LOST_EVENT => {
                 self.lose_server(&event.data);
                 None
@@ -451,6 +465,11 @@
         }
         // The pool that it began with, whatever later notes say of the model.
         let servers = self.state.servers.load();
+        if self.is_keyed
+            && let Some(node) = self.keyed_node(servers.nodes())
+        {
+            return Some(Arc::clone(node));
+        }
         let query = ChoiceQuery {
             pool: &self.pool,
             exclude: &self.excluded,
@@ -458,6 +477,19 @@
         servers.choose(&query, &mut rand::rng()).cloned()
     }
 
+    /// The server that the identity hashes to, among those that are well.
+    fn keyed_node<'a>(&self, nodes: &'a [Arc<ServerNode>]) -> Option<&'a Arc<ServerNode>> {
+        let identity = self.generation.0.to_be_bytes();
+        let can_take = |node: &&Arc<ServerNode>| {
+            let spec = node.spec();
+            spec.pool == self.pool && !node.is_leaving() && !self.excluded.contains(&spec.name)
+        };
+        nodes.iter().filter(can_take).max_by_key(|node| {
+            let name = node.spec().name.as_str();
+            xxh3_64_with_seed(name.as_bytes(), xxh3_64(&identity))
+        })
+    }
+
     async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, String> {
         let open = OpenMessage {
             attempt: self.relay.attempt().0,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,7 +1,7 @@
 //! Token streams between entry and agent.
 //!
 //! A stream is opened by `POST /v1/generations` and read as server-sent events:
-//! `token`, `beat` and one closing `end`, `stale` or `lost`. An `entry` that
+//! `token`, `beat` and one closing `end`, `stale`, `mismatch` or `lost`. An `entry` that
 //! took a caller over opens with `GET /v1/generations/ID`, whose first event is
 //! `record`.
 
@@ -22,6 +22,8 @@
 pub const END_EVENT: &str = "end";
 /// Name of the event that tells that a later attempt has taken over.
 pub const STALE_EVENT: &str = "stale";
+/// Name of the event that tells that the identity belongs to another request.
+pub const MISMATCH_EVENT: &str = "mismatch";
 /// Name of the event that tells that the engine cannot go on.
 pub const LOST_EVENT: &str = "lost";
 /// Name of the event that describes the generation to a new entry.
@@ -109,6 +111,17 @@
     pub class: ClassMessage,
 }
 
+impl OpenMessage {
+    /// Whether another message asks for the same generation.
+    pub fn is_same_request(&self, other: &Self) -> bool {
+        self.team == other.team
+            && self.pin.model == other.pin.model
+            && self.pin.adapter == other.pin.adapter
+            && self.prompt == other.prompt
+            && self.max_tokens == other.max_tokens
+    }
+}
+
 /// A message whose identity cannot be read.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("generation: 32 hexadecimal digits expected")]
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -92,6 +92,7 @@
 pub struct CallerClient {
     exchange: HttpExchange,
     team: String,
+    key: Option<String>,
 }
 
 impl CallerClient {
@@ -100,9 +101,17 @@
         Self {
             exchange: HttpExchange::fresh(),
             team: team.to_owned(),
+            key: None,
         }
     }
 
+    /// Send an idempotency key with every completion.
+    #[must_use]
+    pub fn keyed(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
     /// Request of a completion and the seed of its text.
     pub fn request(
         model: &str,
@@ -140,6 +149,9 @@
         let mut call = ExchangeCall::post(entry, "/v1/chat/completions")
             .header(TEAM_HEADER, &self.team)
             .json(request);
+        if let Some(key) = &self.key {
+            call = call.header(KEY_HEADER, key);
+        }
         if let Some(id) = last_event_id {
             call = call.header(LAST_EVENT_HEADER, id);
         }
--- a/xtask/tests/resume.rs
+++ b/xtask/tests/resume.rs
@@ -231,6 +231,61 @@
     Ok(())
 }
 
+/// The same key sent at once through two entries: the engine works once, the
+/// later reader has the whole text and the other a stated end.
+#[tokio::test(flavor = "multi_thread")]
+async fn same_key_twice_is_never_a_mix() -> Result<()> {
+    let deployment = plan().start().await?;
+    let (request, seed) = CallerClient::request(MODEL, MODEL_VERSION, "Report.", TOKENS);
+    let caller = CallerClient::new("kivu-shores").keyed("report-1");
+    let answers = (0..2).map(|at| caller.chat(deployment.entry(at), &request, None, |_| {}));
+    let mut finished = 0;
+    for outcome in join_all(answers).await {
+        let received = outcome.tokens.len() as u32;
+        assert_eq!(outcome.faults(seed, received), Default::default());
+        match outcome.end {
+            ChatEnd::Finished => {
+                assert_eq!(received, TOKENS);
+                finished += 1;
+            }
+            ChatEnd::Incomplete(_) => {}
+            end => panic!("{end:?}"),
+        }
+    }
+    assert!(finished >= 1);
+    let mut decoded = 0;
+    for site in &deployment.sites {
+        let engine = site.server.address;
+        let counts: EngineCounts = deployment.fleet.read(engine, "/control").await?;
+        decoded += counts.decode;
+    }
+    assert_eq!(decoded, u64::from(TOKENS));
+    Ok(())
+}
+
+/// A key with another body is refused, whichever entry it comes through.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_another_body_is_refused() -> Result<()> {
+    let deployment = plan().start().await?;
+    let caller = CallerClient::new("kivu-shores").keyed("report-1");
+    let (request, seed) = CallerClient::request(MODEL, MODEL_VERSION, "Report.", TOKENS);
+    let (other, _) = CallerClient::request(MODEL, MODEL_VERSION, "Letter.", TOKENS);
+    let first = caller.chat(deployment.entry(0), &request, None, |_| {});
+    let second = async {
+        tokio::time::sleep(FAULT_HOLD / 3).await;
+        caller.chat(deployment.entry(1), &other, None, |_| {}).await
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_eq!(first.end, ChatEnd::Finished);
+    assert_eq!(first.faults(seed, TOKENS), Default::default());
+    assert!(
+        matches!(&second.end, ChatEnd::Refused(422, text) if text.contains("key-reused")),
+        "{:?}",
+        second.end
+    );
+    Ok(())
+}
+
 /// A caller that comes back while its old connection is read: the old one ends
 /// with a stated event, the new one gets the rest.
 #[tokio::test(flavor = "multi_thread")]
