--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use domain::{
     backend_server::ServerSet,
-    generation_stream::{RelayLimits, SilenceRule},
+    generation_stream::{RelayLimits, ResumeLimits, SilenceRule},
     release_note::NoteState,
     team_budget::{AdmissionGate, RetryBudget},
 };
@@ -18,7 +18,7 @@
 
 use crate::{
     agent_links::AgentLinks, entry_metrics::EntryMetrics, load_policy::ProcessPolicy,
-    note_watch::NoteWatch, server_membership::ServerMembership,
+    note_watch::NoteWatch, resume_task::ResumeLine, server_membership::ServerMembership,
 };
 
 /// State of the process; requests read it without a lock.
@@ -40,6 +40,7 @@
     pub(crate) streams: HttpExchange,
     pub(crate) silence: SilenceRule,
     pub(crate) relay_limits: RelayLimits,
+    pub(crate) resumes: ResumeLine,
     pub(crate) metrics: EntryMetrics,
     draining: AtomicBool,
 }
@@ -62,6 +63,7 @@
             streams: HttpExchange::fresh(),
             silence: SilenceRule::default(),
             relay_limits: RelayLimits::default(),
+            resumes: ResumeLine::start(ResumeLimits::default()),
             metrics: EntryMetrics::new(),
             draining: AtomicBool::new(false),
             settings,
--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -156,7 +156,8 @@
     WallTime(u64::try_from(millis).unwrap_or(u64::MAX))
 }
 
-fn request_key(headers: &HeaderMap) -> Result<Option<&str>, ProblemReply> {
+/// Idempotency key of a request, if it has one.
+pub fn request_key(headers: &HeaderMap) -> Result<Option<&str>, ProblemReply> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
     };
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -20,12 +20,12 @@
 };
 use exchange::{EventStream, ExchangeCall, ExchangeError, ExchangeReply, StreamEvent};
 use http::StatusCode;
-use tokio::time::Instant;
+use tokio::{sync::oneshot, time::Instant};
 use wire::stream::{
-    BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
-    RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
+    BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, MISMATCH_EVENT, OpenMessage,
+    RECORD_EVENT, RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use self::link_pace::LinkPace;
 use crate::EntryState;
@@ -36,6 +36,12 @@
 /// Pause before servers are tried again when none could be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two signs to a caller whose generation waits for its turn.
+const WAITING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Bytes of a prompt that count as one token of prefill.
+const BYTES_PER_TOKEN: usize = 4;
+
 /// Servers that failed and are not tried again at once.
 const EXCLUDED_MAX: usize = 8;
 
@@ -68,6 +74,8 @@
         /// Why the generation ended.
         reason: String,
     },
+    /// The caller's key is bound to another request; nothing ran.
+    KeyReused,
     /// The generation cannot be finished.
     Incomplete {
         /// Why not.
@@ -110,9 +118,11 @@
     relay: StreamRelay,
     link: Option<StreamLink>,
     target: LinkTarget,
+    turn: Option<oneshot::Receiver<()>>,
     excluded: Vec<ServerName>,
     started_at: Instant,
     last_token_at: Option<Instant>,
+    is_keyed: bool,
     is_resuming: bool,
     is_finished: bool,
     _permit: AdmissionPermit,
@@ -136,15 +146,25 @@
             relay,
             link: None,
             target: LinkTarget::Any,
+            turn: None,
             excluded: Vec::new(),
             started_at: Instant::now(),
             last_token_at: None,
+            is_keyed: false,
             is_resuming: false,
             is_finished: false,
             _permit: permit,
         }
     }
 
+    /// Have every entry ask the same server first, since the generation is
+    /// known by its caller's key.
+    #[must_use]
+    pub const fn keyed(mut self) -> Self {
+        self.is_keyed = true;
+        self
+    }
+
     /// Take a generation over from its agent, for a caller that comes back.
     pub async fn take_over(
         state: Arc<EntryState<P>>,
@@ -259,6 +279,7 @@
                     reason: "the generation was taken over by another connection".to_owned(),
                 },
             )),
+            MISMATCH_EVENT => Some(self.finish("key_reused", CallerEvent::KeyReused)),
             LOST_EVENT => {
                 self.lose_server(&event.data);
                 None
@@ -391,6 +412,19 @@
             .cancel(spec.addresses.control, self.generation, older);
         self.exclude(&spec.name);
         self.target = LinkTarget::Any;
+        self.turn = self.ask_turn();
+    }
+
+    /// Ask for a turn to have the delivered tokens read again.
+    fn ask_turn(&self) -> Option<oneshot::Receiver<()>> {
+        if self.relay.log().next_position() == TokenPosition(0) {
+            return None;
+        }
+        let silent_since = self.last_token_at.unwrap_or(self.started_at);
+        let prompt_tokens = self.open.prompt.len() / BYTES_PER_TOKEN;
+        let cost = prompt_tokens + self.relay.log().next_position().index();
+        let cost = u32::try_from(cost).unwrap_or(u32::MAX);
+        Some(self.state.resumes.enter(silent_since, cost))
     }
 
     fn exclude(&mut self, name: &ServerName) {
@@ -405,6 +439,14 @@
         if self.relay.is_hopeless(opened_at) {
             return Some(self.give_up());
         }
+        if let Some(turn) = &mut self.turn {
+            // An error means that the queue has ended; nothing is waited for.
+            if tokio::time::timeout(WAITING_INTERVAL, turn).await.is_err() {
+                return Some(CallerEvent::Waiting);
+            }
+            self.turn = None;
+        }
+        let opened_at = Instant::now();
         if self.excluded.len() >= EXCLUDED_MAX {
             return self.wait_for_server().await;
         }
@@ -469,6 +511,11 @@
         }
         // The pool that it began with, whatever later notes say of the model.
         let servers = self.state.servers.load();
+        if self.is_keyed
+            && let Some(node) = self.keyed_node(servers.nodes())
+        {
+            return Some(Arc::clone(node));
+        }
         let query = ChoiceQuery {
             pool: &self.pool,
             exclude: &self.excluded,
@@ -480,6 +527,19 @@
             .cloned()
     }
 
+    /// The server that the identity hashes to, among those that are well.
+    fn keyed_node<'a>(&self, nodes: &'a [Arc<ServerNode>]) -> Option<&'a Arc<ServerNode>> {
+        let identity = self.generation.0.to_be_bytes();
+        let can_take = |node: &&Arc<ServerNode>| {
+            let spec = node.spec();
+            spec.pool == self.pool && !node.is_leaving() && !self.excluded.contains(&spec.name)
+        };
+        nodes.iter().filter(can_take).max_by_key(|node| {
+            let name = node.spec().name.as_str();
+            xxh3_64_with_seed(name.as_bytes(), xxh3_64(&identity))
+        })
+    }
+
     async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, OpenError> {
         let open = OpenMessage {
             attempt: self.relay.attempt().0,
