Tests of a crest, alone and with the loss of a failure domain

Cause: refusals and shares were tested by rules alone.

Change: two process tests send a swing to three times the capacity. Every generation comes whole or is refused as not run, also when a failure domain is lost in the middle; plain calls are all answered; small teams get more answers than the large one that sends as much as all of them.

--- a/xtask/tests/load.rs
+++ b/xtask/tests/load.rs
@@ -1,13 +1,18 @@
 //! Classes, refusals and slow servers, with real processes; counts only.
 
+use std::time::{Duration, Instant};
+
 use miette::Result;
 use rstest::rstest;
 use serde_json::json;
 use stand_ins::{EngineCounts, EngineFaults};
 use tokio::task::JoinSet;
+use wire::vm::KindMessage;
 use xtask::{
     CallerClient, ChatEnd, Deployment, DeploymentPlan, EnginePlan,
     deployment::{MODEL, MODEL_VERSION},
+    load_plan::{LARGE_TEAM, LoadMix, LoadPlan, RequestKind},
+    load_run::{FinishedRequest, RequestEnd, run_load},
 };
 
 const LONG_TOKENS: u32 = 300;
@@ -24,6 +29,9 @@
 /// Wait until every agent knows the slots of its engine.
 async fn wait_for_slots(deployment: &Deployment) -> Result<()> {
     for site in &deployment.sites {
+        if site.vm.kind != KindMessage::Engine {
+            continue;
+        }
         loop {
             let state: serde_json::Value = deployment
                 .fleet
@@ -66,6 +74,9 @@
 async fn requests_of(deployment: &Deployment) -> Result<u64> {
     let mut requests = 0;
     for site in &deployment.sites {
+        if site.vm.kind != KindMessage::Engine {
+            continue;
+        }
         let counts: EngineCounts = deployment
             .fleet
             .read(site.server.address, "/control")
@@ -185,3 +196,111 @@
         .filter(|server| server["token_gap_us"].as_u64().is_some_and(|gap| gap > 0));
     Ok(known.count())
 }
+
+/// Ends of the requests of a kind: whole, refused, failed.
+fn ends(requests: &[FinishedRequest], kind: RequestKind) -> (usize, usize, usize) {
+    let count = |end| {
+        let same = requests.iter().filter(|one| one.planned.kind == kind);
+        same.filter(|one| one.end == end).count()
+    };
+    (
+        count(RequestEnd::Whole),
+        count(RequestEnd::Refused),
+        count(RequestEnd::Failed),
+    )
+}
+
+/// Swing from half of the capacity to three times of it and back, without
+/// warning, over four failure domains.
+async fn swing(
+    deployment: &mut Deployment,
+    disturb: impl AsyncFnOnce(&mut Deployment),
+) -> Vec<FinishedRequest> {
+    let mix = LoadMix {
+        long_share: 0.06,
+        stock_share: 0.3,
+        large_share: 0.5,
+        small_teams: 40,
+    };
+    // The slots carry about 48 generations of this mix a second.
+    let arrivals = LoadPlan::new(mix, 1)
+        .step(24.0, Duration::from_secs(1))
+        .step(144.0, Duration::from_secs(3))
+        .step(24.0, Duration::from_secs(1))
+        .arrivals(|_| true);
+    let entries: Vec<_> = deployment.entries.iter().map(|one| one.address).collect();
+    let load = run_load(&entries, &arrivals, Instant::now());
+    tokio::join!(load, disturb(deployment)).0
+}
+
+async fn four_domains() -> Result<Deployment> {
+    let deployment = DeploymentPlan::default()
+        .engines(4)
+        .services(1)
+        .entries(2)
+        .engine(EnginePlan {
+            slots: 4,
+            ..EnginePlan::default()
+        })
+        .start()
+        .await?;
+    wait_for_slots(&deployment).await?;
+    Ok(deployment)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crest_is_answered_or_refused() -> Result<()> {
+    let mut deployment = four_domains().await?;
+    let finished = swing(&mut deployment, async |_| {}).await;
+    let (stock, stock_refused, stock_failed) = ends(&finished, RequestKind::Stock);
+    assert!(stock > 0);
+    assert_eq!(
+        (stock_refused, stock_failed),
+        (0, 0),
+        "plain calls wait for generations"
+    );
+    let short = ends(&finished, RequestKind::Short);
+    let long = ends(&finished, RequestKind::Long);
+    assert_eq!((short.2, long.2), (0, 0), "short {short:?}, long {long:?}");
+    assert!(short.1 > 0 && long.1 > 0, "short {short:?}, long {long:?}");
+    // A generation that moved began more than once.
+    let ran = usize::try_from(requests_of(&deployment).await?).unwrap_or(usize::MAX);
+    let whole = short.0 + long.0;
+    assert!(ran >= whole, "{ran} began of {whole}");
+    assert!(
+        ran - whole <= 20 + whole / 4,
+        "{ran} began for {whole} whole"
+    );
+    // Half of all requests are the large team's, but less of the answers.
+    let short_of = |is_large: bool| {
+        let short = finished
+            .iter()
+            .filter(|one| one.planned.kind == RequestKind::Short)
+            .filter(|one| (one.planned.team == LARGE_TEAM) == is_large);
+        short.filter(|one| one.end == RequestEnd::Whole).count()
+    };
+    let (large, small) = (short_of(true), short_of(false));
+    println!("short {short:?}, long {long:?}, begun {ran}, large {large}, small {small}");
+    assert!(
+        small > large * 3 / 2,
+        "{small} of small teams, {large} of the large one"
+    );
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_domain_at_the_crest_fails_nothing() -> Result<()> {
+    let mut deployment = four_domains().await?;
+    let finished = swing(&mut deployment, async |deployment| {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let site = &mut deployment.sites[3];
+        site.server.kill();
+        site.agent.process.kill();
+    })
+    .await;
+    let short = ends(&finished, RequestKind::Short);
+    let long = ends(&finished, RequestKind::Long);
+    println!("short {short:?}, long {long:?}");
+    assert_eq!((short.2, long.2), (0, 0), "short {short:?}, long {long:?}");
+    Ok(())
+}
