Slots left to long work that asks, and the lower median of paces

Change: `SlotGate` leaves `long_floor_milli` of the slots to long work for a second after some was refused. The histogram grows. A time that was never set is told apart from the start of the process, which had made the gate leave slots to long work that did not ask. Paces are compared with the lower median: with two of four engines slowed, the upper one was that of a slowed engine, and generations moved to and fro (six attempts beyond the first where four were due).

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -52,7 +52,7 @@
             epoch,
             metrics,
             calls: AtomicU32::new(0),
-            slots: Arc::new(SlotGate::new(limits)),
+            slots: Arc::new(SlotGate::new(limits, now)),
             leaving: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -115,7 +115,7 @@
     if open.attempt > 0 || !open.delivered.is_empty() {
         return Ok(state.slots.enter_always(class));
     }
-    state.slots.enter(class)
+    state.slots.enter(class, Instant::now())
 }
 
 /// Where a new entry wants to begin.
--- a/crates/domain/src/backend_server/atomic_time.rs
+++ b/crates/domain/src/backend_server/atomic_time.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-/// A time, kept as its distance from a base.
+/// A time that may never have been set, kept as its distance from a base.
 #[derive(Debug)]
 pub struct AtomicTime {
     base: Instant,
@@ -15,11 +15,13 @@
 }
 
 impl AtomicTime {
-    /// The time `base`, which is also the earliest that can be kept.
+    const NEVER: u64 = 0;
+
+    /// Time that was never set; none before `base` can be.
     pub const fn new(base: Instant) -> Self {
         Self {
             base,
-            nanos: AtomicU64::new(0),
+            nanos: AtomicU64::new(Self::NEVER),
         }
     }
 
@@ -28,10 +30,9 @@
         self.nanos.store(self.distance(now), Ordering::Relaxed);
     }
 
-    /// Time passed since.
+    /// Time passed since, without end if the time was never set.
     pub fn age(&self, now: Instant) -> Duration {
-        let then = self.nanos.load(Ordering::Relaxed);
-        Duration::from_nanos(self.distance(now).saturating_sub(then))
+        self.age_of(self.nanos.load(Ordering::Relaxed), now)
     }
 
     /// Set the time to `now` if it is at least `pause` old; of callers at once
@@ -39,7 +40,7 @@
     pub fn claim(&self, pause: Duration, now: Instant) -> bool {
         let then = self.nanos.load(Ordering::Relaxed);
         let current = self.distance(now);
-        if Duration::from_nanos(current.saturating_sub(then)) < pause {
+        if self.age_of(then, now) < pause {
             return false;
         }
         self.nanos
@@ -47,8 +48,15 @@
             .is_ok()
     }
 
+    fn age_of(&self, then: u64, now: Instant) -> Duration {
+        if then == Self::NEVER {
+            return Duration::MAX;
+        }
+        Duration::from_nanos(self.distance(now).saturating_sub(then))
+    }
+
     fn distance(&self, now: Instant) -> u64 {
         let distance = now.saturating_duration_since(self.base).as_nanos();
-        u64::try_from(distance).unwrap_or(u64::MAX)
+        u64::try_from(distance).map_or(u64::MAX, |nanos| nanos.max(Self::NEVER + 1))
     }
 }
--- a/crates/domain/src/backend_server/peer_pace.rs
+++ b/crates/domain/src/backend_server/peer_pace.rs
@@ -58,7 +58,8 @@
         if gaps.len() < Self::PEERS_MIN {
             return;
         }
-        let middle = gaps.len() / 2;
+        // The lower median, so that half of the servers may be slow.
+        let middle = (gaps.len() - 1) / 2;
         let (_, median, _) = gaps.select_nth_unstable(middle);
         let nanos = u64::try_from(median.as_nanos()).unwrap_or(u64::MAX);
         self.median_ns.store(nanos, Ordering::Relaxed);
--- a/crates/domain/src/backend_server/server_node.rs
+++ b/crates/domain/src/backend_server/server_node.rs
@@ -95,12 +95,14 @@
     pub fn new(spec: ServerSpec, now: Instant) -> Self {
         let mut hasher = DefaultHasher::new();
         spec.name.hash(&mut hasher);
+        let trial_at = AtomicTime::new(now);
+        trial_at.set(now);
         Self {
             gap_at: AtomicTime::new(now),
             slots: AtomicU32::new(0),
             others: AtomicU32::new(0),
             reported_at: AtomicTime::new(now),
-            trial_at: AtomicTime::new(now),
+            trial_at,
             name_hash: hasher.finish(),
             spec,
             inflight: AtomicU32::new(0),
--- a/crates/domain/src/backend_server/slot_gate.rs
+++ b/crates/domain/src/backend_server/slot_gate.rs
@@ -3,6 +3,9 @@
 //! The gate stands in the agent, which is the only way to the server, so its
 //! counts are exact where the engine's reports are late. Its queue is short:
 //! work that would wait long is refused and can be done elsewhere.
+//!
+//! Each class has slots that the other cannot take. Those of long work are left
+//! to it only while it asks, since long work comes seldom.
 
 use std::{
     sync::{
@@ -14,13 +17,18 @@
 
 use derive_more::{Display, Error};
 
-use crate::WorkClass;
+use tokio::time::Instant;
+
+use crate::{WorkClass, backend_server::AtomicTime};
 
 /// How a server's slots are shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlotLimits {
     /// Slots that long work may hold, in thousandths.
     pub long_milli: u32,
+    /// Slots that short work leaves to long work that asks for them, in
+    /// thousandths.
+    pub long_floor_milli: u32,
     /// Requests that may wait for each slot, in thousandths.
     pub queue_milli: u32,
 }
@@ -44,20 +52,25 @@
     slots: AtomicU32,
     held: AtomicU32,
     long: AtomicU32,
+    long_wanted_at: AtomicTime,
 }
 
 impl SlotGate {
+    /// Time that slots are left to long work after some was refused.
+    const WANTED_FOR: Duration = Duration::from_secs(1);
+
     /// Pause that a refused entry is asked to make.
     pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
     /// Gate of a server whose slots are not known yet; without limits it
     /// counts only.
-    pub const fn new(limits: Option<SlotLimits>) -> Self {
+    pub const fn new(limits: Option<SlotLimits>, now: Instant) -> Self {
         Self {
             limits,
             slots: AtomicU32::new(0),
             held: AtomicU32::new(0),
             long: AtomicU32::new(0),
+            long_wanted_at: AtomicTime::new(now),
         }
     }
 
@@ -77,36 +90,78 @@
     }
 
     /// Take new work in, or refuse it.
-    pub fn enter(self: &Arc<Self>, class: WorkClass) -> Result<SlotPermit, SlotRefusal> {
+    pub fn enter(
+        self: &Arc<Self>,
+        class: WorkClass,
+        now: Instant,
+    ) -> Result<SlotPermit, SlotRefusal> {
         let slots = self.slots();
         let (Some(limits), true) = (self.limits, slots > 0) else {
             return Ok(self.enter_always(class));
         };
-        let long_max = Self::share(slots, limits.long_milli).max(1);
+        let entered = match class {
+            WorkClass::Short => self.enter_short(limits, slots, now),
+            WorkClass::Long => self.enter_long(limits, slots),
+        };
+        if entered.is_err() && class == WorkClass::Long {
+            self.long_wanted_at.set(now);
+        }
+        entered
+    }
+
+    fn enter_short(
+        self: &Arc<Self>,
+        limits: SlotLimits,
+        slots: u32,
+        now: Instant,
+    ) -> Result<SlotPermit, SlotRefusal> {
         let queue_max = Self::share(slots, limits.queue_milli).max(1);
-        // Long work never waits here: it would hold short work's turn.
-        let total_max = match class {
-            WorkClass::Short => slots + queue_max,
-            WorkClass::Long => slots,
+        let long_floor = Self::share(slots, limits.long_floor_milli);
+        let long_missing = long_floor.saturating_sub(self.long.load(Ordering::Relaxed));
+        let is_wanted = self.long_wanted_at.age(now) < Self::WANTED_FOR;
+        // Work that waits would take the slot that is being left.
+        let held_max = if is_wanted && long_missing > 0 {
+            slots - long_missing.min(slots - 1)
+        } else {
+            slots + queue_max
         };
-        if class == WorkClass::Long && !Self::raise(&self.long, long_max) {
+        self.raise_held(WorkClass::Short, held_max)
+    }
+
+    fn enter_long(
+        self: &Arc<Self>,
+        limits: SlotLimits,
+        slots: u32,
+    ) -> Result<SlotPermit, SlotRefusal> {
+        let long_max = Self::share(slots, limits.long_milli).max(1);
+        if !Self::raise(&self.long, long_max) {
             return Err(SlotRefusal {
-                class,
+                class: WorkClass::Long,
                 held: long_max,
                 limit: long_max,
             });
         }
-        if !Self::raise(&self.held, total_max) {
-            if class == WorkClass::Long {
-                self.long.fetch_sub(1, Ordering::Relaxed);
-            }
-            return Err(SlotRefusal {
-                class,
-                held: total_max,
-                limit: total_max,
-            });
+        // Long work never waits here: it would hold short work's turn.
+        let entered = self.raise_held(WorkClass::Long, slots);
+        if entered.is_err() {
+            self.long.fetch_sub(1, Ordering::Relaxed);
         }
-        Ok(self.permit(class))
+        entered
+    }
+
+    fn raise_held(
+        self: &Arc<Self>,
+        class: WorkClass,
+        held_max: u32,
+    ) -> Result<SlotPermit, SlotRefusal> {
+        if Self::raise(&self.held, held_max) {
+            return Ok(self.permit(class));
+        }
+        Err(SlotRefusal {
+            class,
+            held: self.held(),
+            limit: held_max,
+        })
     }
 
     /// Take in work that was promised already, whatever the counts are.
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -123,9 +123,19 @@
             policy: read_policy(fields),
             slots: SlotLimits {
                 long_milli: milli(fields, "long_slots_milli", 1..=1_000, 500),
+                long_floor_milli: milli(fields, "long_floor_milli", 0..=1_000, 250),
                 queue_milli: milli(fields, "queue_milli", 0..=4_000, 500),
             },
         };
+        if settings.slots.long_floor_milli > settings.slots.long_milli {
+            fields.finding(
+                "long_floor_milli",
+                format!(
+                    "`long_floor_milli` must not be above `long_slots_milli` ({})",
+                    settings.slots.long_milli
+                ),
+            );
+        }
         if settings.listen == settings.control {
             fields.finding("control", "`control` is the address that `listen` takes");
         }
--- a/xtask/src/load_run.rs
+++ b/xtask/src/load_run.rs
@@ -158,7 +158,8 @@
     pub fn of(times: impl Iterator<Item = Duration>) -> Self {
         let mut histogram = Histogram::new(3).expect("three digits are supported");
         for time in times {
-            histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            histogram.record(micros).expect("the range grows as needed");
         }
         Self(histogram)
     }
