--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -78,7 +78,7 @@
             settings,
             metrics,
             calls: AtomicU32::new(0),
-            slots: Arc::new(SlotGate::new(limits)),
+            slots: Arc::new(SlotGate::new(limits, now)),
             notes: NoteHolder::default(),
             news,
             log_budget: Arc::new(LogBudget::new(LOG_BYTES_MAX)),
