--- a/crates/operator/src/status_command.rs
+++ b/crates/operator/src/status_command.rs
@@ -4,7 +4,10 @@
 //! the table says which calls are not settled. A process that does not answer
 //! is shown as silent; only a platform that does not answer is a failure.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use domain::{
     release_note::NoteState,
@@ -13,12 +16,9 @@
 use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, WrapErr};
-use platform::{StoreError, TableRow, TableStore, VmList};
+use platform::{NoteStore, ObjectStore, StoreError, TableRow, TableStore, VmList, known_entries};
 use serde_json::Value;
-use wire::{
-    note::{HEAD_KEY, StateMessage},
-    service_call::RecordMessage,
-};
+use wire::service_call::RecordMessage;
 
 use crate::{
     CommandResult,
@@ -40,8 +40,11 @@
 /// Time within which a process must show its state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Show the whole deployment.
-pub async fn show<P: TableStore + VmList>(
+/// Age after which an entry that has not announced itself is not shown.
+const ENTRY_AGE_MAX: Duration = Duration::from_secs(180);
+
+/// Show the whole deployment; `entries` are asked beside those announced.
+pub async fn show<P: TableStore + ObjectStore + VmList>(
     platform: &P,
     entries: &[SocketAddr],
     is_json: bool,
@@ -57,17 +60,19 @@
     Ok(())
 }
 
-async fn gather<P: TableStore + VmList>(
+async fn gather<P: TableStore + ObjectStore + VmList>(
     platform: &P,
     entries: &[SocketAddr],
 ) -> miette::Result<DeploymentReport> {
     let vms = platform.list().await.into_diagnostic()?;
-    let note = read_note(platform).await?;
+    let notes = NoteStore::new(platform.clone());
+    let (ledger, _) = notes.read().await.into_diagnostic()?;
+    let entries = all_entries(platform, entries).await.into_diagnostic()?;
     let (calls, is_calls_cut) = unsettled_calls(platform).await.into_diagnostic()?;
     let servers = ask_all(vms, |vm| vm.spec.addresses.stream).await;
-    let entries = ask_all(entries.to_vec(), |address| *address).await;
+    let entries = ask_all(entries, |address| *address).await;
     Ok(DeploymentReport {
-        note,
+        note: NoteState::clone(ledger.state()),
         entries,
         servers,
         calls,
@@ -75,13 +80,20 @@
     })
 }
 
-async fn read_note(table: &impl TableStore) -> miette::Result<NoteState> {
-    let rows = table.read(&[HEAD_KEY]).await.into_diagnostic()?;
-    let Some(row) = rows.first() else {
-        return Ok(NoteState::default());
-    };
-    let message: StateMessage = serde_json::from_str(&row.value).into_diagnostic()?;
-    Ok(message.into())
+/// Entries that were named and those that announce themselves in the table.
+async fn all_entries(
+    table: &impl TableStore,
+    named: &[SocketAddr],
+) -> Result<Vec<SocketAddr>, StoreError> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let after = now.unwrap_or_default().saturating_sub(ENTRY_AGE_MAX);
+    let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+    let announced = known_entries(table, after).await?;
+    let mut entries = named.to_vec();
+    entries.extend(announced.iter().map(|entry| entry.address));
+    entries.sort_unstable();
+    entries.dedup();
+    Ok(entries)
 }
 
 async fn ask_all<T>(
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,5 +17,5 @@
 pub use daemon_settings::DaemonSettings;
 pub use entry_settings::{EntrySettings, ServiceRoute};
 pub use finding::{Finding, FindingReport};
-pub use note_file::read_note;
+pub use note_file::{NoteFile, note_id, read_note};
 pub use port_probe::{BindProbe, PortProbe};
--- a/xtask/tests/control.rs
+++ b/xtask/tests/control.rs
@@ -65,8 +65,7 @@
 
 /// Run `status` and check that each line, or its beginning, is on the screen.
 fn check(deployment: &Deployment, expected: &[&str]) -> Result<()> {
-    let entry = deployment.entry(0).to_string();
-    let (status, text) = deployment.fleet.operator(&["status", "--entry", &entry])?;
+    let (status, text) = deployment.fleet.operator(&["status"])?;
     assert!(status.success(), "{text}");
     for part in expected {
         let is_shown = text.lines().any(|line| line.trim().starts_with(part));
