cargo xtask measure control: slopes of the system's own work

Resident memory, processor time, bytes and store work against servers, models, processes, changes, generations, tokens, requests, teams and control messages, each a least-squares line through at least four points; the last line is worked out at the users' design size.

--- a/xtask/src/measure/control_idle.rs
+++ b/xtask/src/measure/control_idle.rs
@@ -81,21 +81,30 @@
     })
 }
 
-/// Start an entry, let it settle and watch it; its bytes are those exchanged
-/// with the platform.
-async fn watch_entry(
-    fleet: &mut Fleet,
-    name: String,
-    servers: usize,
-) -> Result<(ProcessSpend, f64)> {
+/// What an entry without callers spends.
+struct EntrySpend {
+    /// Bytes until it knew all servers and the note.
+    start_bytes: f64,
+    /// Bytes a second from then on, with the platform.
+    bps: f64,
+    /// What the process spends.
+    process: ProcessSpend,
+}
+
+/// Start an entry, let it settle and watch it.
+async fn watch_entry(fleet: &mut Fleet, name: String, servers: usize) -> Result<EntrySpend> {
     let relay = ByteRelay::start(fleet.platform()).await?;
     let entry = idle_entry(fleet, name, relay.address)?;
     fleet.wait_until_ready(entry.address, servers).await?;
+    let start_bytes = relay.bytes();
     tokio::time::sleep(SETTLE).await;
     let before = relay.bytes();
     let spent = watch(&[&ProcReader::new(entry.pid())], WINDOW).await?;
-    let bytes = (relay.bytes() - before) / WINDOW.as_secs_f64();
-    Ok((spent[0], bytes))
+    Ok(EntrySpend {
+        start_bytes,
+        bps: (relay.bytes() - before) / WINDOW.as_secs_f64(),
+        process: spent[0],
+    })
 }
 
 async fn by_servers(book: &mut SlopeBook) -> Result<()> {
@@ -103,19 +112,22 @@
     fleet.publish(&note_of(0..6))?;
     let mut resident = Vec::new();
     let mut core = Vec::new();
-    let mut bytes = Vec::new();
+    let mut list_bytes = Vec::new();
+    let mut bps = Vec::new();
     for servers in SERVERS {
         fleet.set_vms(&absent_servers(servers)).await?;
         let name = format!("entry-servers-{servers}");
-        let (spent, rate) = watch_entry(&mut fleet, name, servers).await?;
+        let spent = watch_entry(&mut fleet, name, servers).await?;
         let x = servers as f64;
-        resident.push((x, spent.resident_bytes));
-        core.push((x, spent.core));
-        bytes.push((x, rate));
+        resident.push((x, spent.process.resident_bytes));
+        core.push((x, spent.process.core));
+        list_bytes.push((x, spent.start_bytes));
+        bps.push((x, spent.bps));
     }
     book.enter("entry_rss_bytes_per_server", resident);
     book.enter("entry_idle_core_per_server", core);
-    book.enter("entry_control_bps_per_server", bytes);
+    book.enter("entry_list_bytes_per_server", list_bytes);
+    book.enter("entry_platform_bps_per_server", bps);
     Ok(())
 }
 
@@ -124,16 +136,20 @@
     fleet.set_vms(&absent_servers(4)).await?;
     let mut published = 0;
     let mut resident = Vec::new();
-    let mut bytes = Vec::new();
+    let mut start_bytes = Vec::new();
+    let mut bps = Vec::new();
     for models in MODELS {
         fleet.publish(&note_of(published..models))?;
         published = models;
-        let (spent, rate) = watch_entry(&mut fleet, format!("entry-models-{models}"), 4).await?;
-        resident.push((models as f64, spent.resident_bytes));
-        bytes.push((models as f64, rate));
+        let spent = watch_entry(&mut fleet, format!("entry-models-{models}"), 4).await?;
+        let x = models as f64;
+        resident.push((x, spent.process.resident_bytes));
+        start_bytes.push((x, spent.start_bytes));
+        bps.push((x, spent.bps));
     }
     book.enter("entry_rss_bytes_per_model", resident);
-    book.enter("entry_control_bps_per_model", bytes);
+    book.enter("entry_start_bytes_per_model", start_bytes);
+    book.enter("entry_platform_bps_per_model", bps);
     Ok(())
 }
 
@@ -225,7 +241,7 @@
     }
     book.enter("agent_rss_bytes_per_process", resident);
     book.enter("agent_idle_core_per_process", core);
-    book.enter("agent_control_bps_per_process", bytes);
+    book.enter("agent_platform_bps_per_process", bytes);
     book.enter("store_reads_per_agent", reads);
     book.enter("store_writes_per_agent", writes);
     Ok(())
--- a/xtask/src/measure/control_load.rs
+++ b/xtask/src/measure/control_load.rs
@@ -36,7 +36,7 @@
 const GENERATIONS: [usize; 4] = [0, 40, 80, 160];
 
 /// Microseconds between two tokens, by point, and the generations then open.
-const TOKEN_GAPS_US: [u32; 4] = [800_000, 200_000, 100_000, 50_000];
+const TOKEN_GAPS_US: [u32; 4] = [500_000, 200_000, 100_000, 50_000];
 const TOKEN_GENERATIONS: usize = 60;
 
 /// Generations whose token logs grow, and looks at them.
@@ -53,6 +53,10 @@
 /// Teams, by point.
 const TEAMS: [usize; 4] = [10, 200, 500, 1_000];
 
+/// Looks at the bytes of control calls.
+const TELL_POINTS: usize = 5;
+const TELL_STEP: Duration = Duration::from_millis(1_500);
+
 /// Gap of an engine that hardly writes, so that heartbeats are all there is.
 const SLOW_GAP_US: u32 = 20_000_000;
 
@@ -61,6 +65,7 @@
 
 /// Measure all slopes of processes under load.
 pub async fn measure(book: &mut SlopeBook) -> Result<()> {
+    by_tells(book).await?;
     by_generations(book).await?;
     by_tokens(book).await?;
     by_log(book).await?;
@@ -73,6 +78,7 @@
 struct LoadSite {
     deployment: Deployment,
     relay: ByteRelay,
+    controls: Vec<ByteRelay>,
     entry: ProcReader,
     agent: ProcReader,
     service_agent: ProcReader,
@@ -102,6 +108,12 @@
             .map(|site| site.vm.clone())
             .collect();
         vms[0].stream = relay.address;
+        let mut controls = Vec::new();
+        for vm in &mut vms {
+            let control = ByteRelay::start(vm.control).await?;
+            vm.control = control.address;
+            controls.push(control);
+        }
         deployment.fleet.set_vms(&vms).await?;
         tokio::time::sleep(SETTLE).await;
         Ok(Self {
@@ -110,6 +122,7 @@
             service_agent: ProcReader::new(deployment.sites[1].agent.process.pid()),
             deployment,
             relay,
+            controls,
             callers: JoinSet::new(),
             received: Arc::default(),
         })
@@ -157,6 +170,19 @@
     }
 }
 
+/// Bytes of control calls by one entry without callers, as time goes on.
+async fn by_tells(book: &mut SlopeBook) -> Result<()> {
+    let site = LoadSite::start(SLOW_GAP_US).await?;
+    let mut bytes = Vec::new();
+    for point in 0..TELL_POINTS {
+        let sum = site.controls.iter().map(ByteRelay::bytes).sum();
+        bytes.push((point as f64 * TELL_STEP.as_secs_f64(), sum));
+        tokio::time::sleep(TELL_STEP).await;
+    }
+    book.enter("entry_tell_bytes_per_second", bytes);
+    Ok(())
+}
+
 async fn by_generations(book: &mut SlopeBook) -> Result<()> {
     let mut site = LoadSite::start(SLOW_GAP_US).await?;
     let mut entry_resident = Vec::new();
--- a/xtask/src/measure/design_size.rs
+++ b/xtask/src/measure/design_size.rs
@@ -29,6 +29,10 @@
 /// Changes of configuration a second.
 const CHANGES: f64 = 3_100.0 / 86_400.0;
 
+/// Seconds between two readings of a list of that many servers by an entry,
+/// by the rule of its refreshing task: 180 bytes a server, 1,500 bytes a second.
+const LIST_INTERVAL: f64 = AGENTS * 180.0 / 1_500.0;
+
 /// Bytes of a megabyte of memory.
 const MEGABYTE: f64 = 1024.0 * 1024.0;
 
@@ -178,7 +182,9 @@
         + MODELS * slope("entry_rss_bytes_per_model")?.max(0.0);
     let core = book.fit("entry_idle_core_per_server")?.at(AGENTS)
         + generations * slope("entry_silent_core_per_generation")?;
-    let bps = book.fit("entry_control_bps_per_server")?.at(AGENTS)
+    let bps = book.fit("entry_platform_bps_per_server")?.base
+        + book.fit("entry_list_bytes_per_server")?.at(AGENTS) / LIST_INTERVAL
+        + slope("entry_tell_bytes_per_second")?
         + generations * slope("stream_silent_bps_per_generation")?;
     let carried = TOKENS / ENTRIES * slope("entry_core_seconds_per_token")?
         + REQUESTS / ENTRIES * slope("entry_core_seconds_per_chat")?;
@@ -199,7 +205,8 @@
         + generations * slope("agent_rss_bytes_per_generation")?;
     let core = slope("agent_idle_core_per_process")?
         + generations * slope("agent_silent_core_per_generation")?;
-    let bps = slope("agent_control_bps_per_process")?
+    let bps = slope("agent_platform_bps_per_process")?
+        + slope("entry_tell_bytes_per_second")? * ENTRIES / AGENTS
         + generations * slope("stream_silent_bps_per_generation")?;
     let carried = TOKENS / AGENTS * slope("agent_core_seconds_per_token")?
         + REQUESTS / AGENTS * slope("agent_core_seconds_per_chat")?;
--- a/xtask/tests/control.rs
+++ b/xtask/tests/control.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use serde_json::Value;
 use telemetry::MetricDescription;
-use xtask::{CallerClient, Deployment, DeploymentPlan};
+use xtask::{CallerClient, Deployment, DeploymentPlan, measure::slope_fit::SlopeFit};
 
 /// Endings of names that tell the unit, or that a count rises only.
 const UNITS: [&str; 5] = ["_total", "_seconds", "_bytes", "_ratio", "_version"];
@@ -147,3 +147,18 @@
     assert!(helped > 0 && helped == text.matches("# TYPE ").count());
     Ok(())
 }
+
+/// Check slope, base and spread of the line through points.
+fn check_fit(points: &[(f64, f64)], expected: [f64; 3]) {
+    let fit = SlopeFit::new(points.to_vec());
+    for (found, expected) in [fit.slope, fit.base, fit.spread].iter().zip(expected) {
+        assert!((found - expected).abs() < 1e-9, "{fit:?}");
+    }
+}
+
+#[rstest]
+#[case::exact(&[(0.0, 1.0), (1.0, 3.0), (2.0, 5.0), (4.0, 9.0)], [2.0, 1.0, 0.0])]
+#[case::flat(&[(0.0, 1.0), (1.0, 3.0), (2.0, 3.0), (3.0, 1.0)], [0.0, 2.0, 1.0])]
+fn line_is_fitted(#[case] points: &[(f64, f64)], #[case] expected: [f64; 3]) {
+    check_fit(points, expected);
+}
