status names servers that hang beside a living agent

Cause: in a trial of the operators' page with a paused engine, status showed nothing wrong, since the agent answers; only its dump told of the silence.

--- a/crates/operator/src/deployment_report.rs
+++ b/crates/operator/src/deployment_report.rs
@@ -6,6 +6,10 @@
 use platform::VmEntry;
 use serde_json::{Value, json};
 
+/// Silence of a server, in milliseconds, after which it is shown as stuck; its
+/// agent asks it four times a second.
+const SERVER_SILENCE_MS: u64 = 1_000;
+
 /// A process of the list and the state that it told, if it answered.
 #[derive(Clone, Debug)]
 pub struct ProcessView<T> {
@@ -46,6 +50,7 @@
 struct PoolCounts {
     servers: u64,
     silent: u64,
+    stuck: u64,
     leaving: u64,
     generations: u64,
     calls: u64,
@@ -76,6 +81,11 @@
     fn is_leaving(&self) -> bool {
         self.process.leaving || self.flag("leaving")
     }
+
+    /// Whether the agent answers but its server gives no sign of life.
+    fn is_stuck(&self) -> bool {
+        self.number("server_silence_ms") > SERVER_SILENCE_MS
+    }
 }
 
 impl DeploymentReport {
@@ -113,6 +123,7 @@
             let counts = pools.entry(key).or_default();
             counts.servers += 1;
             counts.silent += u64::from(view.state.is_none());
+            counts.stuck += u64::from(view.is_stuck());
             counts.leaving += u64::from(view.is_leaving());
             counts.generations += view.number("generations");
             counts.calls += view.number("calls");
@@ -155,8 +166,13 @@
         for ((pool, domain), counts) in self.pools() {
             writeln!(
                 f,
-                "  {pool:<16} {domain:<14} servers {:<4} silent {:<3} leaving {:<3} generations {:<5} calls {}",
-                counts.servers, counts.silent, counts.leaving, counts.generations, counts.calls,
+                "  {pool:<16} {domain:<14} servers {:<4} silent {:<3} stuck {:<3} leaving {:<3} generations {:<5} calls {}",
+                counts.servers,
+                counts.silent,
+                counts.stuck,
+                counts.leaving,
+                counts.generations,
+                counts.calls,
             )?;
         }
         for view in self.servers.iter().filter(|view| view.is_leaving()) {
@@ -170,6 +186,15 @@
                 view.number("calls"),
             )?;
         }
+        for view in self.servers.iter().filter(|view| view.is_stuck()) {
+            let spec = &view.process.spec;
+            let silence = view.number("server_silence_ms");
+            writeln!(
+                f,
+                "  stuck: {} in {}, no sign of life for {silence} ms",
+                spec.name, spec.domain
+            )?;
+        }
         for view in self.servers.iter().filter(|view| view.state.is_none()) {
             let spec = &view.process.spec;
             let address = spec.addresses.stream;
--- a/xtask/tests/control.rs
+++ b/xtask/tests/control.rs
@@ -1,10 +1,11 @@
 //! What operators see: one screen, and the same names everywhere.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use agent::AgentMetrics;
 use entry::EntryMetrics;
 use miette::{IntoDiagnostic, Result};
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::Value;
 use telemetry::MetricDescription;
@@ -84,8 +85,8 @@
             "plantain-writer 3 in writer-pool",
             "entries: 1",
             "servers: 3",
-            "ledger-app       goma-shed      servers 1    silent 0   leaving 0",
-            "writer-pool      bukavu-shed    servers 1    silent 0   leaving 1",
+            "ledger-app       goma-shed      servers 1    silent 0   stuck 0   leaving 0",
+            "writer-pool      bukavu-shed    servers 1    silent 0   stuck 0   leaving 1",
             "leaving: writer-1 in bukavu-shed, 0 generations and 0 calls in flight",
             "unsettled calls: 0",
         ],
@@ -94,6 +95,24 @@
     check(&deployment, &["silent: writer-0 in goma-shed"])
 }
 
+/// An engine that hangs while its agent goes on is named.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_names_a_stuck_server() -> Result<()> {
+    let deployment = stopped().await?;
+    let site = &deployment.sites[0];
+    site.server.signal(Signal::SIGSTOP);
+    let mut silence = 0;
+    while silence <= 1_000 {
+        let state: Value = deployment
+            .fleet
+            .read(site.agent.vm.stream, "/state")
+            .await?;
+        silence = state["server_silence_ms"].as_u64().unwrap_or(0);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    check(&deployment, &["stuck: writer-0 in goma-shed, no sign"])
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn status_as_json_has_the_states() -> Result<()> {
     let deployment = stopped().await?;
