--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,7 +7,10 @@
 
 mod agent_metrics;
 mod agent_state;
+mod call_registry;
+mod call_rows;
 mod call_runner;
+mod call_settler;
 mod control_front;
 mod engine_client;
 mod generation_registry;
@@ -16,11 +19,13 @@
 mod note_front;
 mod note_keeper;
 mod server_watch;
+mod service_client;
 mod state_dump;
 mod stream_front;
 
 pub use agent_metrics::AgentMetrics;
 pub use agent_state::AgentState;
+pub use call_settler::CallSettler;
 pub use control_front::{ControlFront, serve_control};
 pub use note_keeper::NoteKeeper;
 pub use server_watch::watch_server;
--- a/crates/agent/src/note_keeper.rs
+++ b/crates/agent/src/note_keeper.rs
@@ -88,7 +88,7 @@
 impl AgentState {
     /// Take in what an entry told.
     pub fn hear_news(&self, news: NewsMessage) {
-        self.notes.hear(&news, self.epoch, Instant::now());
+        self.notes.hear(&news, self.owner.epoch, Instant::now());
         // A full channel holds news enough.
         let _ = self.news.try_send(news);
     }
@@ -161,7 +161,7 @@
                 if let Some(news) = update.news() {
                     self.state
                         .notes
-                        .hear(&news, self.state.epoch, self.answered_at);
+                        .hear(&news, self.state.owner.epoch, self.answered_at);
                 }
                 if let Some(next) = update.follow(&ledger) {
                     self.state.notes.take(next);
@@ -200,7 +200,7 @@
             version: record.version.0,
             stop: order.map(StopNews::from),
         };
-        self.state.notes.heed(&order, self.state.epoch);
+        self.state.notes.heed(&order, self.state.owner.epoch);
         if self.entries.is_empty() {
             let entries = known_entries(&self.platform, 0).await?;
             let addresses = entries.iter().map(|entry| entry.address);
--- a/crates/agent/src/server_watch.rs
+++ b/crates/agent/src/server_watch.rs
@@ -8,7 +8,7 @@
 use crate::AgentState;
 
 /// Time between two questions to the server.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Ask the server for a sign of life, for as long as the process runs.
 pub async fn watch_server(state: Arc<AgentState>) {
@@ -17,7 +17,13 @@
     loop {
         ticks.tick().await;
         let is_alive = match state.settings.kind {
-            ServerKind::Engine => state.engine.load().await.is_ok(),
+            ServerKind::Engine => match state.engine.load().await {
+                Ok(load) => {
+                    state.slots.set_slots(load.slots);
+                    true
+                }
+                Err(_) => false,
+            },
             ServerKind::Service => is_listening(&state).await,
         };
         if is_alive {
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -10,14 +10,15 @@
     backend_server::ServerSet,
     generation_stream::{RelayLimits, SilenceRule},
     release_note::NoteState,
-    team_budget::AdmissionGate,
+    team_budget::{AdmissionGate, RetryBudget},
 };
 use exchange::HttpExchange;
 use settings::EntrySettings;
+use tokio::time::Instant;
 
 use crate::{
-    agent_links::AgentLinks, entry_metrics::EntryMetrics, note_watch::NoteWatch,
-    server_membership::ServerMembership,
+    agent_links::AgentLinks, entry_metrics::EntryMetrics, load_policy::ProcessPolicy,
+    note_watch::NoteWatch, server_membership::ServerMembership,
 };
 
 /// State of the process; requests read it without a lock.
@@ -31,6 +32,8 @@
     pub(crate) notes: NoteWatch,
     pub(crate) membership: ServerMembership,
     pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) policy: ProcessPolicy,
+    pub(crate) call_retries: RetryBudget,
     pub(crate) links: AgentLinks,
     /// One new connection for each stream, so that silence of one tells
     /// nothing about another.
@@ -44,13 +47,17 @@
 impl<P> EntryState<P> {
     /// State at the start of a process.
     pub fn new(settings: EntrySettings, platform: P) -> Self {
-        let servers = ServerSet::new(&settings.servers, &ServerSet::default());
+        let now = Instant::now();
+        let servers = ServerSet::new(&settings.servers, &ServerSet::default(), now);
+        let servers = servers.narrowed(&settings.name);
         Self {
             servers: ArcSwap::from_pointee(servers),
             note: ArcSwap::from_pointee(NoteState::default()),
             notes: NoteWatch::default(),
             membership: ServerMembership::default(),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
+            policy: ProcessPolicy::new(settings.policy, now),
+            call_retries: ProcessPolicy::call_retries(),
             links: AgentLinks::default(),
             streams: HttpExchange::fresh(),
             silence: SilenceRule::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod chat_front;
 mod entry_metrics;
 mod entry_state;
+mod load_policy;
 mod note_front;
 mod note_watch;
 mod problem_reply;
--- a/crates/exchange/src/http_exchange.rs
+++ b/crates/exchange/src/http_exchange.rs
@@ -3,7 +3,7 @@
 use std::{error::Error as _, io, time::Duration};
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
+use derive_more::Display;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
@@ -18,7 +18,7 @@
 use crate::{EventStream, ExchangeCall};
 
 /// Failure of a call.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, derive_more::Error)]
 pub enum ExchangeError {
     /// No connection was made: proof that nothing was sent.
     #[display("no connection: {reason}")]
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -9,6 +9,7 @@
 use crate::{
     CommandResult, dump_command,
     note_command::{self, NoteSource},
+    requests_command::{self, RequestQuery},
     spread_watch::wait_until_in_force,
     status_command,
     vm_command::{self, StopRequest},
@@ -34,6 +35,7 @@
         .subcommand(note_commands())
         .subcommand(vm_commands())
         .subcommand(status_command_line())
+        .subcommand(requests_command_line())
         .subcommand(
             Command::new("dump")
                 .about("Print the state of one process as JSON")
@@ -159,12 +161,33 @@
                 .value_parser(value_parser!(SocketAddr))
                 .action(ArgAction::Append),
         )
+        .arg(json_arg("Print JSON, with the whole state of each process"))
+}
+
+fn requests_command_line() -> Command {
+    Command::new("requests")
+        .about("List the teams' requests whose outcome is unknown")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .help("Team whose requests are listed; all unless given"),
+        )
         .arg(
-            Arg::new("json")
-                .long("json")
-                .help("Print JSON, with the whole state of each process")
-                .action(ArgAction::SetTrue),
+            Arg::new("state")
+                .long("state")
+                .help("State of the requests that are listed")
+                .value_parser(["unknown"])
+                .default_value("unknown"),
         )
+        .arg(json_arg("Print JSON"))
+}
+
+fn json_arg(help: &'static str) -> Arg {
+    Arg::new("json")
+        .long("json")
+        .help(help)
+        .action(ArgAction::SetTrue)
 }
 
 fn platform_arg() -> Arg {
@@ -196,6 +219,13 @@
             let is_json = matches.get_flag("json");
             status_command::show(&platform_of(matches), &entries, is_json).await
         }
+        Some(("requests", matches)) => {
+            let query = RequestQuery {
+                team: matches.get_one::<String>("team").map(String::as_str),
+                is_json: matches.get_flag("json"),
+            };
+            requests_command::list(&platform_of(matches), query).await
+        }
         Some(("dump", matches)) => {
             let address = matches.get_one::<SocketAddr>("address");
             dump_command::dump(address.copied().expect("the argument is required")).await
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -5,11 +5,14 @@
 //! bounds come from the targets, not from what was measured before.
 
 mod byte_relay;
+mod calls;
 mod control;
 mod control_idle;
 mod control_load;
 mod design_size;
+mod load;
 mod proc_reader;
+mod resume;
 mod slope_book;
 pub mod slope_fit;
 
@@ -37,7 +40,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 1] = ["control"];
+pub const NAMES: [&str; 4] = ["calls", "control", "load", "resume"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -57,6 +60,9 @@
 
 async fn measure(name: &str, options: MeasureOptions) -> Result<MeasureReport> {
     match name {
+        "load" => load::run(options).await,
+        "calls" => calls::measure(options).await,
+        "resume" => resume::measure(options).await,
         "control" => control::measure(options).await,
         _ => Err(miette!("no measurement `{name}`")),
     }
