--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -157,7 +157,7 @@
             Arg::new("entry")
                 .long("entry")
                 .value_name("IP:PORT")
-                .help("An entry to ask; may be given more than once")
+                .help("An entry to ask beside those that announce themselves; may be given more than once")
                 .value_parser(value_parser!(SocketAddr))
                 .action(ArgAction::Append),
         )
