Leases and orders under them, the gate at the agent, and `measure notes`

Cause: nobody carried out what a note asks of engines, no process checked an order's number, and nothing measured the spreading of notes.

Change: one lease a pool, taken only after it stood unchanged for a term on the taker's clock and valid from before its request was sent. The holder walks the pool and gives the orders that the note in force asks for, with the lease checked right before each. The agent's gate passes one order at a time, none below the highest number that it read from the store. Entries that the store does not answer ask other entries; an agent is told of stops only what it does not know. The fault proxy counts bytes by link.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -12,12 +12,22 @@
 
 use crate::{
     agent_metrics::AgentMetrics,
+    duty_holder::HeldLease,
     engine_client::EngineClient,
     generation_registry::GenerationRegistry,
     intent_log::IntentLog,
     note_keeper::{NEWS_MAX, NoteHolder},
+    order_gate::{OrderJob, order_channel},
 };
 
+/// What the tasks of an agent hear.
+pub struct AgentInbox {
+    /// What entries tell.
+    pub news: mpsc::Receiver<NewsMessage>,
+    /// Orders to the server.
+    pub orders: mpsc::Receiver<OrderJob>,
+}
+
 /// State of the process; requests read it without a lock.
 pub struct AgentState {
     /// Settings of the process.
@@ -32,20 +42,23 @@
     pub(crate) calls: AtomicU32,
     pub(crate) notes: NoteHolder,
     pub(crate) news: mpsc::Sender<NewsMessage>,
+    pub(crate) orders: mpsc::Sender<OrderJob>,
+    pub(crate) lease: HeldLease,
     leaving: AtomicBool,
     started_at: Instant,
     last_sign_ms: AtomicU64,
 }
 
 impl AgentState {
-    /// State at the start of a process, and the news that it will hear.
+    /// State at the start of a process, and what its tasks will hear.
     pub fn new<T: TableStore>(
         settings: AgentSettings,
         table: T,
         epoch: u64,
         now: Instant,
-    ) -> (Self, mpsc::Receiver<NewsMessage>) {
-        let (news, heard) = mpsc::channel(NEWS_MAX);
+    ) -> (Self, AgentInbox) {
+        let (news, news_heard) = mpsc::channel(NEWS_MAX);
+        let (orders, orders_heard) = order_channel();
         let metrics = AgentMetrics::new();
         let state = Self {
             engine: EngineClient::new(settings.server),
@@ -57,11 +70,17 @@
             calls: AtomicU32::new(0),
             notes: NoteHolder::default(),
             news,
+            orders,
+            lease: HeldLease::default(),
             leaving: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
         };
-        (state, heard)
+        let inbox = AgentInbox {
+            news: news_heard,
+            orders: orders_heard,
+        };
+        (state, inbox)
     }
 
     /// Whether the server takes no new work.
--- a/crates/agent/src/control_front.rs
+++ b/crates/agent/src/control_front.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use wire::{
     agent_control::{AgentControlServer, NewsMessage, OrderNews, ServerReport},
+    lease::{LoadedReport, OrderMessage, OrderReply},
     service_call::{CallMessage, CallReply},
 };
 
@@ -79,6 +80,18 @@
         Ok(self.report())
     }
 
+    async fn loaded(&self) -> RpcResult<LoadedReport> {
+        let load = self.state.engine.load().await;
+        Ok(LoadedReport {
+            loaded: load.ok().map(|load| load.loaded),
+            generations: self.report().generations,
+        })
+    }
+
+    async fn order(&self, order: OrderMessage) -> RpcResult<OrderReply> {
+        Ok(self.state.pass_order(order).await)
+    }
+
     async fn probe(&self) -> RpcResult<ServerReport> {
         Ok(self.report())
     }
--- a/crates/agent/src/engine_client.rs
+++ b/crates/agent/src/engine_client.rs
@@ -4,8 +4,10 @@
 
 use domain::{AttemptNumber, GenerationId, WorkClass};
 use exchange::{EventStream, ExchangeCall, ExchangeError, HttpExchange};
+use http::StatusCode;
 use wire::{
-    engine::{EngineCancel, EngineLoad, EngineRequest},
+    engine::{EngineCancel, EngineLoad, EngineOrder, EngineRequest},
+    lease::{OrderMessage, OrderReply},
     stream::OpenMessage,
 };
 
@@ -15,6 +17,9 @@
 /// Time within which an engine answers small questions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time within which an engine takes an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Client of one engine.
 #[derive(Clone)]
 pub struct EngineClient {
@@ -70,6 +75,22 @@
         }
     }
 
+    /// Have the engine carry out an order that has passed the gate.
+    pub async fn order(&self, order: &OrderMessage) -> OrderReply {
+        let order = EngineOrder {
+            fencing: order.fencing,
+            kind: order.kind.clone(),
+        };
+        let call = ExchangeCall::post(self.address, "/v1/orders")
+            .json(&order)
+            .timeout(ORDER_TIMEOUT);
+        match self.questions.send(call).await {
+            Ok(reply) if reply.status.is_success() => OrderReply::Done,
+            Ok(reply) if reply.status == StatusCode::CONFLICT => OrderReply::TooOld,
+            Ok(_) | Err(_) => OrderReply::Failed,
+        }
+    }
+
     /// Load as the engine reports it.
     pub async fn load(&self) -> Result<EngineLoad, ExchangeError> {
         let call = ExchangeCall::get(self.address, "/v1/load").timeout(ASK_TIMEOUT);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,7 +6,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use agent::{AgentState, NoteKeeper, serve_control, serve_streams, watch_server};
+use agent::{
+    AgentState, DutyHolder, NoteKeeper, OrderGate, serve_control, serve_streams, watch_server,
+};
 use miette::{IntoDiagnostic, Report, WrapErr};
 use platform::HttpPlatform;
 use settings::AgentSettings;
@@ -65,9 +67,12 @@
         .as_millis();
     let epoch = u64::try_from(epoch).into_diagnostic()?;
     let now = Instant::now();
-    let (state, news) = AgentState::new(settings, table.clone(), epoch, now);
+    let (state, inbox) = AgentState::new(settings, table.clone(), epoch, now);
     let state = Arc::new(state);
-    tokio::spawn(NoteKeeper::new(Arc::clone(&state), table, now).run(news));
+    let keeper = NoteKeeper::new(Arc::clone(&state), table.clone(), now);
+    tokio::spawn(keeper.run(inbox.news));
+    tokio::spawn(OrderGate::new(Arc::clone(&state), table.clone()).run(inbox.orders));
+    tokio::spawn(DutyHolder::new(Arc::clone(&state), table).run());
     tokio::spawn(watch_server(Arc::clone(&state)));
     let control = serve_control(&state)
         .await
--- a/crates/agent/src/note_keeper.rs
+++ b/crates/agent/src/note_keeper.rs
@@ -49,6 +49,10 @@
         self.evidence.load().is_leaving(now)
     }
 
+    fn order_version(&self) -> OrderVersion {
+        self.evidence.load().order_version()
+    }
+
     /// Take in the recorded stop of the server.
     pub fn heed(&self, order: &OrderNews, epoch: u64) {
         let is_leaving = order.stop.is_some_and(|stop| holds_for(&stop, epoch));
@@ -155,7 +159,9 @@
     async fn ask_entry(&mut self, entry: SocketAddr) {
         let ledger = self.state.notes.ledger();
         let server = self.state.settings.name.as_str();
-        match self.peer.pull(entry, ledger.version(), server).await {
+        let orders = self.state.notes.order_version();
+        let pulled = self.peer.pull_for(entry, ledger.version(), server, orders);
+        match pulled.await {
             Ok(update) => {
                 self.answered_at = Instant::now();
                 if let Some(news) = update.news() {
--- a/crates/agent/src/state_dump.rs
+++ b/crates/agent/src/state_dump.rs
@@ -23,6 +23,7 @@
         "failure_domain": state.settings.domain.as_str(),
         "epoch": state.epoch,
         "note_version": state.notes.ledger().version().0,
+        "lease": state.lease.fencing(now).map(|fencing| json!({ "fencing": fencing.0 })),
         "leaving": state.is_leaving(),
         "server_silence_ms": u64::try_from(silence).unwrap_or(u64::MAX),
         "generations": generations,
--- a/crates/domain/src/vm_membership/leave_evidence.rs
+++ b/crates/domain/src/vm_membership/leave_evidence.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Version of the recorded orders that were taken in.
+    pub fn order_version(&self) -> OrderVersion {
+        self.ordered
+            .map_or_else(OrderVersion::default, |(version, _)| version)
+    }
+
     /// Take in the word of the VM's own agent.
     pub const fn observe_report(&mut self, is_leaving: bool) {
         self.reported = is_leaving;
--- a/crates/entry/src/note_front.rs
+++ b/crates/entry/src/note_front.rs
@@ -24,6 +24,10 @@
     let ledger = state.notes.ledger();
     let update = ledger.since(NoteVersion(query.after));
     let mut message = UpdateMessage::new(ledger.version(), &update);
-    message.news = (!query.server.is_empty()).then(|| state.news_for(&query.server));
+    if !query.server.is_empty() {
+        let news = state.news_for(&query.server);
+        let is_new = news.order.version > query.orders || news.is_listed_leaving;
+        message.news = is_new.then_some(news);
+    }
     Json(message).into_response()
 }
--- a/crates/entry/src/note_watch.rs
+++ b/crates/entry/src/note_watch.rs
@@ -3,10 +3,11 @@
 //! Two tasks bring notes, one from the store and one from peers, so the ledger
 //! is replaced by read-copy-update: whichever is newer stays.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
 use domain::release_note::NoteLedger;
+use platform::NotePeer;
 
 use crate::EntryState;
 
@@ -33,6 +34,19 @@
 }
 
 impl<P> EntryState<P> {
+    /// Ask a peer for what this entry lacks.
+    pub async fn pull_notes(&self, peer: &NotePeer, address: SocketAddr) {
+        let ledger = self.notes.ledger();
+        match peer.pull(address, ledger.version()).await {
+            Ok(update) => {
+                if let Some(next) = update.follow(&ledger) {
+                    self.take_notes(next);
+                }
+            }
+            Err(error) => log::debug!("no notes from {address}: {error}"),
+        }
+    }
+
     /// Put a ledger in force unless a newer one is.
     pub fn take_notes(&self, next: NoteLedger) {
         let next = Arc::new(next);
--- a/crates/entry/src/refresh_task.rs
+++ b/crates/entry/src/refresh_task.rs
@@ -5,15 +5,17 @@
 //! Agents hear from entries, and entries from one another through agents.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use domain::backend_server::{ServerSet, ServerSpec};
 use platform::{
-    NoteHead, NoteStore, NoteStoreError, ObjectStore, StopStore, StoreError, TableStore, VmList,
-    announce_entry, known_entries, order_head, retire_entry,
+    NoteHead, NotePeer, NoteStore, NoteStoreError, ObjectStore, StopStore, StoreError, TableStore,
+    VmList, announce_entry, known_entries, list_interval, order_head, retire_entry,
 };
+use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 use wire::{
     note::HEAD_KEY,
@@ -25,15 +27,6 @@
 /// Readings of the head that all entries together send a second.
 const HEAD_READS_PER_SECOND: u32 = 150;
 
-/// Bytes of the platform's list that an entry reads a second, on average.
-const LIST_BYTES_PER_SECOND: u32 = 1_500;
-
-/// Bytes of one VM in the platform's list.
-const LIST_ENTRY_BYTES: u32 = 180;
-
-/// VMs up to which the list is small and read at every turn.
-const LIST_SMALL: usize = 64;
-
 /// Time between two announcements of an entry.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -67,14 +60,6 @@
     }
 }
 
-fn list_interval(refresh: Duration, known: usize) -> Duration {
-    if known <= LIST_SMALL {
-        return refresh;
-    }
-    let bytes = LIST_ENTRY_BYTES * u32::try_from(known).unwrap_or(u32::MAX);
-    refresh.max(Duration::from_secs(1) * bytes / LIST_BYTES_PER_SECOND)
-}
-
 async fn read_list<P: VmList>(state: &EntryState<P>) -> Result<(), StoreError> {
     let entries = state.platform.list().await?;
     let previous = state.servers.load();
@@ -86,15 +71,17 @@
     Ok(())
 }
 
-/// Poll the two head rows with one read, and read on where they have risen.
+/// Poll the two head rows with one read, and read on where they have risen;
+/// while the store gives no answer, ask other entries.
 async fn watch_heads<P: TableStore + ObjectStore>(state: &EntryState<P>) {
-    let mut entries = 1;
+    let peer = NotePeer::default();
+    let mut entries: Vec<SocketAddr> = Vec::new();
     let mut announced_at: Option<Instant> = None;
     loop {
         if announced_at.is_none_or(|at| at.elapsed() >= ANNOUNCE_INTERVAL) {
             match announce(state).await {
-                Ok(count) => {
-                    entries = count;
+                Ok(known) => {
+                    entries = known;
                     announced_at = Some(Instant::now());
                 }
                 Err(error) => log::warn!("entry not announced: {error}"),
@@ -102,17 +89,23 @@
         }
         if let Err(error) = read_heads(state).await {
             log::warn!("release note not read: {error}");
+            let other = entries.choose(&mut rand::rng()).copied();
+            if let Some(other) = other {
+                state.pull_notes(&peer, other).await;
+            }
         }
-        let interval = head_interval(state.settings.refresh, entries);
+        let interval = head_interval(state.settings.refresh, entries.len());
         tokio::time::sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
-fn head_interval(refresh: Duration, entries: u32) -> Duration {
+fn head_interval(refresh: Duration, others: usize) -> Duration {
+    let entries = u32::try_from(others + 1).unwrap_or(u32::MAX);
     refresh.max(Duration::from_secs(1) * entries / HEAD_READS_PER_SECOND)
 }
 
-async fn announce<P: TableStore>(state: &EntryState<P>) -> Result<u32, StoreError> {
+/// Make this entry known; returns the others.
+async fn announce<P: TableStore>(state: &EntryState<P>) -> Result<Vec<SocketAddr>, StoreError> {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -124,7 +117,10 @@
     announce_entry(&state.platform, &state.settings.name, entry).await?;
     let after = millis(now.saturating_sub(ENTRY_AGE_MAX));
     let entries = known_entries(&state.platform, after).await?;
-    Ok(u32::try_from(entries.len()).unwrap_or(u32::MAX).max(1))
+    let addresses = entries.iter().map(|entry| entry.address);
+    Ok(addresses
+        .filter(|&address| address != entry.address)
+        .collect())
 }
 
 async fn read_heads<P: TableStore + ObjectStore>(
--- a/crates/entry/src/tell_task.rs
+++ b/crates/entry/src/tell_task.rs
@@ -41,7 +41,7 @@
             };
             state.hear_agent(&target.server, report.leaving);
             if NoteVersion(report.note_version) > state.notes.ledger().version() {
-                pull(state, &peer, target.stream).await;
+                state.pull_notes(&peer, target.stream).await;
             }
         }
     }
@@ -67,15 +67,3 @@
     let told = tokio::time::timeout(TELL_TIMEOUT, client.tell(news)).await;
     told.ok()?.ok()
 }
-
-async fn pull<P>(state: &EntryState<P>, peer: &NotePeer, address: SocketAddr) {
-    let ledger = state.notes.ledger();
-    match peer.pull(address, ledger.version(), "").await {
-        Ok(update) => {
-            if let Some(next) = update.follow(&ledger) {
-                state.take_notes(next);
-            }
-        }
-        Err(error) => log::debug!("no notes from {address}: {error}"),
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! it by reading and not by writing again.
 
 mod http_platform;
+mod lease_store;
 mod note_peer;
 mod note_store;
 mod object_store;
@@ -14,6 +15,7 @@
 mod vm_list;
 
 pub use http_platform::HttpPlatform;
+pub use lease_store::{ClaimOutcome, LeaseRow, LeaseStore};
 pub use note_peer::{NotePeer, PeerUpdate};
 pub use note_store::{NoteHead, NoteStore, NoteStoreError, PublishOutcome, SNAPSHOT_EVERY};
 pub use object_store::ObjectStore;
@@ -23,4 +25,4 @@
 pub use table_store::{
     StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition,
 };
-pub use vm_list::{VmEntry, VmList};
+pub use vm_list::{VmEntry, VmList, list_interval};
--- a/crates/platform/src/note_peer.rs
+++ b/crates/platform/src/note_peer.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use domain::{
-    NoteVersion,
+    NoteVersion, OrderVersion,
     release_note::{AcceptedNote, NoteLedger},
 };
 use exchange::{ExchangeCall, ExchangeError, HttpExchange};
@@ -33,16 +33,31 @@
 }
 
 impl NotePeer {
-    /// Ask a peer for what follows on `version`, and for what it knows of the
-    /// stopping of `server`.
+    /// Ask a peer for the notes that follow on `version`.
     pub async fn pull(
         &self,
         peer: SocketAddr,
         version: NoteVersion,
+    ) -> Result<PeerUpdate, ExchangeError> {
+        self.ask(peer, &format!("{NOTE_PATH}?after={version}"))
+            .await
+    }
+
+    /// Ask an entry for notes, and for what it knows of the stopping of
+    /// `server` beyond the stops at version `orders`.
+    pub async fn pull_for(
+        &self,
+        entry: SocketAddr,
+        version: NoteVersion,
         server: &str,
+        orders: OrderVersion,
     ) -> Result<PeerUpdate, ExchangeError> {
-        let path = format!("{NOTE_PATH}?after={version}&server={server}");
-        let call = ExchangeCall::get(peer, &path).timeout(PEER_TIMEOUT);
+        let path = format!("{NOTE_PATH}?after={version}&server={server}&orders={orders}");
+        self.ask(entry, &path).await
+    }
+
+    async fn ask(&self, peer: SocketAddr, path: &str) -> Result<PeerUpdate, ExchangeError> {
+        let call = ExchangeCall::get(peer, path).timeout(PEER_TIMEOUT);
         let message: UpdateMessage = self.exchange.send(call).await?.json()?;
         Ok(PeerUpdate { message })
     }
--- a/crates/stand-ins/src/fault_proxy.rs
+++ b/crates/stand-ins/src/fault_proxy.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -19,7 +22,11 @@
 };
 use volo_http::{
     error::BoxError,
-    server::{Router, extract::Json, route::post},
+    server::{
+        Router,
+        extract::Json,
+        route::{get, post},
+    },
     utils::Extension,
 };
 
@@ -71,6 +78,13 @@
     pub mode: LinkMode,
 }
 
+/// Bytes that links have passed on, read by `GET /links`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LinkCounts {
+    /// Bytes in both directions, by where a link listens.
+    pub bytes: BTreeMap<SocketAddr, u64>,
+}
+
 /// A mode and how often it was set.
 #[derive(Clone, Copy, Debug, Default)]
 struct ModeState {
@@ -81,13 +95,26 @@
     changes: u64,
 }
 
+struct ProxyLink {
+    modes: watch::Sender<ModeState>,
+    bytes: Arc<AtomicU64>,
+}
+
+/// A link as its connections see it.
+#[derive(Clone)]
+struct LinkView {
+    target: SocketAddr,
+    modes: watch::Receiver<ModeState>,
+    bytes: Arc<AtomicU64>,
+}
+
 #[derive(Default)]
 struct ProxyState {
-    links: Mutex<BTreeMap<SocketAddr, watch::Sender<ModeState>>>,
+    links: Mutex<BTreeMap<SocketAddr, ProxyLink>>,
 }
 
 impl ProxyState {
-    fn links(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, watch::Sender<ModeState>>> {
+    fn links(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, ProxyLink>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -95,7 +122,7 @@
 /// Run links until the process is stopped.
 pub async fn run_proxies(control: SocketAddr) -> Result<(), BoxError> {
     let router = Router::new()
-        .route("/links", post(add_link))
+        .route("/links", get(show_counts).post(add_link))
         .route("/mode", post(set_mode))
         .layer(Extension(Arc::new(ProxyState::default())));
     serve(router, control).await
@@ -108,21 +135,39 @@
     let Ok(listener) = TcpListener::bind(link.listen).await else {
         return StatusCode::CONFLICT;
     };
-    let (sender, receiver) = watch::channel(ModeState::default());
-    state.links().insert(link.listen, sender);
-    tokio::spawn(accept(listener, link.target, receiver));
+    let (modes, receiver) = watch::channel(ModeState::default());
+    let bytes = Arc::<AtomicU64>::default();
+    let view = LinkView {
+        target: link.target,
+        modes: receiver,
+        bytes: Arc::clone(&bytes),
+    };
+    state
+        .links()
+        .insert(link.listen, ProxyLink { modes, bytes });
+    tokio::spawn(accept(listener, view));
     StatusCode::OK
 }
 
+async fn show_counts(Extension(state): Extension<Arc<ProxyState>>) -> Json<LinkCounts> {
+    let links = state.links();
+    let counts = links
+        .iter()
+        .map(|(&listen, link)| (listen, link.bytes.load(Ordering::Relaxed)));
+    Json(LinkCounts {
+        bytes: counts.collect(),
+    })
+}
+
 async fn set_mode(
     Extension(state): Extension<Arc<ProxyState>>,
     Json(message): Json<ModeMessage>,
 ) -> StatusCode {
     let links = state.links();
-    let Some(sender) = links.get(&message.listen) else {
+    let Some(link) = links.get(&message.listen) else {
         return StatusCode::NOT_FOUND;
     };
-    sender.send_modify(|state| {
+    link.modes.send_modify(|state| {
         state.changes += 1;
         state.mode = message.mode;
         if message.mode == LinkMode::SilenceOpen {
@@ -132,20 +177,20 @@
     StatusCode::OK
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, modes: watch::Receiver<ModeState>) {
+async fn accept(listener: TcpListener, link: LinkView) {
     while let Ok((caller, _)) = listener.accept().await {
-        if modes.borrow().mode == LinkMode::Cut {
+        if link.modes.borrow().mode == LinkMode::Cut {
             continue;
         }
-        tokio::spawn(carry(caller, target, modes.clone()));
+        tokio::spawn(carry(caller, link.clone()));
     }
 }
 
-async fn carry(caller: TcpStream, target: SocketAddr, mut modes: watch::Receiver<ModeState>) {
-    let Ok(server) = TcpStream::connect(target).await else {
+async fn carry(caller: TcpStream, mut link: LinkView) {
+    let Ok(server) = TcpStream::connect(link.target).await else {
         return;
     };
-    let opened = modes.borrow_and_update().changes;
+    let opened = link.modes.borrow_and_update().changes;
     let _ = caller.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (caller_read, caller_write) = caller.into_split();
@@ -153,20 +198,20 @@
     let forward = pump(
         caller_read,
         server_write,
-        modes.clone(),
+        link.clone(),
         opened,
         Way::Forward,
     );
     let backward = pump(
         server_read,
         caller_write,
-        modes.clone(),
+        link.clone(),
         opened,
         Way::Backward,
     );
     tokio::select! {
         () = async { tokio::join!(forward, backward); } => {}
-        () = cut(modes) => {}
+        () = cut(link.modes) => {}
     }
 }
 
@@ -184,13 +229,13 @@
 async fn pump(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
-    modes: watch::Receiver<ModeState>,
+    link: LinkView,
     opened: u64,
     way: Way,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(length) = from.read(&mut chunk).await {
-        let state = *modes.borrow();
+        let state = *link.modes.borrow();
         let is_silenced = opened < state.silenced_before;
         let is_lost = match state.mode {
             LinkMode::Silence => true,
@@ -208,6 +253,7 @@
         if let LinkMode::Delay { ms } = state.mode {
             tokio::time::sleep(Duration::from_millis(ms)).await;
         }
+        link.bytes.fetch_add(length as u64, Ordering::Relaxed);
         if length == 0 || to.write_all(&chunk[..length]).await.is_err() {
             break;
         }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -14,7 +14,7 @@
 mod token_text;
 
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
-pub use fault_proxy::{LinkMode, ModeMessage, ProxyMessage, run_proxies};
+pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
 pub use service_server::{ServiceCounts, ServiceFaults, run_service};
 pub use token_text::TextSeed;
--- a/crates/wire/src/agent_control.rs
+++ b/crates/wire/src/agent_control.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    lease::{LoadedReport, OrderMessage, OrderReply},
     service_call::{CallMessage, CallReply},
     vm::StopKindMessage,
 };
@@ -99,6 +100,14 @@
     #[method(name = "heed")]
     async fn heed(&self, order: OrderNews) -> RpcResult<ServerReport>;
 
+    /// Say what the server has loaded.
+    #[method(name = "loaded")]
+    async fn loaded(&self) -> RpcResult<LoadedReport>;
+
+    /// Have the server carry out an order.
+    #[method(name = "order")]
+    async fn order(&self, order: OrderMessage) -> RpcResult<OrderReply>;
+
     /// Report on the server.
     #[method(name = "probe")]
     async fn probe(&self) -> RpcResult<ServerReport>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chat;
 pub mod engine;
 pub mod event_id;
+pub mod lease;
 pub mod note;
 pub mod problem;
 pub mod service_call;
--- a/crates/wire/src/note.rs
+++ b/crates/wire/src/note.rs
@@ -164,7 +164,8 @@
     /// The whole state, when notes that the asker lacks are kept no more.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub state: Option<StateMessage>,
-    /// What the process knows of the stopping of the server that asks.
+    /// What the process knows of the stopping of the server that asks, if the
+    /// asker may not know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub news: Option<NewsMessage>,
 }
@@ -177,6 +178,9 @@
     /// Server beside the asker, if it is an agent.
     #[serde(default)]
     pub server: String,
+    /// Version of the recorded stops that the asker knows.
+    #[serde(default)]
+    pub orders: u64,
 }
 
 impl From<&ModelDuty> for DutyMessage {
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -4,6 +4,8 @@
 //! `NAME key=value …`. It fails when a target of the product is missed; the
 //! bounds come from the targets, not from what was measured before.
 
+pub mod notes;
+
 use miette::{Result, miette};
 use serde_json::Value;
 
@@ -28,7 +30,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 0] = [];
+pub const NAMES: [&str; 1] = ["notes"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -46,6 +48,9 @@
     Ok(())
 }
 
-async fn measure(name: &str, _options: MeasureOptions) -> Result<MeasureReport> {
-    Err(miette!("no measurement `{name}`"))
+async fn measure(name: &str, options: MeasureOptions) -> Result<MeasureReport> {
+    match name {
+        "notes" => notes::measure(options).await,
+        _ => Err(miette!("no measurement `{name}`")),
+    }
 }
--- a/xtask/tests/notes.rs
+++ b/xtask/tests/notes.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use miette::{Result, miette};
+use exchange::{ExchangeCall, HttpExchange};
+use miette::{IntoDiagnostic, Result, miette};
 use serde_json::{Value, json};
 use stand_ins::{EngineCounts, PlatformCounts, PlatformFaults};
 use xtask::{CallerClient, Deployment, DeploymentPlan, deployment::MODEL};
@@ -181,3 +182,75 @@
     assert!(after.reads - before.reads <= 18, "{before:?} {after:?}");
     Ok(())
 }
+
+/// What an agent answers to an order under a number.
+async fn order(deployment: &Deployment, site: usize, fencing: u64) -> Result<Value> {
+    let call = json!({
+        "jsonrpc": "2.0", "id": 1, "method": "agent_order",
+        "params": [{ "fencing": fencing, "kind": {
+            "order": "load", "pin": { "model": "other", "version": 1 },
+        } }],
+    });
+    let control = deployment.sites[site].agent.vm.control;
+    let reply = HttpExchange::fresh()
+        .send(ExchangeCall::post(control, "/").json(&call))
+        .await
+        .into_diagnostic()?;
+    let reply: Value = reply.json().into_diagnostic()?;
+    Ok(reply["result"].clone())
+}
+
+/// Versions of the model that an engine has loaded.
+async fn loaded(deployment: &Deployment, site: usize) -> Result<Vec<u64>> {
+    let engine = deployment.sites[site].server.address;
+    let load: Value = deployment.fleet.read(engine, "/v1/load").await?;
+    let pins = load["loaded"].as_array().cloned().unwrap_or_default();
+    let versions = pins.iter().filter(|pin| pin["model"] == MODEL);
+    Ok(versions.filter_map(|pin| pin["version"].as_u64()).collect())
+}
+
+async fn wait_for_loaded(deployment: &Deployment, version: u64) -> Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        let mut settled = 0;
+        for site in 0..deployment.sites.len() {
+            settled += usize::from(loaded(deployment, site).await? == [version]);
+        }
+        if settled == deployment.sites.len() {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Err(miette!("version {version} is not loaded everywhere"))
+}
+
+/// The holder of the lease has engines load what the note wants and drop the
+/// rest, and the gate passes no order under a lower number.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_follow_the_note() -> Result<()> {
+    let deployment = three_engines().await?;
+    wait_for_loaded(&deployment, 3).await?;
+    deployment.fleet.publish(&json!({ "changes": [{
+        "change": "change", "model": MODEL, "version": 4,
+        "pool": "writer-pool", "window": 32_768,
+    }] }))?;
+    wait_for_loaded(&deployment, 4).await?;
+    assert_eq!(order(&deployment, 0, 0).await?, "too_old");
+    Ok(())
+}
+
+/// An agent that cannot have read the highest number passes no order.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_agent_without_the_store_passes_no_order() -> Result<()> {
+    let mut deployment = three_engines().await?;
+    let down = PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    };
+    set_faults(&deployment, &down).await?;
+    deployment
+        .fleet
+        .restart_agent(&mut deployment.sites[0].agent)?;
+    assert_eq!(order(&deployment, 0, 1_000).await?, "not_ready");
+    Ok(())
+}
