--- a/crates/agent/src/control_front.rs
+++ b/crates/agent/src/control_front.rs
@@ -20,14 +20,14 @@
 /// Answers control calls.
 pub struct ControlFront {
     state: Arc<AgentState>,
-    runner: CallRunner,
+    runner: Arc<CallRunner>,
 }
 
 impl ControlFront {
     /// Front of an agent.
     pub fn new(state: Arc<AgentState>) -> Self {
         Self {
-            runner: CallRunner::new(Arc::clone(&state)),
+            runner: Arc::new(CallRunner::new(Arc::clone(&state))),
             state,
         }
     }
@@ -41,7 +41,7 @@
             calls: self.state.calls.load(Ordering::Relaxed),
             silence_ms: u64::try_from(silence).unwrap_or(u64::MAX),
             note_version: self.state.notes.ledger().version().0,
-            epoch: self.state.epoch,
+            epoch: self.state.owner.epoch,
         }
     }
 }
@@ -76,7 +76,7 @@
 
     async fn heed(&self, order: OrderNews) -> RpcResult<ServerReport> {
         log::info!("told of stops at version {}", order.version);
-        self.state.notes.heed(&order, self.state.epoch);
+        self.state.notes.heed(&order, self.state.owner.epoch);
         Ok(self.report())
     }
 
--- a/crates/agent/src/duty_holder.rs
+++ b/crates/agent/src/duty_holder.rs
@@ -140,7 +140,7 @@
         self.renewal += 1;
         let claim = LeaseMessage {
             holder: self.state.settings.name.to_string(),
-            epoch: self.state.epoch,
+            epoch: self.state.owner.epoch,
             fencing: fencing.0,
             renewal: self.renewal,
         };
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,7 +7,10 @@
 
 mod agent_metrics;
 mod agent_state;
+mod call_registry;
+mod call_rows;
 mod call_runner;
+mod call_settler;
 mod control_front;
 mod duty_holder;
 mod engine_client;
@@ -18,10 +21,13 @@
 mod note_keeper;
 mod order_gate;
 mod server_watch;
+mod service_client;
 mod state_dump;
 mod stream_front;
 
+pub use agent_metrics::AgentMetrics;
 pub use agent_state::{AgentInbox, AgentState};
+pub use call_settler::CallSettler;
 pub use control_front::{ControlFront, serve_control};
 pub use duty_holder::DutyHolder;
 pub use note_keeper::NoteKeeper;
--- a/crates/agent/src/state_dump.rs
+++ b/crates/agent/src/state_dump.rs
@@ -21,12 +21,15 @@
         "server": state.settings.name.as_str(),
         "pool": state.settings.pool.as_str(),
         "failure_domain": state.settings.domain.as_str(),
-        "epoch": state.epoch,
+        "epoch": state.owner.epoch,
         "note_version": state.notes.ledger().version().0,
         "lease": state.lease.fencing(now).map(|fencing| json!({ "fencing": fencing.0 })),
         "leaving": state.is_leaving(),
         "server_silence_ms": u64::try_from(silence).unwrap_or(u64::MAX),
         "generations": generations,
+        "slots": state.slots.slots(),
+        "slots_held": state.slots.held(),
         "calls": state.calls.load(Ordering::Relaxed),
+        "calls_to_settle": state.call_registry.cases().len(),
     })
 }
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use domain::{GenerationId, TokenPosition};
+use domain::{
+    GenerationId, TokenPosition,
+    backend_server::{SlotPermit, SlotRefusal},
+};
 use futures_util::{Stream, future::BoxFuture, stream};
 use http::StatusCode;
 use telemetry::StopSignal;
@@ -33,7 +36,9 @@
 
 use crate::{
     AgentState,
-    generation_task::{READER_ITEMS_MAX, StreamItem, TaskCommand, spawn_generation},
+    generation_task::{
+        GenerationGrant, READER_ITEMS_MAX, StreamItem, TaskCommand, spawn_generation,
+    },
     note_front::pass_notes,
     state_dump::dump_state,
 };
@@ -41,6 +46,9 @@
 /// Time between two looks at whether a drain is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Silence of the engine beyond which it is given nothing new.
+const SERVER_SILENCE_MAX: Duration = Duration::from_millis(400);
+
 type SharedState = Extension<Arc<AgentState>>;
 
 /// Serve until the process is told to stop and has drained.
@@ -64,17 +72,28 @@
         .await
 }
 
-/// Refuse new work and wait for what is in flight.
+/// Refuse new work and wait for what is in flight; what would not end in time
+/// is handed over while there still is time for it.
 pub async fn wait_until_drained(state: Arc<AgentState>, mut stop: StopSignal) {
     stop.stopped().await;
     state.set_leaving(true);
-    let deadline = Instant::now() + state.settings.drain_max;
-    while is_busy(&state) && Instant::now() < deadline {
-        tokio::time::sleep(DRAIN_POLL).await;
+    let drain_max = state.settings.drain_max;
+    let began_at = Instant::now();
+    wait_while_busy(&state, began_at + drain_max * 3 / 4).await;
+    if state.registry.len() > 0 {
+        log::info!("handing {} generations over", state.registry.len());
+        state.begin_hand_over();
     }
+    wait_while_busy(&state, began_at + drain_max).await;
     log::info!("drained");
 }
 
+async fn wait_while_busy(state: &AgentState, deadline: Instant) {
+    while is_busy(state) && Instant::now() < deadline {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 fn is_busy(state: &AgentState) -> bool {
     state.registry.len() > 0 || state.calls.load(Ordering::Relaxed) > 0
 }
@@ -85,17 +104,18 @@
     };
     let (sender, receiver) = mpsc::channel(READER_ITEMS_MAX);
     let known = state.registry.get(generation);
-    // A leaving server finishes what it has and starts nothing.
-    if known.is_none() && state.is_leaving() {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", "");
-    }
-    let open = Box::new(open);
     let (open, task) = match known {
-        Some(task) => (open, task),
-        None => match spawn_generation(&state, generation, open, sender.clone()) {
-            Ok(()) => return events(receiver),
-            Err((open, task)) => (open, task),
-        },
+        Some(task) => (Box::new(open), task),
+        None => {
+            let grant = match admit(&state, &open) {
+                Ok(grant) => grant,
+                Err(refusal) => return refusal.into_response(),
+            };
+            match spawn_generation(&state, generation, Box::new(open), grant, sender.clone()) {
+                Ok(()) => return events(receiver),
+                Err((open, task)) => (open, task),
+            }
+        }
     };
     let reader = sender;
     if task.send(TaskCommand::Open { open, reader }).await.is_err() {
@@ -104,6 +124,51 @@
     events(receiver)
 }
 
+/// Why this server does not start a generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GrantRefusal {
+    Leaving,
+    EngineSilent,
+    LogFull,
+    SlotsFull,
+}
+
+impl GrantRefusal {
+    fn into_response(self) -> Response {
+        let (status, kind) = match self {
+            Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+            Self::EngineSilent => (StatusCode::BAD_GATEWAY, "engine-silent"),
+            Self::LogFull => (StatusCode::INSUFFICIENT_STORAGE, "log-full"),
+            Self::SlotsFull => (StatusCode::TOO_MANY_REQUESTS, "full"),
+        };
+        refuse(status, kind, "")
+    }
+}
+
+/// What a new generation may use, or why this server does not start it.
+fn admit(state: &AgentState, open: &OpenMessage) -> Result<GenerationGrant, GrantRefusal> {
+    // A leaving server finishes what it has and starts nothing.
+    if state.is_leaving() {
+        return Err(GrantRefusal::Leaving);
+    }
+    if state.server_silence(Instant::now()) >= SERVER_SILENCE_MAX {
+        return Err(GrantRefusal::EngineSilent);
+    }
+    let room = state.log_budget.reserve(&open.prompt, open.max_tokens);
+    let room = room.ok_or(GrantRefusal::LogFull)?;
+    let permit = slot_for(state, open).map_err(|_| GrantRefusal::SlotsFull)?;
+    Ok(GenerationGrant { permit, room })
+}
+
+/// A slot for a generation; one that was promised already is never refused.
+fn slot_for(state: &AgentState, open: &OpenMessage) -> Result<SlotPermit, SlotRefusal> {
+    let class = open.class.into();
+    if open.attempt > 0 || !open.delivered.is_empty() {
+        return Ok(state.slots.enter_always(class));
+    }
+    state.slots.enter(class)
+}
+
 /// Where a new entry wants to begin.
 #[derive(Debug, serde::Deserialize)]
 struct TakeOverQuery {
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -29,7 +29,7 @@
     chat_front::{last_event_id, resume_chat, start_chat},
     note_front::pass_notes,
     problem_reply::ProblemReply,
-    service_front::{serve_call, show_request},
+    service_front::{list_requests, serve_call, show_request},
     state_dump::dump_state,
 };
 
@@ -51,6 +51,7 @@
         .route("/v1/chat/completions", post(chat::<P>))
         .route("/v1/generations/{generation}", get(resume::<P>))
         .route("/v1/services/{service}/{operation}", post(call::<P>))
+        .route("/v1/requests", get(requests::<P>))
         .route("/v1/requests/{key}", get(request::<P>))
         .route(NOTE_PATH, get(pass_notes::<P>))
         .route("/ready", get(ready::<P>))
@@ -84,7 +85,7 @@
             return resume_chat(&state, &id).await;
         }
         let body = read_body(&state, body).await?;
-        start_chat(&state, team, &body)
+        start_chat(&state, team, &body).await
     };
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
@@ -133,6 +134,21 @@
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
 
+async fn requests<P: TableStore>(Extension(state): SharedState<P>, request: Request) -> Response {
+    let (parts, _) = request.into_parts();
+    let listed = async {
+        if parts.uri.query() != Some("state=unknown") {
+            let detail = "must be `unknown`, as in `?state=unknown`";
+            return Err(ProblemReply::field("state", detail));
+        }
+        list_requests(&state, team_of(&parts)?).await
+    };
+    match listed.await {
+        Ok(list) => Json(list).into_response(),
+        Err(problem) => problem.into_response(),
+    }
+}
+
 async fn ready<P: TableStore>(Extension(state): SharedState<P>) -> StatusCode {
     if state.is_draining() {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -3,8 +3,10 @@
 use std::{convert::Infallible, sync::Arc};
 
 use domain::{
-    AdapterName, AttemptNumber, GenerationId, ModelName, TokenPosition, WorkClass,
+    AdapterName, AttemptNumber, GenerationId, ModelName, PoolName, ServerName, TokenPosition,
+    WorkClass,
     generation_stream::{ModelPin, StreamRelay, TokenLog},
+    team_budget::{AdmissionRefusal, RefusalCause},
 };
 use futures_util::stream;
 use http::{HeaderMap, StatusCode};
@@ -25,6 +27,7 @@
 
 use crate::{
     EntryState,
+    load_policy::{AdmissionRequest, EntryPolicy},
     problem_reply::ProblemReply,
     stream_driver::{CallerEvent, StreamDriver, TakeOverError},
 };
@@ -39,18 +42,27 @@
 const INCOMPLETE_EVENT: &str = "incomplete";
 
 /// Serve a completion that no server has seen.
-pub fn start_chat<P: Send + Sync + 'static>(
+pub async fn start_chat<P: Send + Sync + 'static>(
     state: &Arc<EntryState<P>>,
     team: &str,
     body: &[u8],
 ) -> Result<Response, ProblemReply> {
     let request = read_request(body)?;
-    let pin = pin_of(state, &request)?;
+    let (pin, pool) = pin_of(state, &request)?;
     let class = WorkClass::of_generation(request.max_tokens);
-    let permit = state.gate.admit(class).inspect_err(|_| {
-        let refusals = state.metrics.refusals.with_label_values(&["over-capacity"]);
-        refusals.inc();
-    })?;
+    let permit = state
+        .gate
+        .admit(class)
+        .inspect_err(|refusal| count_refusal(state, refusal))?;
+    let admission = AdmissionRequest {
+        team,
+        class,
+        tokens: request.max_tokens,
+    };
+    let judged = state
+        .policy
+        .judge(&admission, Instant::now(), &mut rand::rng());
+    judged.inspect_err(|refusal| count_refusal(state, refusal))?;
     state
         .metrics
         .requests
@@ -65,7 +77,7 @@
         prompt: request.prompt(),
         delivered: Vec::new(),
         max_tokens: request.max_tokens,
-        class: class.into(),
+        class: state.policy.server_class(class).into(),
     };
     let relay = StreamRelay::new(
         pin,
@@ -74,10 +86,21 @@
         state.relay_limits,
         Instant::now(),
     );
-    let driver = StreamDriver::new(Arc::clone(state), generation, open, relay, permit);
+    let mut driver = StreamDriver::new(Arc::clone(state), generation, open, pool, relay, permit);
+    let opened = driver.open_first().await;
+    opened.inspect_err(|refusal| count_refusal(state, refusal))?;
     Ok(chunk_stream(driver))
 }
 
+fn count_refusal<P>(state: &EntryState<P>, refusal: &AdmissionRefusal) {
+    let reason = match refusal.cause {
+        RefusalCause::Limit(_) => "over-capacity",
+        RefusalCause::Share => "over-share",
+        RefusalCause::Servers => "servers-full",
+    };
+    state.metrics.refusals.with_label_values(&[reason]).inc();
+}
+
 /// Go on with a completion whose caller comes back.
 pub async fn resume_chat<P: Send + Sync + 'static>(
     state: &Arc<EntryState<P>>,
@@ -120,7 +143,10 @@
     Err(ProblemReply::field(first.field, all.join("; ")))
 }
 
-fn pin_of<P>(state: &EntryState<P>, request: &ChatRequest) -> Result<ModelPin, ProblemReply> {
+fn pin_of<P>(
+    state: &EntryState<P>,
+    request: &ChatRequest,
+) -> Result<(ModelPin, PoolName), ProblemReply> {
     let note = state.note.load();
     let model = request.model_name();
     let Some(duty) = note.duty(model) else {
@@ -143,11 +169,12 @@
         );
         return Err(ProblemReply::field("messages", detail));
     }
-    Ok(ModelPin {
+    let pin = ModelPin {
         model: ModelName::from(model),
         adapter,
         version: duty.version,
-    })
+    };
+    Ok((pin, duty.pool.clone()))
 }
 
 fn chunk_stream<P: Send + Sync + 'static>(driver: StreamDriver<P>) -> Response {
@@ -164,13 +191,14 @@
 fn encode(generation: GenerationId, id: &str, model: &str, event: &CallerEvent) -> Event {
     match event {
         CallerEvent::Token { text, next, server } => {
-            let event_id = EventId {
-                generation,
-                position: TokenPosition(next.0),
-                server: server.clone(),
-            };
+            let event_id = event_id(generation, *next, server);
             data(&ChatChunk::token(id, model, text)).id(event_id.to_string())
         }
+        CallerEvent::Moved { next, server } => {
+            let event_id = event_id(generation, *next, server);
+            let event = Event::new().event(WAITING_EVENT).data("{}");
+            event.id(event_id.to_string())
+        }
         CallerEvent::Waiting => Event::new().event(WAITING_EVENT).data("{}"),
         CallerEvent::Finish { reason } => data(&ChatChunk::finish(id, model, reason)),
         CallerEvent::Incomplete { reason } => Event::new()
@@ -179,6 +207,14 @@
     }
 }
 
+fn event_id(generation: GenerationId, position: TokenPosition, server: &ServerName) -> EventId {
+    EventId {
+        generation,
+        position,
+        server: server.clone(),
+    }
+}
+
 fn data(chunk: &ChatChunk) -> Event {
     Event::new().data(serde_json::to_string(chunk).expect("wire types are plain data"))
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod chat_front;
 mod entry_metrics;
 mod entry_state;
+mod load_policy;
 mod note_front;
 mod note_watch;
 mod problem_reply;
@@ -24,5 +25,6 @@
 mod tell_task;
 
 pub use caller_front::serve_callers;
+pub use entry_metrics::EntryMetrics;
 pub use entry_state::EntryState;
 pub use refresh_task::{refresh_snapshots, retire};
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -4,11 +4,15 @@
 //! It yields caller events that are not encoded yet, so that another front end
 //! can send them in a form of its own.
 
+mod first_open;
+mod link_pace;
+
 use std::{sync::Arc, time::Duration};
 
+use derive_more::Display;
 use domain::{
-    AttemptNumber, GenerationId, ServerName, TokenPosition,
-    backend_server::{ChoiceQuery, InflightGuard, ServerNode},
+    AttemptNumber, GenerationId, PoolName, ServerName, TokenPosition,
+    backend_server::{ChoiceQuery, InflightGuard, LoadReport, ServerNode},
     generation_stream::{
         EndVerdict, LossAction, SilenceVerdict, StreamRelay, StreamWatch, TokenVerdict,
     },
@@ -21,17 +25,22 @@
     BEAT_EVENT, BeatMessage, END_EVENT, EndMessage, LOST_EVENT, OpenMessage, RECORD_EVENT,
     RecordMessage, STALE_EVENT, TOKEN_EVENT, TokenMessage,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
+use self::link_pace::LinkPace;
 use crate::EntryState;
 
-/// Time within which an agent opens a stream, before any prefill.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time within which an agent gives the record of a generation.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Pause before servers are tried again when none could be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Servers that failed and are not tried again at once.
-const EXCLUDED_MAX: usize = 4;
+const EXCLUDED_MAX: usize = 8;
+
+/// Bytes at a prompt's beginning by which servers that cached it are found.
+const PREFIX_BYTES: usize = 512;
 
 /// What the caller is told.
 #[derive(Debug)]
@@ -47,6 +56,13 @@
     },
     /// Nothing can be sent now; the generation goes on.
     Waiting,
+    /// The generation goes on at another server, before its next token.
+    Moved {
+        /// Position of the next token.
+        next: TokenPosition,
+        /// Server whose agent keeps the log from now on.
+        server: ServerName,
+    },
     /// All tokens have been sent.
     Finish {
         /// Why the generation ended.
@@ -63,6 +79,21 @@
     events: EventStream,
     guard: InflightGuard,
     watch: StreamWatch,
+    pace: LinkPace,
+}
+
+/// Why no stream was opened.
+#[derive(Debug, Display)]
+enum OpenError {
+    /// The agent has no slot; nothing was started.
+    #[display("no slot")]
+    Full,
+    /// No connection was made; nothing was started.
+    #[display("{_0}")]
+    Unreachable(ExchangeError),
+    /// Anything else; something may have been started.
+    #[display("{_0}")]
+    Other(String),
 }
 
 enum LinkTarget {
@@ -75,6 +106,7 @@
     state: Arc<EntryState<P>>,
     generation: GenerationId,
     open: OpenMessage,
+    pool: PoolName,
     relay: StreamRelay,
     link: Option<StreamLink>,
     target: LinkTarget,
@@ -92,6 +124,7 @@
         state: Arc<EntryState<P>>,
         generation: GenerationId,
         open: OpenMessage,
+        pool: PoolName,
         relay: StreamRelay,
         permit: AdmissionPermit,
     ) -> Self {
@@ -99,6 +132,7 @@
             state,
             generation,
             open,
+            pool,
             relay,
             link: None,
             target: LinkTarget::Any,
@@ -120,15 +154,17 @@
         permit: AdmissionPermit,
     ) -> Result<Self, TakeOverError> {
         let path = format!("/v1/generations/{generation}?from={from}");
-        let call = ExchangeCall::get(node.spec().addresses.stream, &path).timeout(OPEN_TIMEOUT);
+        let call = ExchangeCall::get(node.spec().addresses.stream, &path).timeout(RECORD_TIMEOUT);
         let mut events = state.streams.open_events(call).await??;
-        let read = tokio::time::timeout(OPEN_TIMEOUT, events.read()).await;
+        let read = tokio::time::timeout(RECORD_TIMEOUT, events.read()).await;
         let record = match read {
             Ok(Ok(Some(event))) if event.name == RECORD_EVENT => {
                 serde_json::from_str::<RecordMessage>(&event.data).ok()
             }
             _ => None,
         };
+        // A shorter log cannot be gone on with: tokens would come again.
+        let record = record.filter(|record| record.delivered.len() == from.index());
         let record = record.ok_or(TakeOverError::NoRecord)?;
         let now = Instant::now();
         let relay = StreamRelay::new(
@@ -138,13 +174,9 @@
             state.relay_limits,
             now,
         );
-        let link = StreamLink {
-            events,
-            guard: node.begin(),
-            watch: StreamWatch::new(now),
-        };
-        let mut driver = Self::new(state, generation, record.open, relay, permit);
-        driver.link = Some(link);
+        let pool = node.spec().pool.clone();
+        let mut driver = Self::new(state, generation, record.open, pool, relay, permit);
+        driver.link = Some(driver.link_to(node, events, now));
         Ok(driver)
     }
 
@@ -182,6 +214,12 @@
                     continue;
                 }
             };
+            let Some(wake) = self.judge_pace(wake, now) else {
+                continue;
+            };
+            let Some(link) = &mut self.link else {
+                continue;
+            };
             match tokio::time::timeout_at(wake, link.events.read()).await {
                 Err(_) => {}
                 Ok(Ok(Some(event))) => {
@@ -205,6 +243,11 @@
                     && let Some(link) = &mut self.link
                 {
                     link.watch.heard_beat(beat.into(), now);
+                    let report = LoadReport {
+                        held: beat.held,
+                        slots: beat.slots,
+                    };
+                    link.guard.node().note_report(report, now);
                     link.guard.node().set_leaving(beat.leaving);
                 }
                 None
@@ -258,14 +301,17 @@
             }
             Some(_) => {}
         }
-        self.is_resuming = false;
+        let is_first_here = std::mem::take(&mut self.is_resuming);
         self.excluded.clear();
         let mut server = ServerName::from("none");
         if let Some(link) = &mut self.link {
             link.watch.heard_token(now);
+            link.pace.heard_token(now);
             let node = link.guard.node();
-            if let Some(last) = self.last_token_at {
-                node.note_token_gap(now.duration_since(last));
+            if let Some(last) = self.last_token_at
+                && !is_first_here
+            {
+                node.note_token_gap(now.duration_since(last), now);
             }
             node.note_success();
             server = node.spec().name.clone();
@@ -355,18 +401,21 @@
     }
 
     async fn connect(&mut self) -> Option<CallerEvent> {
+        let opened_at = Instant::now();
+        if self.relay.is_hopeless(opened_at) {
+            return Some(self.give_up());
+        }
+        if self.excluded.len() >= EXCLUDED_MAX {
+            return self.wait_for_server().await;
+        }
         let is_reconnect = matches!(self.target, LinkTarget::Same(_));
         let Some(node) = self.next_node() else {
             return self.wait_for_server().await;
         };
         match self.open_at(&node).await {
             Ok(events) => {
-                self.link = Some(StreamLink {
-                    events,
-                    guard: node.begin(),
-                    watch: StreamWatch::new(Instant::now()),
-                });
-                None
+                self.link = Some(self.link_to(&node, events, opened_at));
+                self.place(&node)
             }
             Err(reason) => {
                 log::warn!(
@@ -379,29 +428,59 @@
                         LossAction::Reconnect | LossAction::GiveUp => self.target = LinkTarget::Any,
                     }
                 } else {
-                    node.note_failure();
                     self.exclude(&node.spec().name);
+                    if matches!(reason, OpenError::Full) {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                        return Some(CallerEvent::Waiting);
+                    }
+                    node.note_failure();
                 }
                 None
             }
         }
     }
 
+    fn link_to(
+        &self,
+        node: &Arc<ServerNode>,
+        events: EventStream,
+        opened_at: Instant,
+    ) -> StreamLink {
+        StreamLink {
+            events,
+            guard: node.begin(),
+            watch: StreamWatch::new(opened_at),
+            pace: LinkPace::new(&self.state, node),
+        }
+    }
+
+    /// Tell a caller that has tokens where to come back to from now on.
+    fn place(&self, node: &ServerNode) -> Option<CallerEvent> {
+        let next = self.relay.log().next_position();
+        (next > TokenPosition(0)).then(|| CallerEvent::Moved {
+            next,
+            server: node.spec().name.clone(),
+        })
+    }
+
     fn next_node(&mut self) -> Option<Arc<ServerNode>> {
         if let LinkTarget::Same(node) = &self.target {
             return Some(Arc::clone(node));
         }
-        let note = self.state.note.load();
-        let duty = note.duty(&self.open.pin.model)?;
+        // The pool that it began with, whatever later notes say of the model.
         let servers = self.state.servers.load();
         let query = ChoiceQuery {
-            pool: &duty.pool,
+            pool: &self.pool,
             exclude: &self.excluded,
+            prefix: prefix_of(&self.open.prompt),
+            now: Instant::now(),
         };
-        servers.choose(&query, &mut rand::rng()).cloned()
+        servers
+            .choose(&self.state.policy, &query, &mut rand::rng())
+            .cloned()
     }
 
-    async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, String> {
+    async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, OpenError> {
         let open = OpenMessage {
             attempt: self.relay.attempt().0,
             delivered: self
@@ -414,34 +493,43 @@
         };
         let call = ExchangeCall::post(node.spec().addresses.stream, "/v1/generations")
             .json(&open)
-            .timeout(OPEN_TIMEOUT);
+            .timeout(self.state.silence.first_sign);
         match self.state.streams.open_events(call).await {
             Ok(Ok(events)) => Ok(events),
             Ok(Err(reply)) => {
                 if reply.status == StatusCode::SERVICE_UNAVAILABLE {
                     node.set_leaving(true);
                 }
-                Err(format!("refused with status {}", reply.status))
+                if reply.status == StatusCode::TOO_MANY_REQUESTS {
+                    return Err(OpenError::Full);
+                }
+                Err(OpenError::Other(format!(
+                    "refused with status {}",
+                    reply.status
+                )))
             }
-            Err(error) => Err(error.to_string()),
+            Err(error @ ExchangeError::NotSent { .. }) => Err(OpenError::Unreachable(error)),
+            Err(error) => Err(OpenError::Other(error.to_string())),
         }
     }
 
-    /// No server can be tried: wait, or give up when patience is over.
+    /// No server can be tried: wait and try all of them again.
     async fn wait_for_server(&mut self) -> Option<CallerEvent> {
         self.excluded.clear();
-        let since = self.last_token_at.unwrap_or(self.started_at);
-        if since.elapsed() >= self.state.relay_limits.patience {
-            return Some(self.finish(
-                "incomplete",
-                CallerEvent::Incomplete {
-                    reason: "no server can go on with the generation".to_owned(),
-                },
-            ));
-        }
         tokio::time::sleep(RETRY_PAUSE).await;
         Some(CallerEvent::Waiting)
     }
+
+    fn give_up(&mut self) -> CallerEvent {
+        let reason = "no server can go on with the generation".to_owned();
+        self.finish("incomplete", CallerEvent::Incomplete { reason })
+    }
+}
+
+/// Hash of a prompt's beginning, if it is long enough to be worth caching.
+fn prefix_of(prompt: &str) -> Option<u64> {
+    let bytes = prompt.as_bytes();
+    (bytes.len() >= PREFIX_BYTES).then(|| xxh3_64(&bytes[..PREFIX_BYTES]))
 }
 
 /// Why a generation could not be taken over.
--- a/crates/exchange/src/http_exchange.rs
+++ b/crates/exchange/src/http_exchange.rs
@@ -1,9 +1,9 @@
 //! Sending calls, and sorting their failures by what they prove.
 
-use std::time::Duration;
+use std::{error::Error as _, io, time::Duration};
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
+use derive_more::Display;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
@@ -18,7 +18,7 @@
 use crate::{EventStream, ExchangeCall};
 
 /// Failure of a call.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, derive_more::Error)]
 pub enum ExchangeError {
     /// No connection was made: proof that nothing was sent.
     #[display("no connection: {reason}")]
@@ -52,11 +52,23 @@
             ErrorKind::Builder | ErrorKind::Connect | ErrorKind::LoadBalance => {
                 Self::NotSent { reason }
             }
+            _ if is_connect_failure(&error) => Self::NotSent { reason },
             _ => Self::Lost { reason },
         }
     }
 }
 
+/// Whether no connection was made, although the library reports a failed
+/// request.
+///
+/// Only its connector hands out bare I/O errors; those of a connection that
+/// stood are wrapped by the HTTP implementation.
+fn is_connect_failure(error: &ClientError) -> bool {
+    error
+        .source()
+        .is_some_and(|source| source.is::<io::Error>())
+}
+
 /// Answer to a call.
 #[derive(Clone, Debug)]
 pub struct ExchangeReply {
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -9,7 +9,9 @@
 use crate::{
     CommandResult, dump_command,
     note_command::{self, NoteSource},
+    requests_command::{self, RequestQuery},
     spread_watch::wait_until_in_force,
+    status_command,
     vm_command::{self, StopRequest},
 };
 
@@ -32,6 +34,8 @@
         .subcommand_required(true)
         .subcommand(note_commands())
         .subcommand(vm_commands())
+        .subcommand(status_command_line())
+        .subcommand(requests_command_line())
         .subcommand(
             Command::new("dump")
                 .about("Print the state of one process as JSON")
@@ -145,6 +149,47 @@
         .subcommand(order("undo", "Take new work again"))
 }
 
+fn status_command_line() -> Command {
+    Command::new("status")
+        .about("Show the whole deployment: entries, servers, versions, unsettled calls")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("IP:PORT")
+                .help("An entry to ask; may be given more than once")
+                .value_parser(value_parser!(SocketAddr))
+                .action(ArgAction::Append),
+        )
+        .arg(json_arg("Print JSON, with the whole state of each process"))
+}
+
+fn requests_command_line() -> Command {
+    Command::new("requests")
+        .about("List the teams' requests whose outcome is unknown")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .help("Team whose requests are listed; all unless given"),
+        )
+        .arg(
+            Arg::new("state")
+                .long("state")
+                .help("State of the requests that are listed")
+                .value_parser(["unknown"])
+                .default_value("unknown"),
+        )
+        .arg(json_arg("Print JSON"))
+}
+
+fn json_arg(help: &'static str) -> Arg {
+    Arg::new("json")
+        .long("json")
+        .help(help)
+        .action(ArgAction::SetTrue)
+}
+
 fn platform_arg() -> Arg {
     Arg::new("platform")
         .long("platform")
@@ -168,6 +213,19 @@
     match matches.subcommand() {
         Some(("note", matches)) => run_note(matches).await,
         Some(("vm", matches)) => run_vm(matches).await,
+        Some(("status", matches)) => {
+            let entries = matches.get_many::<SocketAddr>("entry");
+            let entries: Vec<SocketAddr> = entries.into_iter().flatten().copied().collect();
+            let is_json = matches.get_flag("json");
+            status_command::show(&platform_of(matches), &entries, is_json).await
+        }
+        Some(("requests", matches)) => {
+            let query = RequestQuery {
+                team: matches.get_one::<String>("team").map(String::as_str),
+                is_json: matches.get_flag("json"),
+            };
+            requests_command::list(&platform_of(matches), query).await
+        }
         Some(("dump", matches)) => {
             let address = matches.get_one::<SocketAddr>("address");
             dump_command::dump(address.copied().expect("the argument is required")).await
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -9,8 +9,9 @@
 };
 
 use crate::{
-    FindingReport,
+    DaemonSettings, FindingReport, PortProbe,
     field_reader::{FieldReader, read_file},
+    load_policy::{LoadPolicy, read_policy},
 };
 
 /// A plain service and the pool that serves it.
@@ -39,6 +40,8 @@
     pub servers: Vec<ServerSpec>,
     /// Plain services.
     pub services: Vec<ServiceRoute>,
+    /// How servers are chosen and requests taken in.
+    pub policy: LoadPolicy,
     /// Requests taken in at once.
     pub limits: ClassLimits,
     /// Largest body of a request, in bytes.
@@ -49,13 +52,14 @@
     pub drain_max: Duration,
 }
 
-impl EntrySettings {
-    /// Read a settings file.
-    pub fn read(name: &str, text: &str) -> Result<Self, FindingReport> {
-        read_file(name, text, Self::from_fields)
+impl DaemonSettings for EntrySettings {
+    fn read(name: &str, text: &str, ports: &impl PortProbe) -> Result<Self, FindingReport> {
+        read_file(name, text, |fields| Self::from_fields(fields, ports))
     }
+}
 
-    fn from_fields(fields: &FieldReader<'_>) -> Self {
+impl EntrySettings {
+    fn from_fields(fields: &FieldReader<'_>, ports: &impl PortProbe) -> Self {
         let total_max = fields.number("requests_max", 2..=100_000, 4_096);
         let long_max = fields.number("long_requests_max", 1..=100_000, total_max * 3 / 4);
         if long_max >= total_max {
@@ -67,10 +71,11 @@
         let settings = Self {
             name: fields.text("name"),
             domain: DomainName::from(fields.text("failure_domain")),
-            listen: fields.address("listen"),
+            listen: fields.listener("listen", ports),
             platform: fields.address("platform"),
             servers: fields.objects("servers", read_server),
             services: fields.objects("services", read_service),
+            policy: read_policy(fields),
             limits: ClassLimits {
                 total_max: u32::try_from(total_max).unwrap_or(u32::MAX),
                 long_max: u32::try_from(long_max).unwrap_or(u32::MAX),
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -3,8 +3,13 @@
 use std::{
     fs::File,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -15,6 +20,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use rand::Rng;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -23,6 +29,12 @@
 /// Time within which a process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Ports that processes listen on.
+const PORTS: Range<u16> = 10_000..32_000;
+
+/// Ports that are tried until one is free.
+const ADDRESS_TRIES: u32 = 100;
+
 /// Pause between two looks at a process.
 const POLL_PAUSE: Duration = Duration::from_millis(10);
 
@@ -83,6 +95,8 @@
     pub token_gap_us: u32,
     /// Microseconds to read one uncached token of a prompt.
     pub prefill_us_per_token: u32,
+    /// Age of the load that is reported, in milliseconds.
+    pub load_lag_ms: u32,
     /// Whether old fencing numbers are refused.
     pub checks_fencing: bool,
 }
@@ -93,6 +107,7 @@
             slots: 16,
             token_gap_us: 10_000,
             prefill_us_per_token: 100,
+            load_lag_ms: 0,
             checks_fencing: false,
         }
     }
@@ -191,6 +206,7 @@
         let slots = plan.slots.to_string();
         let gap = plan.token_gap_us.to_string();
         let prefill = plan.prefill_us_per_token.to_string();
+        let lag = plan.load_lag_ms.to_string();
         let mut args = vec![
             "engine",
             "--listen",
@@ -201,6 +217,8 @@
             &gap,
             "--prefill-us-per-token",
             &prefill,
+            "--load-lag-ms",
+            &lag,
         ];
         if plan.checks_fencing {
             args.push("--checks-fencing");
@@ -209,12 +227,24 @@
         spawn(&self.dir, &self.programs, "stand-in", &name, listen, &args)
     }
 
-    /// Start a plain service.
+    /// Start a plain service that keeps its own ledger.
     pub fn service(&mut self) -> Result<ProcessHandle> {
-        let listen = free_address()?;
+        self.service_at(free_address()?, None)
+    }
+
+    /// Start a plain service at an address, with the ledger of another one.
+    pub fn service_at(
+        &mut self,
+        listen: SocketAddr,
+        ledger: Option<SocketAddr>,
+    ) -> Result<ProcessHandle> {
         let text = listen.to_string();
+        let ledger = ledger.map(|ledger| ledger.to_string());
         let name = self.log_name("service");
-        let args = ["service", "--listen", &text];
+        let mut args = vec!["service", "--listen", &text];
+        if let Some(ledger) = &ledger {
+            args.extend(["--ledger", ledger]);
+        }
         spawn(&self.dir, &self.programs, "stand-in", &name, listen, &args)
     }
 
@@ -345,6 +375,12 @@
         serde_json::from_slice(&reply).into_diagnostic()
     }
 
+    /// Read text that a process shows.
+    pub async fn text(&self, address: SocketAddr, path: &str) -> Result<String> {
+        let reply = self.send(ExchangeCall::get(address, path)).await?;
+        String::from_utf8(reply).into_diagnostic()
+    }
+
     /// Wait until an entry knows a release note and a number of servers.
     pub async fn wait_until_ready(&self, entry: SocketAddr, servers: usize) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
@@ -365,6 +401,26 @@
         std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// Lines of all logs that hold a text, in the order of their time.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let files = std::fs::read_dir(self.dir.path()).into_iter().flatten();
+        let logs = files.flatten().filter_map(|file| {
+            let name = file.file_name().into_string().ok()?;
+            Some(name.strip_suffix(".log")?.to_owned())
+        });
+        let mut lines: Vec<String> = logs
+            .flat_map(|name| {
+                let log = self.log(&name);
+                let found = log.lines().filter(|line| line.contains(text));
+                found
+                    .map(|line| format!("{line} [{name}]"))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        lines.sort();
+        lines
+    }
+
     async fn send(&self, call: ExchangeCall<'_>) -> Result<Vec<u8>> {
         let reply = self.exchange.send(call).await.into_diagnostic()?;
         if !reply.status.is_success() {
@@ -438,7 +494,7 @@
 }
 
 /// Folder of the programs, which is that of this program.
-fn program_folder() -> Result<PathBuf> {
+pub fn program_folder() -> Result<PathBuf> {
     let own = std::env::current_exe().into_diagnostic()?;
     let mut folder = own.parent().unwrap_or(Path::new(".")).to_owned();
     if folder.ends_with("deps") {
@@ -448,9 +504,22 @@
 }
 
 /// An address that nothing listens on now.
+///
+/// It lies below the ports that the system gives to outgoing connections, or
+/// one of those could take it before the process listens. No address is given
+/// twice by this program, and other programs begin elsewhere.
 pub fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
+    static FIRST: LazyLock<u16> = LazyLock::new(|| rand::rng().random_range(0..PORTS.end));
+    static GIVEN: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..ADDRESS_TRIES {
+        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
+        let count = PORTS.end - PORTS.start;
+        let port = PORTS.start + FIRST.wrapping_add(given) % count;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().into_diagnostic();
+        }
+    }
+    Err(miette!("no free address"))
 }
 
 /// Add the fields of `extra` to `settings`.
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -4,7 +4,10 @@
 //! `NAME key=value …`. It fails when a target of the product is missed; the
 //! bounds come from the targets, not from what was measured before.
 
+mod calls;
+mod load;
 pub mod notes;
+mod resume;
 
 use miette::{Result, miette};
 use serde_json::Value;
@@ -30,7 +33,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 1] = ["notes"];
+pub const NAMES: [&str; 4] = ["calls", "load", "notes", "resume"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -51,6 +54,9 @@
 async fn measure(name: &str, options: MeasureOptions) -> Result<MeasureReport> {
     match name {
         "notes" => notes::measure(options).await,
+        "load" => load::run(options).await,
+        "calls" => calls::measure(options).await,
+        "resume" => resume::measure(options).await,
         _ => Err(miette!("no measurement `{name}`")),
     }
 }
