--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -17,16 +17,26 @@
 use crate::{
     agent_metrics::AgentMetrics,
     call_registry::CallRegistry,
+    duty_holder::HeldLease,
     engine_client::EngineClient,
     generation_registry::GenerationRegistry,
     intent_log::IntentLog,
     note_keeper::{NEWS_MAX, NoteHolder},
+    order_gate::{OrderJob, order_channel},
     service_client::ServiceClient,
 };
 
 /// Bytes of token logs that an agent keeps at most.
 const LOG_BYTES_MAX: u64 = 48 << 20;
 
+/// What the tasks of an agent hear.
+pub struct AgentInbox {
+    /// What entries tell.
+    pub news: mpsc::Receiver<NewsMessage>,
+    /// Orders to the server.
+    pub orders: mpsc::Receiver<OrderJob>,
+}
+
 /// State of the process; requests read it without a lock.
 pub struct AgentState {
     /// Settings of the process.
@@ -44,6 +54,8 @@
     pub(crate) slots: Arc<SlotGate>,
     pub(crate) notes: NoteHolder,
     pub(crate) news: mpsc::Sender<NewsMessage>,
+    pub(crate) orders: mpsc::Sender<OrderJob>,
+    pub(crate) lease: HeldLease,
     pub(crate) log_budget: Arc<LogBudget>,
     leaving: AtomicBool,
     handing_over: AtomicBool,
@@ -52,14 +64,15 @@
 }
 
 impl AgentState {
-    /// State at the start of a process, and the news that it will hear.
+    /// State at the start of a process, and what its tasks will hear.
     pub fn new<T: TableStore>(
         settings: AgentSettings,
         table: T,
         epoch: u64,
         now: Instant,
-    ) -> (Self, mpsc::Receiver<NewsMessage>) {
-        let (news, heard) = mpsc::channel(NEWS_MAX);
+    ) -> (Self, AgentInbox) {
+        let (news, news_heard) = mpsc::channel(NEWS_MAX);
+        let (orders, orders_heard) = order_channel();
         let metrics = AgentMetrics::new();
         let limits = match settings.policy {
             LoadPolicy::Balanced => Some(settings.slots),
@@ -81,13 +94,19 @@
             slots: Arc::new(SlotGate::new(limits, now)),
             notes: NoteHolder::default(),
             news,
+            orders,
+            lease: HeldLease::default(),
             log_budget: Arc::new(LogBudget::new(LOG_BYTES_MAX)),
             leaving: AtomicBool::new(false),
             handing_over: AtomicBool::new(false),
             started_at: now,
             last_sign_ms: AtomicU64::new(0),
         };
-        (state, heard)
+        let inbox = AgentInbox {
+            news: news_heard,
+            orders: orders_heard,
+        };
+        (state, inbox)
     }
 
     /// Whether the server takes no new work.
