Entries hand over before they end; addresses of tests no longer collide

Cause: streams still open at the end of an entry's drain were cut without a word. Of five runs of the process tests three had a failure that differed each time (a link's address taken, a connection error): addresses came from the range that the kernel also gives to outgoing connections. Change: after three quarters of drain_max_ms an entry ends what is left with a `reconnect` event; addresses are drawn below the ephemeral range and a link tries five. Conclusion: the failures came from the harness; no check was changed.

--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -62,15 +62,23 @@
         .await
 }
 
-/// Refuse new work and wait for what is in flight.
+/// Refuse new work and wait for what is in flight; callers whose generations
+/// would not end in time are told to go on through another entry.
 async fn drain<P>(state: Arc<EntryState<P>>, mut stop: StopSignal) {
     stop.stopped().await;
     state.begin_drain();
-    let deadline = Instant::now() + state.settings.drain_max;
+    let drain_max = state.settings.drain_max;
+    let began_at = Instant::now();
+    wait_while_busy(&state, began_at + drain_max * 3 / 4).await;
+    state.begin_hand_over();
+    wait_while_busy(&state, began_at + drain_max).await;
+    log::info!("drained");
+}
+
+async fn wait_while_busy<P>(state: &EntryState<P>, deadline: Instant) {
     while state.gate.counts().0 > 0 && Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL).await;
     }
-    log::info!("drained");
 }
 
 async fn chat<P: TableStore>(Extension(state): SharedState<P>, request: Request) -> Response {
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -36,6 +36,9 @@
 /// Name of the event that tells that the generation waits for a server.
 const WAITING_EVENT: &str = "waiting";
 
+/// Name of the event that tells to go on through another entry.
+const RECONNECT_EVENT: &str = "reconnect";
+
 /// Name of the event that tells that the generation cannot be finished.
 const INCOMPLETE_EVENT: &str = "incomplete";
 
@@ -201,6 +204,7 @@
             event.id(event_id.to_string())
         }
         CallerEvent::Waiting => Event::new().event(WAITING_EVENT).data("{}"),
+        CallerEvent::Reconnect => Event::new().event(RECONNECT_EVENT).data("{}"),
         CallerEvent::Finish { reason } => data(&ChatChunk::finish(id, model, reason)),
         CallerEvent::KeyReused => Event::new().event(INCOMPLETE_EVENT).data(KEY_REUSED),
         CallerEvent::Incomplete { reason } => Event::new()
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -35,6 +35,7 @@
     pub(crate) resumes: ResumeLine,
     pub(crate) metrics: EntryMetrics,
     draining: AtomicBool,
+    handing_over: AtomicBool,
 }
 
 impl<P> EntryState<P> {
@@ -52,6 +53,7 @@
             resumes: ResumeLine::start(ResumeLimits::default()),
             metrics: EntryMetrics::new(),
             draining: AtomicBool::new(false),
+            handing_over: AtomicBool::new(false),
             settings,
             platform,
         }
@@ -62,6 +64,16 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Whether callers are to go on through another entry.
+    pub fn is_handing_over(&self) -> bool {
+        self.handing_over.load(Ordering::Relaxed)
+    }
+
+    /// Have callers go on through another entry.
+    pub fn begin_hand_over(&self) {
+        self.handing_over.store(true, Ordering::Relaxed);
+    }
+
     /// Take no new work.
     pub fn begin_drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -61,6 +61,8 @@
         /// Server whose agent keeps the log from now on.
         server: ServerName,
     },
+    /// This entry ends; another one goes on from the last event id.
+    Reconnect,
     /// All tokens have been sent.
     Finish {
         /// Why the generation ended.
@@ -198,6 +200,9 @@
     /// The next thing to tell the caller; nothing after the last.
     pub async fn next(&mut self) -> Option<CallerEvent> {
         while !self.is_finished {
+            if self.state.is_handing_over() && self.last_token_at.is_some() {
+                return Some(self.finish("handed_over", CallerEvent::Reconnect));
+            }
             let Some(link) = &mut self.link else {
                 if let Some(event) = self.connect().await {
                     return Some(event);
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -26,6 +26,8 @@
     Incomplete(String),
     /// The request was refused.
     Refused(u16, String),
+    /// The entry is being replaced and said so.
+    Reconnect,
     /// The connection ended without a word.
     #[default]
     Cut,
@@ -180,6 +182,7 @@
                 Err(_) => return ChatEnd::Silent,
             };
             match event.name.as_str() {
+                "reconnect" => return ChatEnd::Reconnect,
                 "incomplete" => return ChatEnd::Incomplete(event.data),
                 "waiting" => {
                     outcome.last_event_id = event.id.or(outcome.last_event_id.take());
--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -12,6 +12,9 @@
     AgentHandle, AgentPlan, EnginePlan, EntryPlan, Fleet, ProcessHandle, free_address,
 };
 
+/// Addresses tried for a link.
+const LINK_TRIES: u32 = 5;
+
 /// Model that every deployment serves.
 pub const MODEL: &str = "plantain-writer";
 
@@ -289,9 +292,18 @@
         let Some(proxy) = &self.proxy else {
             return Ok(target);
         };
-        let listen = free_address()?;
-        let link = ProxyMessage { listen, target };
-        self.fleet.post(proxy.address, "/links", &link).await?;
-        Ok(listen)
+        // Another process may take a free address before the proxy does.
+        let mut tries = LINK_TRIES;
+        loop {
+            let listen = free_address()?;
+            let link = ProxyMessage { listen, target };
+            let added = self.fleet.post(proxy.address, "/links", &link).await;
+            tries -= 1;
+            match added {
+                Ok(()) => return Ok(listen),
+                Err(error) if tries == 0 => return Err(error),
+                Err(_) => {}
+            }
+        }
     }
 }
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::File,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
@@ -15,6 +16,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use rand::Rng;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -26,6 +28,12 @@
 /// Pause between two looks at a process.
 const POLL_PAUSE: Duration = Duration::from_millis(10);
 
+/// Ports to listen on, below those that connections are given.
+const LISTEN_PORTS: Range<u16> = 10_000..32_000;
+
+/// Ports tried for one address.
+const ADDRESS_TRIES: u32 = 100;
+
 /// A process of the fleet.
 #[derive(Debug)]
 pub struct ProcessHandle {
@@ -467,10 +475,16 @@
     Ok(folder)
 }
 
-/// An address that nothing listens on now.
+/// An address that nothing listens on now and that no connection is given as
+/// its own end before a process listens there.
 pub fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
+    for _ in 0..ADDRESS_TRIES {
+        let port = rand::rng().random_range(LISTEN_PORTS);
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().into_diagnostic();
+        }
+    }
+    Err(miette!("no free address in {ADDRESS_TRIES} tries"))
 }
 
 /// Add the fields of `extra` to `settings`.
--- a/xtask/src/patient_caller.rs
+++ b/xtask/src/patient_caller.rs
@@ -110,7 +110,7 @@
     fn may_come_back(&self) -> bool {
         matches!(
             self.outcome.end,
-            ChatEnd::Cut | ChatEnd::Refused(DRAINING_STATUS, _)
+            ChatEnd::Cut | ChatEnd::Reconnect | ChatEnd::Refused(DRAINING_STATUS, _)
         )
     }
 }
--- a/xtask/tests/resume.rs
+++ b/xtask/tests/resume.rs
@@ -41,6 +41,7 @@
     Link(LinkMode),
     AgentDrained,
     EntriesReplaced,
+    EntryHandsOver,
     NoteWithdrawn,
 }
 
@@ -72,6 +73,7 @@
 #[case::cut(Loss::Link(LinkMode::Cut))]
 #[case::agent_drained(Loss::AgentDrained)]
 #[case::entries_replaced(Loss::EntriesReplaced)]
+#[case::entry_hands_over(Loss::EntryHandsOver)]
 #[case::note_withdrawn(Loss::NoteWithdrawn)]
 #[tokio::test(flavor = "multi_thread")]
 async fn generations_come_whole(#[case] loss: Loss) -> Result<()> {
@@ -79,7 +81,10 @@
 }
 
 async fn check(loss: Loss) -> Result<()> {
-    let plan = plan();
+    let plan = match loss {
+        Loss::EntryHandsOver => plan().entry_extra(json!({ "drain_max_ms": 800 })),
+        _ => plan(),
+    };
     let mut deployment = plan.start().await?;
     let addresses: Vec<_> = deployment.entries.iter().map(|one| one.address).collect();
     let (board, entries) = watch::channel(addresses);
@@ -156,6 +161,12 @@
             let agent = &mut deployment.sites[site].agent.process;
             agent.signal(Signal::SIGTERM);
         }
+        Loss::EntryHandsOver => {
+            let entry = &mut deployment.entries[0];
+            entry.signal(Signal::SIGTERM);
+            let status = entry.wait_for_end(PATIENCE);
+            assert_eq!(status.and_then(|status| status.code()), Some(0));
+        }
         Loss::EntriesReplaced => {
             for at in 0..deployment.entries.len() {
                 let newer = deployment.start_entry(plan, at).await?;
