--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -12,6 +12,9 @@
     AgentHandle, AgentPlan, EnginePlan, EntryPlan, Fleet, ProcessHandle, free_address,
 };
 
+/// Addresses tried for a link.
+const LINK_TRIES: u32 = 5;
+
 /// Model that every deployment serves.
 pub const MODEL: &str = "plantain-writer";
 
@@ -30,9 +33,6 @@
 /// Operation of the service that may be repeated.
 pub const REPEATABLE_OPERATION: &str = "stock";
 
-/// Addresses that are tried for a link.
-const LINK_TRIES: u32 = 5;
-
 const DOMAINS: [&str; 4] = ["goma-shed", "bukavu-shed", "gisenyi-shed", "kibuye-shed"];
 
 /// What to start; built step by step.
