--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -142,6 +142,13 @@
     let settle_s = settled_from.elapsed().as_secs_f64();
     let runs = ledger(deployment).await?;
     let faults = judge(&records, &finals, &runs);
+    for (record, _) in records
+        .iter()
+        .zip(&finals)
+        .filter(|(_, outcome)| **outcome == FinalOutcome::Unsettled)
+    {
+        explain(deployment, &record.key);
+    }
     Ok(StormOutcome {
         records,
         faults_caused,
@@ -150,6 +157,21 @@
     })
 }
 
+/// Print what the agents logged of a booking.
+fn explain(deployment: &Deployment, key: &str) {
+    let request = format!("{TEAM}/{key}");
+    for site in &deployment.sites {
+        let log = deployment.fleet.log(&site.vm.name);
+        for line in log.lines().filter(|line| {
+            line.ends_with(&request)
+                || line.contains(&format!("{request} "))
+                || line.contains(&format!("{request}\""))
+        }) {
+            println!("{}: {line}", site.vm.name);
+        }
+    }
+}
+
 fn report(figures: Value, faults: CallFaults) -> MeasureReport {
     let figure = |group: &str, name: &str| figures[group][name].as_f64().unwrap_or(f64::NAN);
     let per_write = figure("crest", "per_write");
