--- a/crates/entry/src/server_membership.rs
+++ b/crates/entry/src/server_membership.rs
@@ -47,6 +47,15 @@
         });
     }
 
+    /// Forget servers that the platform's list names no more.
+    fn retain_listed(&self, entries: &[VmEntry]) {
+        self.evidence.rcu(|held| {
+            let mut next = HashMap::clone(held);
+            next.retain(|name, _| entries.iter().any(|entry| entry.spec.name == *name));
+            next
+        });
+    }
+
     fn observe(&self, server: &ServerName, take: impl Fn(&mut LeaveEvidence)) -> LeaveEvidence {
         let mut seen = LeaveEvidence::default();
         self.evidence.rcu(|held| {
@@ -95,6 +104,7 @@
         let leaving = entries.iter().filter(|entry| entry.leaving);
         let names = leaving.map(|entry| entry.spec.name.clone()).collect();
         self.membership.listed.store(Arc::new(names));
+        self.membership.retain_listed(entries);
         for entry in entries.iter().filter(|entry| entry.leaving) {
             let name = &entry.spec.name;
             self.membership
@@ -108,7 +118,7 @@
     ///
     /// Whether a stop holds for a restarted VM is for its agent to say, which
     /// is told of the stop and reports.
-    pub fn apply_stops(&self) {
+    fn apply_stops(&self) {
         for server in self.membership.stops.load().orders.keys() {
             let is_heard = self.membership.evidence.load().contains_key(server);
             if !is_heard {
@@ -117,8 +127,8 @@
         }
     }
 
-    /// Mark a server that a stop names, when the record has just changed.
-    pub fn mark_leaving(&self, server: &ServerName) {
+    /// Give a server no new work until its agent says otherwise.
+    fn mark_leaving(&self, server: &ServerName) {
         if let Some(node) = self.servers.load().get(server) {
             node.set_leaving(true);
         }
