status reads the rows that list unsettled calls, not all records

Cause: records of settled calls outnumber open ones by far and stay. Change: it scans the rows of open and unknown calls that agents keep.

--- a/crates/operator/src/status_command.rs
+++ b/crates/operator/src/status_command.rs
@@ -5,33 +5,31 @@
 //! is shown as silent; only a platform that does not answer is a failure.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use domain::{
-    release_note::NoteState,
-    service_call::{CallRecord, CallState},
-};
+use domain::release_note::NoteState;
 use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, WrapErr};
 use platform::{NoteStore, ObjectStore, StoreError, TableRow, TableStore, VmList, known_entries};
 use serde_json::Value;
-use wire::service_call::RecordMessage;
+use wire::service_call::{OpenMessage, all_open_rows, listed_request, open_server, unknown_rows};
 
 use crate::{
     CommandResult,
     deployment_report::{DeploymentReport, ProcessView, UnsettledCall},
 };
 
-/// Prefix of the rows that hold records of calls.
-const CALL_PREFIX: &str = "call/";
+/// Shown when no row tells which server has a call.
+const NO_SERVER: &str = "none";
 
 /// Rows of one scan.
 const SCAN_ROWS: usize = 500;
 
-/// Records of calls that are read at most.
+/// Rows of one prefix that are read at most.
 const RECORDS_MAX: usize = 20_000;
 
 /// Processes that are asked at once.
@@ -118,44 +116,54 @@
     reply.json().ok()
 }
 
-/// Unsettled calls, and whether there are more records than were read.
+/// Unsettled calls, and whether there are more than were read.
+///
+/// The rows that list open and unknown calls are read, not the records of all
+/// calls; a call that stands in both is of unknown outcome.
 async fn unsettled_calls(
     table: &impl TableStore,
 ) -> Result<(Vec<UnsettledCall>, bool), StoreError> {
-    let mut calls = Vec::new();
-    let mut after = String::new();
-    let mut read = 0;
-    while read < RECORDS_MAX {
-        let rows = table.scan(CALL_PREFIX, &after, SCAN_ROWS).await?;
-        calls.extend(rows.iter().filter_map(unsettled));
-        read += rows.len();
-        match rows.last() {
-            Some(row) if rows.len() == SCAN_ROWS => after.clone_from(&row.key),
-            _ => return Ok((calls, false)),
+    let (open, is_open_cut) = scan_all(table, all_open_rows()).await?;
+    let (unknown, is_unknown_cut) = scan_all(table, &unknown_rows(None)).await?;
+    let mut calls: BTreeMap<String, UnsettledCall> = BTreeMap::new();
+    for row in &open {
+        let server = open_server(&row.key).unwrap_or(NO_SERVER);
+        if let Ok(message) = serde_json::from_str::<OpenMessage>(&row.value) {
+            let call = UnsettledCall {
+                request: message.request.clone(),
+                server: server.to_owned(),
+                state: "in flight",
+            };
+            calls.insert(message.request, call);
         }
     }
-    Ok((calls, true))
+    for request in unknown.iter().filter_map(|row| listed_request(&row.key)) {
+        let call = calls
+            .entry(request.to_owned())
+            .or_insert_with(|| UnsettledCall {
+                request: request.to_owned(),
+                server: NO_SERVER.to_owned(),
+                state: "unknown",
+            });
+        call.state = "unknown";
+    }
+    Ok((calls.into_values().collect(), is_open_cut || is_unknown_cut))
 }
 
-fn unsettled(row: &TableRow) -> Option<UnsettledCall> {
-    let message = serde_json::from_str::<RecordMessage>(&row.value).ok();
-    let record = message.and_then(|message| CallRecord::try_from(message).ok());
-    let request = row.key.trim_start_matches(CALL_PREFIX).to_owned();
-    let Some(record) = record else {
-        return Some(UnsettledCall {
-            request,
-            server: "none".to_owned(),
-            state: "unreadable",
-        });
-    };
-    let state = match record.state {
-        CallState::Intended => "in flight",
-        CallState::Unknown => "unknown",
-        CallState::Ran { .. } | CallState::NotRun => return None,
-    };
-    Some(UnsettledCall {
-        request,
-        server: record.owner.server.as_str().to_owned(),
-        state,
-    })
+/// Rows under a prefix, and whether there are more than were read.
+async fn scan_all(
+    table: &impl TableStore,
+    prefix: &str,
+) -> Result<(Vec<TableRow>, bool), StoreError> {
+    let mut all: Vec<TableRow> = Vec::new();
+    while all.len() < RECORDS_MAX {
+        let after = all.last().map_or("", |row| row.key.as_str());
+        let rows = table.scan(prefix, after, SCAN_ROWS).await?;
+        let is_last = rows.len() < SCAN_ROWS;
+        all.extend(rows);
+        if is_last {
+            return Ok((all, false));
+        }
+    }
+    Ok((all, true))
 }
--- a/crates/wire/src/service_call.rs
+++ b/crates/wire/src/service_call.rs
@@ -49,6 +49,16 @@
     format!("{OPEN_PREFIX}{pool}/{server}/")
 }
 
+/// Prefix of the rows that name the open calls of all servers.
+pub const fn all_open_rows() -> &'static str {
+    OPEN_PREFIX
+}
+
+/// Server whose open call a row names.
+pub fn open_server(row: &str) -> Option<&str> {
+    row.strip_prefix(OPEN_PREFIX)?.split('/').nth(1)
+}
+
 /// Row that names one open call; its value is an [`OpenMessage`].
 pub fn open_row(pool: &str, server: &str, epoch: u64, run: u64) -> String {
     format!("{}{epoch:016x}/{run:016x}", open_rows(pool, server))
