--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,7 +6,10 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use agent::{AgentState, CallSettler, NoteKeeper, serve_control, serve_streams, watch_server};
+use agent::{
+    AgentState, CallSettler, DutyHolder, NoteKeeper, OrderGate, serve_control, serve_streams,
+    watch_server,
+};
 use domain::backend_server::ServerKind;
 use miette::{IntoDiagnostic, WrapErr};
 use platform::HttpPlatform;
@@ -37,12 +40,15 @@
         .as_millis();
     let epoch = u64::try_from(epoch).into_diagnostic()?;
     let now = Instant::now();
-    let (state, news) = AgentState::new(settings, table.clone(), epoch, now);
+    let (state, inbox) = AgentState::new(settings, table.clone(), epoch, now);
     let state = Arc::new(state);
+    let keeper = NoteKeeper::new(Arc::clone(&state), table.clone(), now);
+    tokio::spawn(keeper.run(inbox.news));
+    tokio::spawn(OrderGate::new(Arc::clone(&state), table.clone()).run(inbox.orders));
     if state.settings.kind == ServerKind::Service {
         tokio::spawn(CallSettler::new(Arc::clone(&state), table.clone(), now).run());
     }
-    tokio::spawn(NoteKeeper::new(Arc::clone(&state), table, now).run(news));
+    tokio::spawn(DutyHolder::new(Arc::clone(&state), table).run());
     tokio::spawn(watch_server(Arc::clone(&state)));
     let control = serve_control(&state)
         .await
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -30,7 +30,8 @@
     ProblemReport,
     note::NOTE_PATH,
     stream::{
-        BEAT_EVENT, END_EVENT, LOST_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT, TOKEN_EVENT,
+        BEAT_EVENT, END_EVENT, LOST_EVENT, MISMATCH_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT,
+        TOKEN_EVENT,
     },
 };
 
@@ -166,7 +167,7 @@
     if open.attempt > 0 || !open.delivered.is_empty() {
         return Ok(state.slots.enter_always(class));
     }
-    state.slots.enter(class)
+    state.slots.enter(class, Instant::now())
 }
 
 /// Where a new entry wants to begin.
@@ -239,6 +240,7 @@
         StreamItem::Beat(beat) => named(BEAT_EVENT, beat),
         StreamItem::End(end) => named(END_EVENT, end),
         StreamItem::Stale => Event::new().event(STALE_EVENT).data("{}"),
+        StreamItem::Mismatch => Event::new().event(MISMATCH_EVENT).data("{}"),
         StreamItem::Lost(reason) => Event::new()
             .event(LOST_EVENT)
             .data(reason.replace(['\n', '\r'], " ")),
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -29,7 +29,7 @@
     chat_front::{last_event_id, resume_chat, start_chat},
     note_front::pass_notes,
     problem_reply::ProblemReply,
-    service_front::{list_requests, serve_call, show_request},
+    service_front::{list_requests, request_key, serve_call, show_request},
     state_dump::dump_state,
 };
 
@@ -84,8 +84,9 @@
         if let Some(id) = last_event_id(&parts.headers)? {
             return resume_chat(&state, &id).await;
         }
+        let key = request_key(&parts.headers)?;
         let body = read_body(&state, body).await?;
-        start_chat(&state, team, &body).await
+        start_chat(&state, team, key, &body).await
     };
     served.await.unwrap_or_else(ProblemReply::into_response)
 }
--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -27,8 +27,10 @@
 pub enum JournalOffer {
     /// It does not.
     None,
-    /// `GET /v1/journal/KEY` tells.
+    /// `GET /v1/journal/TEAM/KEY` tells for the calls of this server.
     ByKey,
+    /// The same, for the calls of all servers of the pool.
+    ByPool,
 }
 
 /// What an agent is told at its start.
@@ -62,6 +64,9 @@
     pub window: u32,
     /// Longest time that the service works on a call.
     pub service_run_max: Duration,
+    /// Time after which a server that the platform does not list counts as
+    /// gone for good.
+    pub peer_gone: Duration,
     /// Time that a drain waits for work in flight.
     pub drain_max: Duration,
     /// Whether capacity is set apart by class.
@@ -105,6 +110,7 @@
                 &[
                     ("none", JournalOffer::None),
                     ("by_key", JournalOffer::ByKey),
+                    ("by_pool", JournalOffer::ByPool),
                 ],
             ),
             beat: fields.millis("beat_ms", 10..=1_000, Duration::from_millis(100)),
@@ -120,13 +126,24 @@
                 100..=60_000,
                 Duration::from_secs(2),
             ),
+            peer_gone: fields.millis("peer_gone_ms", 1_000..=3_600_000, Duration::from_secs(60)),
             drain_max: fields.millis("drain_max_ms", 0..=3_600_000, Duration::from_secs(900)),
             policy: read_policy(fields),
             slots: SlotLimits {
                 long_milli: milli(fields, "long_slots_milli", 1..=1_000, 500),
+                long_floor_milli: milli(fields, "long_floor_milli", 0..=1_000, 250),
                 queue_milli: milli(fields, "queue_milli", 0..=4_000, 500),
             },
         };
+        if settings.slots.long_floor_milli > settings.slots.long_milli {
+            fields.finding(
+                "long_floor_milli",
+                format!(
+                    "`long_floor_milli` must not be above `long_slots_milli` ({})",
+                    settings.slots.long_milli
+                ),
+            );
+        }
         if settings.listen == settings.control {
             fields.finding("control", "`control` is the address that `listen` takes");
         }
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -93,6 +93,7 @@
     exchange: HttpExchange,
     team: String,
     is_first_use: bool,
+    key: Option<String>,
 }
 
 impl CallerClient {
@@ -102,6 +103,7 @@
             exchange: HttpExchange::fresh(),
             team: team.to_owned(),
             is_first_use: false,
+            key: None,
         }
     }
 
@@ -112,6 +114,13 @@
         self
     }
 
+    /// Send an idempotency key with every completion.
+    #[must_use]
+    pub fn keyed(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
     /// Request of a completion and the seed of its text.
     pub fn request(
         model: &str,
@@ -149,6 +158,9 @@
         let mut call = ExchangeCall::post(entry, "/v1/chat/completions")
             .header(TEAM_HEADER, &self.team)
             .json(request);
+        if let Some(key) = &self.key {
+            call = call.header(KEY_HEADER, key);
+        }
         if let Some(id) = last_event_id {
             call = call.header(LAST_EVENT_HEADER, id);
         }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -5,12 +5,13 @@
 //! bounds come from the targets, not from what was measured before.
 
 mod byte_relay;
-mod calls;
+pub mod calls;
 mod control;
 mod control_idle;
 mod control_load;
 mod design_size;
 mod load;
+pub mod notes;
 mod proc_reader;
 mod resume;
 mod slope_book;
@@ -40,7 +41,7 @@
 }
 
 /// Names of all measurements.
-pub const NAMES: [&str; 4] = ["calls", "control", "load", "resume"];
+pub const NAMES: [&str; 5] = ["calls", "control", "load", "notes", "resume"];
 
 /// Run a measurement.
 pub async fn run(name: &str, options: MeasureOptions) -> Result<()> {
@@ -60,6 +61,7 @@
 
 async fn measure(name: &str, options: MeasureOptions) -> Result<MeasureReport> {
     match name {
+        "notes" => notes::measure(options).await,
         "load" => load::run(options).await,
         "calls" => calls::measure(options).await,
         "resume" => resume::measure(options).await,
