--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -11,7 +11,7 @@
 use domain::{
     AttemptNumber, GenerationId, TokenPosition,
     backend_server::SlotPermit,
-    generation_stream::{AttemptGate, AttemptVerdict, LogReservation, TokenLog},
+    generation_stream::{AttemptGate, AttemptVerdict, BeatPace, LogReservation, TokenLog},
 };
 use exchange::{ExchangeError, StreamEvent};
 use tokio::{
@@ -22,7 +22,8 @@
 use wire::{
     engine::EngineToken,
     stream::{
-        BeatMessage, END_EVENT, EndMessage, OpenMessage, RecordMessage, TOKEN_EVENT, TokenMessage,
+        BeatMessage, END_EVENT, EndMessage, LoadMessage, OpenMessage, RecordMessage, TOKEN_EVENT,
+        TokenMessage,
     },
 };
 
@@ -79,6 +80,7 @@
 
 struct StreamReader {
     sender: mpsc::Sender<StreamItem>,
+    pace: BeatPace,
     next: TokenPosition,
     told_end: bool,
 }
@@ -334,10 +336,16 @@
         };
         let attempt = self.gate.current().0;
         if let Some(text) = self.log.get(reader.next) {
+            let slots = &self.state.slots;
+            let load = reader.pace.note_token(Instant::now()).then(|| LoadMessage {
+                held: slots.held(),
+                slots: slots.slots(),
+            });
             permit.send(StreamItem::Token(TokenMessage {
                 attempt,
                 position: reader.next.0,
                 text: text.to_owned(),
+                load,
             }));
             reader.next = reader.next.next();
             return;
@@ -359,13 +367,21 @@
     }
 
     fn beat(&mut self, now: Instant) {
-        let Some(reader) = &self.reader else {
+        let engine_silence_ms = millis(self.engine_silence(now));
+        let leaving = self.state.is_leaving();
+        let Some(reader) = &mut self.reader else {
             return;
         };
+        if reader.sender.is_closed() {
+            return self.drop_reader();
+        }
+        if !reader.pace.take_beat(leaving, now) {
+            return;
+        }
         let beat = BeatMessage {
-            engine_silence_ms: millis(self.engine_silence(now)),
+            engine_silence_ms,
             server_silence_ms: millis(self.state.server_silence(now)),
-            leaving: self.state.is_leaving(),
+            leaving,
             held: self.state.slots.held(),
             slots: self.state.slots.slots(),
         };
@@ -492,6 +508,7 @@
         self.tell_stale();
         self.reader = Some(StreamReader {
             sender,
+            pace: BeatPace::new(self.state.settings.beat),
             next: from,
             told_end: false,
         });
--- a/crates/domain/src/generation_stream.rs
+++ b/crates/domain/src/generation_stream.rs
@@ -12,6 +12,7 @@
 //!   token.
 
 mod attempt_gate;
+mod beat_pace;
 mod log_budget;
 mod resume_queue;
 mod silence_rule;
@@ -19,6 +20,7 @@
 mod token_log;
 
 pub use attempt_gate::{AttemptGate, AttemptVerdict};
+pub use beat_pace::BeatPace;
 pub use log_budget::{LogBudget, LogReservation};
 pub use resume_queue::{ResumeLimits, ResumeQueue, ResumeVerdict};
 pub use silence_rule::{BeatReport, SilenceRule, SilenceVerdict, StreamWatch};
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -10,6 +10,7 @@
 use derive_more::{Display, Error};
 use domain::{
     AdapterName, AttemptNumber, GenerationId, ModelName, ModelVersion, TokenPosition, WorkClass,
+    backend_server::LoadReport,
     generation_stream::{BeatReport, ModelPin},
 };
 use serde::{Deserialize, Serialize};
@@ -147,6 +148,20 @@
     /// The token.
     #[serde(rename = "t")]
     pub text: String,
+    /// Load of the server, now and then.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<LoadMessage>,
+}
+
+/// Load of a server, as a token carries it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct LoadMessage {
+    /// Slots held.
+    #[serde(rename = "h")]
+    pub held: u32,
+    /// Slots in all.
+    #[serde(rename = "s")]
+    pub slots: u32,
 }
 
 impl TokenMessage {
@@ -183,6 +198,24 @@
     }
 }
 
+impl From<BeatMessage> for LoadReport {
+    fn from(message: BeatMessage) -> Self {
+        Self {
+            held: message.held,
+            slots: message.slots,
+        }
+    }
+}
+
+impl From<LoadMessage> for LoadReport {
+    fn from(message: LoadMessage) -> Self {
+        Self {
+            held: message.held,
+            slots: message.slots,
+        }
+    }
+}
+
 /// End of a whole generation.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EndMessage {
