Addresses of test processes are never tried by listening

Ruled out: two callers with one port (a counter gives them), other programs (none ran at these ports), and outgoing connections (ports below their range).

Change: each program draws a host of its own in the loopback network and counts ports up on it, without listening.

--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -32,9 +32,6 @@
 /// Ports that processes listen on.
 const PORTS: Range<u16> = 10_000..32_000;
 
-/// Ports that are tried until one is free.
-const ADDRESS_TRIES: u32 = 100;
-
 /// Pause between two looks at a process.
 const POLL_PAUSE: Duration = Duration::from_millis(10);
 
@@ -503,23 +500,29 @@
     Ok(folder)
 }
 
-/// An address that nothing listens on now.
+/// An address that nothing listens on.
 ///
-/// It lies below the ports that the system gives to outgoing connections, or
-/// one of those could take it before the process listens. No address is given
-/// twice by this program, and other programs begin elsewhere.
+/// Each program has a host of its own in the loopback network, and gives no
+/// port of it twice. So neither another program nor an outgoing connection can
+/// take the port, and no port has to be tried by listening on it: a child that
+/// another thread starts at that moment would hold the listener until it runs
+/// its own program.
 pub fn free_address() -> Result<SocketAddr> {
-    static FIRST: LazyLock<u16> = LazyLock::new(|| rand::rng().random_range(0..PORTS.end));
+    static HOST: LazyLock<Ipv4Addr> = LazyLock::new(|| {
+        let mut rng = rand::rng();
+        Ipv4Addr::new(
+            127,
+            rng.random_range(1..=254),
+            rng.random(),
+            rng.random_range(1..=254),
+        )
+    });
     static GIVEN: AtomicU16 = AtomicU16::new(0);
-    for _ in 0..ADDRESS_TRIES {
-        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
-        let count = PORTS.end - PORTS.start;
-        let port = PORTS.start + FIRST.wrapping_add(given) % count;
-        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
-            return listener.local_addr().into_diagnostic();
-        }
+    let port = PORTS.start + GIVEN.fetch_add(1, Ordering::Relaxed);
+    if !PORTS.contains(&port) {
+        return Err(miette!("no free address"));
     }
-    Err(miette!("no free address"))
+    Ok(SocketAddr::from((*HOST, port)))
 }
 
 /// Add the fields of `extra` to `settings`.
--- a/xtask/tests/command_line.rs
+++ b/xtask/tests/command_line.rs
@@ -1,7 +1,8 @@
 //! Exit codes and findings of the programs, as operators see them.
 
 use std::{
-    net::TcpListener,
+    collections::HashSet,
+    net::{Ipv4Addr, TcpListener},
     path::Path,
     process::{Command, Output},
 };
@@ -227,3 +228,26 @@
     assert_eq!(codes, [Some(0), Some(5)]);
     Ok(())
 }
+
+/// Outgoing connections take their ports at the common loopback host.
+#[test]
+fn addresses_are_given_once() -> Result<()> {
+    let given = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| (0..50).map(|_| free_address()).collect::<Result<Vec<_>>>()))
+            .collect();
+        let given = threads.into_iter().map(|thread| thread.join());
+        given
+            .map(|addresses| addresses.expect("giving does not panic"))
+            .collect::<Result<Vec<_>>>()
+    })?
+    .concat();
+    let distinct: HashSet<_> = given.iter().collect();
+    assert_eq!(distinct.len(), given.len());
+    assert!(
+        given
+            .iter()
+            .all(|address| address.ip() != Ipv4Addr::LOCALHOST)
+    );
+    Ok(())
+}
