measure notes names the slowest processes and what was going on

The twelve slowest pairs of process and version are printed now, with what the measurement was doing when the note was accepted. No rule changes.

--- a/xtask/src/measure/notes.rs
+++ b/xtask/src/measure/notes.rs
@@ -9,7 +9,10 @@
 mod stop_trial;
 mod version_monitor;
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use miette::{Result, miette};
 use nix::sys::signal::Signal;
@@ -45,6 +48,9 @@
 /// Time between two questions of an agent to entries, as in the product.
 const PULL_INTERVAL_S: f64 = 1.5;
 
+/// Slowest processes that are named.
+const SLOWEST_SHOWN: usize = 12;
+
 /// A run of the measurement.
 struct NoteTrial {
     site: NoteSite,
@@ -53,6 +59,9 @@
     /// Teams whose limit was set last, with the weight that must be in force.
     accepted: Vec<(u64, String, u32)>,
     notes: u32,
+    /// What was going on when a version was accepted.
+    phases: BTreeMap<u64, &'static str>,
+    phase: &'static str,
 }
 
 /// Traffic in a quiet window with a few notes.
@@ -87,34 +96,38 @@
         rng: SmallRng::seed_from_u64(options.seed),
         accepted: Vec::new(),
         notes: 0,
+        phases: BTreeMap::new(),
+        phase: "start",
     };
     trial.run().await
 }
 
 impl NoteTrial {
     async fn run(&mut self) -> Result<MeasureReport> {
+        self.phase = "traffic";
         let traffic = self.measure_traffic().await?;
-        self.publish_under(
-            &PlatformFaults {
-                slow_ms: 200,
-                ..Default::default()
-            },
-            2,
-        )
-        .await?;
-        self.publish_under(
-            &PlatformFaults {
-                lose_answers: 1,
-                ..Default::default()
-            },
-            2,
-        )
-        .await?;
+        self.phase = "slow store";
+        let slow = PlatformFaults {
+            slow_ms: 200,
+            ..Default::default()
+        };
+        self.publish_under(&slow, 2).await?;
+        self.phase = "lost answers";
+        let lossy = PlatformFaults {
+            lose_answers: 1,
+            ..Default::default()
+        };
+        self.publish_under(&lossy, 2).await?;
+        self.phase = "racing operators";
         self.race_operators(3).await?;
+        self.phase = "domain cut off";
         self.cut_domain_off().await?;
+        self.phase = "planned stops";
         let stops = try_stops(&self.site).await?;
         self.restart_domain_without_store().await?;
+        self.phase = "after a restart without the store";
         let taken_over = self.pause_holders().await?;
+        self.phase = "end";
         self.settle().await?;
         let lost = self.count_lost().await?;
         self.report(&traffic, &stops, (lost, taken_over)).await
@@ -142,6 +155,7 @@
         let published = self.site.publish("trial", note)?;
         if let Some(version) = published {
             self.monitor.accepted(version, asked_at);
+            self.phases.insert(version, self.phase);
             self.accepted
                 .extend(limit.map(|(team, weight)| (version, team, weight)));
         }
@@ -199,6 +213,7 @@
                     continue;
                 };
                 self.monitor.accepted(version, asked_at);
+                self.phases.insert(version, self.phase);
                 self.accepted.push((version, team, weight));
                 newest = newest.max(version);
             }
@@ -366,11 +381,22 @@
     ) -> Result<MeasureReport> {
         let (stale_orders, orders) = self.stale_orders().await?;
         let sightings = self.monitor.stop();
-        let seconds = sightings.seconds();
+        let times = sightings.times();
         let quantile = |share: f64| {
-            let at = (seconds.len().saturating_sub(1)) as f64 * share;
-            seconds.get(at as usize).copied().unwrap_or(f64::INFINITY)
+            let at = (times.len().saturating_sub(1)) as f64 * share;
+            times
+                .get(at as usize)
+                .map_or(f64::INFINITY, |time| time.seconds)
         };
+        for time in times.iter().rev().take(SLOWEST_SHOWN) {
+            println!(
+                "version {} in force after {:.2} s at {} (published in: {})",
+                time.version,
+                time.seconds,
+                self.site.name(time.process),
+                self.phases.get(&time.version).unwrap_or(&"unknown"),
+            );
+        }
         let max_s = quantile(1.0);
         let lost = lost + sightings.missing() as u64;
         let control_bps = traffic.entry_bps.max(traffic.agent_bps);
--- a/xtask/src/measure/notes/note_site.rs
+++ b/xtask/src/measure/notes/note_site.rs
@@ -123,6 +123,17 @@
         entries.chain(agents).collect()
     }
 
+    /// Name of the process that listens at an address.
+    pub fn name(&self, address: SocketAddr) -> &str {
+        let agents = self.agents.iter();
+        let agents = agents.map(|agent| (agent.vm.stream, &agent.process));
+        let entries = self.entries.iter().map(|entry| (entry.address, entry));
+        let mut named = agents.chain(entries);
+        named
+            .find(|(listen, _)| *listen == address)
+            .map_or("unknown", |(_, process)| &process.name)
+    }
+
     /// Set the mode of a link.
     pub async fn set_link(&self, listen: SocketAddr, mode: LinkMode) -> Result<()> {
         let message = ModeMessage { listen, mode };
--- a/xtask/src/measure/notes/version_monitor.rs
+++ b/xtask/src/measure/notes/version_monitor.rs
@@ -29,12 +29,23 @@
     epoch: u64,
 }
 
+/// Time until a process had a note in force.
+#[derive(Clone, Copy, Debug)]
+pub struct ForceTime {
+    /// Time since the operator began.
+    pub seconds: f64,
+    /// Version of the note.
+    pub version: u64,
+    /// Where the process listens.
+    pub process: SocketAddr,
+}
+
 /// What was seen of all processes.
 #[derive(Debug, Default)]
 pub struct VersionSightings {
     processes: BTreeMap<SocketAddr, ProcessTrack>,
     accepted: BTreeMap<u64, Instant>,
-    seconds: Vec<f64>,
+    times: Vec<ForceTime>,
     /// Times that a process showed a lower version than before.
     pub reverted: u64,
     /// Longest time that a restarted process had no version.
@@ -141,19 +152,23 @@
         }
         let risen = self.accepted.range(track.version + 1..=version);
         let woken_at = self.woken.get(&address);
-        let times = risen.map(|(_, asked_at)| {
+        let times = risen.map(|(&version, asked_at)| {
             let since = woken_at.map_or(*asked_at, |woken_at| *woken_at.max(asked_at));
-            (now - since).as_secs_f64()
+            ForceTime {
+                seconds: (now - since).as_secs_f64(),
+                version,
+                process: address,
+            }
         });
-        self.seconds.extend(times);
+        self.times.extend(times);
         track.version = version;
     }
 
-    /// Times until in force at each process, in seconds, shortest first.
-    pub fn seconds(&self) -> Vec<f64> {
-        let mut seconds = self.seconds.clone();
-        seconds.sort_by(f64::total_cmp);
-        seconds
+    /// Times until in force at each process, shortest first.
+    pub fn times(&self) -> Vec<ForceTime> {
+        let mut times = self.times.clone();
+        times.sort_by(|one, other| one.seconds.total_cmp(&other.seconds));
+        times
     }
 
     /// Pairs of process and accepted note that never came together.
