--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -11,7 +11,9 @@
 use domain::{
     AttemptNumber, GenerationId, TokenPosition,
     backend_server::SlotPermit,
-    generation_stream::{AttemptGate, AttemptVerdict, BeatPace, LogReservation, TokenLog},
+    generation_stream::{
+        AttemptGate, AttemptVerdict, BeatPace, LogReservation, ReaderLimits, ReaderWatch, TokenLog,
+    },
 };
 use exchange::{ExchangeError, StreamEvent};
 use tokio::{
@@ -109,7 +111,7 @@
     has_first_token: bool,
     is_stopped: bool,
     reader: Option<StreamReader>,
-    reader_gone_at: Instant,
+    readers: ReaderWatch,
     _room: LogReservation,
 }
 
@@ -153,6 +155,10 @@
         reader: mpsc::Sender<StreamItem>,
     ) -> Self {
         let now = Instant::now();
+        let limits = ReaderLimits {
+            window: state.settings.window,
+            grace: state.settings.reader_grace,
+        };
         let mut task = Self {
             state,
             generation,
@@ -163,7 +169,7 @@
             has_first_token: false,
             is_stopped: false,
             reader: None,
-            reader_gone_at: now,
+            readers: ReaderWatch::new(limits, now),
             open: Arc::new(open),
             _room: grant.room,
         };
@@ -192,7 +198,8 @@
                     let now = Instant::now();
                     self.hand_over_if_due();
                     self.beat(now);
-                    if self.is_abandoned(now) {
+                    let is_leaving = self.state.is_leaving();
+                    if self.readers.is_abandoned(self.is_stopped, is_leaving, now) {
                         break;
                     }
                 }
@@ -251,7 +258,7 @@
             Some(reader) => reader.next,
             None => TokenPosition(self.open.delivered.len() as u32),
         };
-        self.is_engine_at_work() && self.log.next_position().0 < read.0 + self.state.settings.window
+        self.is_engine_at_work() && self.readers.may_run_ahead(self.log.next_position(), read)
     }
 
     fn take_opened(&mut self, opened: Result<EngineStream, String>) {
@@ -408,18 +415,7 @@
 
     fn drop_reader(&mut self) {
         self.reader = None;
-        self.reader_gone_at = Instant::now();
-    }
-
-    fn is_abandoned(&self, now: Instant) -> bool {
-        if self.reader.is_some() {
-            return false;
-        }
-        if self.is_stopped && self.state.is_leaving() {
-            return true;
-        }
-        let grace = self.state.settings.reader_grace;
-        now.duration_since(self.reader_gone_at) >= grace
+        self.readers.detach(Instant::now());
     }
 
     fn obey(&mut self, command: TaskCommand) {
@@ -512,6 +508,7 @@
             next: from,
             told_end: false,
         });
+        self.readers.attach();
         // The reader need not wait for the next beat to know that this works.
         self.beat(Instant::now());
     }
@@ -521,7 +518,7 @@
             // A reader too slow to be told ends with its channel.
             let _ = reader.sender.try_send(StreamItem::Stale);
         }
-        self.reader_gone_at = Instant::now();
+        self.readers.detach(Instant::now());
     }
 }
 
--- a/crates/domain/src/generation_stream.rs
+++ b/crates/domain/src/generation_stream.rs
@@ -14,6 +14,7 @@
 mod attempt_gate;
 mod beat_pace;
 mod log_budget;
+mod reader_watch;
 mod resume_queue;
 mod silence_rule;
 mod stream_relay;
@@ -22,6 +23,7 @@
 pub use attempt_gate::{AttemptGate, AttemptVerdict};
 pub use beat_pace::BeatPace;
 pub use log_budget::{LogBudget, LogReservation};
+pub use reader_watch::{ReaderLimits, ReaderWatch};
 pub use resume_queue::{ResumeLimits, ResumeQueue, ResumeVerdict};
 pub use silence_rule::{BeatReport, SilenceRule, SilenceVerdict, StreamWatch};
 pub use stream_relay::{EndVerdict, LossAction, RelayLimits, StreamRelay, TokenVerdict};
