A process that knows no entry asks the store soon

They asked the store only after 6 s without an answer, looked at every 1.2 to 1.8 s. Ruled out: the cut failure domain, lost answers, racing operators and the paused holders, whose notes were all in force in less than 4.9 s.

Change: NoteSources in domain::release_note decides whom an agent asks; one that knows one entry at most asks the store after 2 s. It keeps the last entry it knows, and learns some of the announced entries drawn at random where all agents took the first 16 of the list, dead ones among them. The three questions to the store are asked at once. An entry announces itself beside its watch of the heads, which waited for it while the store was silent. Announcements have one home, platform's entry_roster; the age of an entry stood three times.

--- a/crates/agent/src/note_keeper.rs
+++ b/crates/agent/src/note_keeper.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use domain::{
     NoteVersion, OrderVersion,
-    release_note::NoteLedger,
+    release_note::{NoteLedger, NoteSources},
     vm_membership::{LeaveEvidence, StopKind},
 };
 use platform::{NotePeer, NoteStore, ObjectStore, StopStore, TableStore, known_entries};
@@ -22,12 +22,6 @@
 /// Time between two questions to entries.
 const PULL_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Time without an answer of an entry after which the store is asked.
-const STORE_PATIENCE: Duration = Duration::from_secs(6);
-
-/// Entries that are remembered.
-const ENTRIES_MAX: usize = 16;
-
 /// News waiting at most; more say the same.
 pub const NEWS_MAX: usize = 16;
 
@@ -103,8 +97,7 @@
     state: Arc<AgentState>,
     platform: P,
     peer: NotePeer,
-    entries: Vec<SocketAddr>,
-    answered_at: Instant,
+    sources: NoteSources,
 }
 
 impl<P: TableStore + ObjectStore> NoteKeeper<P> {
@@ -114,8 +107,7 @@
             state,
             platform,
             peer: NotePeer::default(),
-            entries: Vec::new(),
-            answered_at: now,
+            sources: NoteSources::new(now),
         }
     }
 
@@ -133,26 +125,21 @@
     }
 
     async fn hear(&mut self, told: &NewsMessage) {
-        if !self.entries.contains(&told.entry) {
-            if self.entries.len() >= ENTRIES_MAX {
-                self.entries.remove(0);
-            }
-            self.entries.push(told.entry);
-        }
-        self.answered_at = Instant::now();
+        self.sources.learn(told.entry);
+        self.sources.note_answer(Instant::now());
         if NoteVersion(told.note_version) > self.state.notes.ledger().version() {
             self.ask_entry(told.entry).await;
         }
     }
 
     async fn ask_any(&mut self) {
-        let entry = self.entries.choose(&mut rand::rng()).copied();
+        let entry = self.sources.entries().choose(&mut rand::rng()).copied();
         if let Some(entry) = entry {
             self.ask_entry(entry).await;
         }
-        if self.answered_at.elapsed() >= STORE_PATIENCE {
+        if self.sources.is_store_due(Instant::now()) {
             self.ask_store().await;
-            self.answered_at = Instant::now();
+            self.sources.note_answer(Instant::now());
         }
     }
 
@@ -163,11 +150,11 @@
         let pulled = self.peer.pull_for(entry, ledger.version(), server, orders);
         match pulled.await {
             Ok(update) => {
-                self.answered_at = Instant::now();
+                let now = Instant::now();
+                self.sources.note_answer(now);
                 if let Some(news) = update.news() {
-                    self.state
-                        .notes
-                        .hear(&news, self.state.owner.epoch, self.answered_at);
+                    let epoch = self.state.owner.epoch;
+                    self.state.notes.hear(&news, epoch, now);
                 }
                 if let Some(next) = update.follow(&ledger) {
                     self.state.notes.take(next);
@@ -175,21 +162,41 @@
             }
             Err(error) => {
                 log::debug!("no notes from entry {entry}: {error}");
-                self.entries.retain(|known| *known != entry);
+                self.sources.note_failure(entry);
             }
         }
     }
 
+    /// Ask the store for everything at once, since each question may take as
+    /// long as the store is given to answer.
     async fn ask_store(&mut self) {
-        if let Err(error) = self.read_notes().await {
+        let (notes, stops, entries) =
+            tokio::join!(self.read_notes(), self.read_stops(), self.read_entries(),);
+        if let Err(error) = notes {
             log::warn!("release note not read: {error}");
         }
-        if let Err(error) = self.read_stops().await {
+        if let Err(error) = stops {
             log::warn!("recorded stops not read: {error}");
         }
+        match entries {
+            Ok(entries) => entries
+                .into_iter()
+                .for_each(|entry| self.sources.learn(entry)),
+            Err(error) => log::warn!("entries not read: {error}"),
+        }
     }
 
-    async fn read_notes(&mut self) -> Result<(), platform::NoteStoreError> {
+    /// Some of the entries, others for each process that asks.
+    async fn read_entries(&self) -> Result<Vec<SocketAddr>, platform::StoreError> {
+        if !self.sources.is_lonely() {
+            return Ok(Vec::new());
+        }
+        let entries = known_entries(&self.platform).await?;
+        let chosen = entries.choose_multiple(&mut rand::rng(), NoteSources::ENTRIES_MAX);
+        Ok(chosen.copied().collect())
+    }
+
+    async fn read_notes(&self) -> Result<(), platform::NoteStoreError> {
         let notes = NoteStore::new(self.platform.clone());
         let head = notes.head().await?;
         let ledger = self.state.notes.ledger();
@@ -199,7 +206,7 @@
         Ok(())
     }
 
-    async fn read_stops(&mut self) -> Result<(), platform::StoreError> {
+    async fn read_stops(&self) -> Result<(), platform::StoreError> {
         let record = StopStore::new(self.platform.clone()).read().await?;
         let order = record.order_of(self.state.settings.name.as_str());
         let order = OrderNews {
@@ -207,11 +214,6 @@
             stop: order.map(StopNews::from),
         };
         self.state.notes.heed(&order, self.state.owner.epoch);
-        if self.entries.is_empty() {
-            let entries = known_entries(&self.platform, 0).await?;
-            let addresses = entries.iter().map(|entry| entry.address);
-            self.entries.extend(addresses.take(ENTRIES_MAX));
-        }
         Ok(())
     }
 }
--- a/crates/domain/src/release_note.rs
+++ b/crates/domain/src/release_note.rs
@@ -12,9 +12,11 @@
 mod accepted_note;
 mod note_change;
 mod note_ledger;
+mod note_sources;
 mod note_state;
 
 pub use accepted_note::AcceptedNote;
 pub use note_change::{ModelDuty, NoteChange, NoteConflict, ServiceLimit, TeamLimit};
 pub use note_ledger::{NoteLedger, NoteUpdate};
+pub use note_sources::NoteSources;
 pub use note_state::{NoteState, NoteStateParts};
--- a/crates/entry/src/refresh_task.rs
+++ b/crates/entry/src/refresh_task.rs
@@ -4,12 +4,9 @@
 //! of servers, and the more entries there are, the more seldom each one polls.
 //! Agents hear from entries, and entries from one another through agents.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use arc_swap::ArcSwap;
 use domain::backend_server::{ServerSet, ServerSpec};
 use platform::{
     NoteHead, NotePeer, NoteStore, NoteStoreError, ObjectStore, StopStore, StoreError, TableStore,
@@ -17,10 +14,7 @@
 };
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
-use wire::{
-    note::HEAD_KEY,
-    vm::{EntryMessage, ORDER_HEAD_KEY},
-};
+use wire::{note::HEAD_KEY, vm::ORDER_HEAD_KEY};
 
 use crate::{EntryState, tell_task::tell_agents};
 
@@ -30,15 +24,14 @@
 /// Time between two announcements of an entry.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Age after which an entry that has not announced itself counts as gone.
-const ENTRY_AGE_MAX: Duration = Duration::from_secs(180);
-
 /// Keep everything fresh for as long as the process runs; while the platform is
 /// down, what is known stays in force.
 pub async fn refresh_snapshots<P: TableStore + ObjectStore + VmList>(state: Arc<EntryState<P>>) {
+    let others = ArcSwap::default();
     tokio::join!(
         refresh_servers(&state),
-        watch_heads(&state),
+        announce(&state, &others),
+        watch_heads(&state, &others),
         tell_agents(&state),
     );
 }
@@ -73,28 +66,21 @@
 
 /// Poll the two head rows with one read, and read on where they have risen;
 /// while the store gives no answer, ask other entries.
-async fn watch_heads<P: TableStore + ObjectStore>(state: &EntryState<P>) {
+async fn watch_heads<P: TableStore + ObjectStore>(
+    state: &EntryState<P>,
+    others: &ArcSwap<Vec<SocketAddr>>,
+) {
     let peer = NotePeer::default();
-    let mut entries: Vec<SocketAddr> = Vec::new();
-    let mut announced_at: Option<Instant> = None;
     loop {
-        if announced_at.is_none_or(|at| at.elapsed() >= ANNOUNCE_INTERVAL) {
-            match announce(state).await {
-                Ok(known) => {
-                    entries = known;
-                    announced_at = Some(Instant::now());
-                }
-                Err(error) => log::warn!("entry not announced: {error}"),
-            }
-        }
+        let known = others.load_full();
         if let Err(error) = read_heads(state).await {
             log::warn!("release note not read: {error}");
-            let other = entries.choose(&mut rand::rng()).copied();
+            let other = known.choose(&mut rand::rng()).copied();
             if let Some(other) = other {
                 state.pull_notes(&peer, other).await;
             }
         }
-        let interval = head_interval(state.settings.refresh, entries.len());
+        let interval = head_interval(state.settings.refresh, known.len());
         tokio::time::sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
@@ -104,23 +90,33 @@
     refresh.max(Duration::from_secs(1) * entries / HEAD_READS_PER_SECOND)
 }
 
-/// Make this entry known; returns the others.
-async fn announce<P: TableStore>(state: &EntryState<P>) -> Result<Vec<SocketAddr>, StoreError> {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    let entry = EntryMessage {
-        address: state.settings.listen,
-        known_at_ms: millis(now),
-    };
-    announce_entry(&state.platform, &state.settings.name, entry).await?;
-    let after = millis(now.saturating_sub(ENTRY_AGE_MAX));
-    let entries = known_entries(&state.platform, after).await?;
-    let addresses = entries.iter().map(|entry| entry.address);
-    Ok(addresses
-        .filter(|&address| address != entry.address)
-        .collect())
+/// Make this entry known time and again, and learn of the others.
+///
+/// This waits for a store that gives no answer, so it stands apart from the
+/// watch of the heads, which then has to ask the others.
+async fn announce<P: TableStore>(state: &EntryState<P>, others: &ArcSwap<Vec<SocketAddr>>) {
+    loop {
+        match announce_once(state).await {
+            Ok(known) => {
+                others.store(Arc::new(known));
+                tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+            }
+            Err(error) => {
+                log::warn!("entry not announced: {error}");
+                tokio::time::sleep(state.settings.refresh).await;
+            }
+        }
+    }
+}
+
+async fn announce_once<P: TableStore>(
+    state: &EntryState<P>,
+) -> Result<Vec<SocketAddr>, StoreError> {
+    let listen = state.settings.listen;
+    announce_entry(&state.platform, &state.settings.name, listen).await?;
+    let mut entries = known_entries(&state.platform).await?;
+    entries.retain(|&address| address != listen);
+    Ok(entries)
 }
 
 async fn read_heads<P: TableStore + ObjectStore>(
--- a/crates/operator/src/spread_watch.rs
+++ b/crates/operator/src/spread_watch.rs
@@ -1,9 +1,6 @@
 //! How many processes have a release note in force.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{net::SocketAddr, time::Duration};
 
 use domain::NoteVersion;
 use exchange::{ExchangeCall, HttpExchange};
@@ -24,9 +21,6 @@
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
-/// Age after which an entry that has not made itself known counts as gone.
-const ENTRY_AGE_MAX_MS: u64 = 180_000;
-
 /// A process that has to take the note in.
 #[derive(Clone, Debug)]
 struct NoteHolder {
@@ -67,16 +61,11 @@
 }
 
 async fn find_holders(platform: &HttpPlatform) -> miette::Result<Vec<NoteHolder>> {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .into_diagnostic()?;
-    let now = u64::try_from(now.as_millis()).into_diagnostic()?;
-    let after = now.saturating_sub(ENTRY_AGE_MAX_MS);
-    let entries = known_entries(platform, after).await.into_diagnostic()?;
+    let entries = known_entries(platform).await.into_diagnostic()?;
     let vms = platform.list().await.into_diagnostic()?;
-    let entries = entries.into_iter().map(|entry| NoteHolder {
+    let entries = entries.into_iter().map(|address| NoteHolder {
         name: "entry".to_owned(),
-        address: entry.address,
+        address,
     });
     let agents = vms.into_iter().map(|vm| NoteHolder {
         name: vm.spec.name.to_string(),
--- a/crates/operator/src/status_command.rs
+++ b/crates/operator/src/status_command.rs
@@ -4,11 +4,7 @@
 //! the table says which calls are not settled. A process that does not answer
 //! is shown as silent; only a platform that does not answer is a failure.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use domain::release_note::NoteState;
 use exchange::{ExchangeCall, HttpExchange};
@@ -38,9 +34,6 @@
 /// Time within which a process must show its state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Age after which an entry that has not announced itself is not shown.
-const ENTRY_AGE_MAX: Duration = Duration::from_secs(180);
-
 /// Show the whole deployment; `entries` are asked beside those announced.
 pub async fn show<P: TableStore + ObjectStore + VmList>(
     platform: &P,
@@ -83,12 +76,8 @@
     table: &impl TableStore,
     named: &[SocketAddr],
 ) -> Result<Vec<SocketAddr>, StoreError> {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let after = now.unwrap_or_default().saturating_sub(ENTRY_AGE_MAX);
-    let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-    let announced = known_entries(table, after).await?;
-    let mut entries = named.to_vec();
-    entries.extend(announced.iter().map(|entry| entry.address));
+    let mut entries = known_entries(table).await?;
+    entries.extend_from_slice(named);
     entries.sort_unstable();
     entries.dedup();
     Ok(entries)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! whether a write may have taken effect, because the caller must then settle
 //! it by reading and not by writing again.
 
+mod entry_roster;
 mod http_platform;
 mod lease_store;
 mod note_peer;
@@ -14,14 +15,13 @@
 mod table_store;
 mod vm_list;
 
+pub use entry_roster::{announce_entry, known_entries, retire_entry};
 pub use http_platform::HttpPlatform;
 pub use lease_store::{ClaimOutcome, LeaseRow, LeaseStore};
 pub use note_peer::{NotePeer, PeerUpdate};
 pub use note_store::{NoteHead, NoteStore, NoteStoreError, PublishOutcome, SNAPSHOT_EVERY};
 pub use object_store::ObjectStore;
-pub use stop_store::{
-    StopOutcome, StopRecord, StopStore, announce_entry, known_entries, order_head, retire_entry,
-};
+pub use stop_store::{StopOutcome, StopRecord, StopStore, order_head};
 pub use table_store::{
     StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition,
 };
--- a/crates/platform/src/note_store.rs
+++ b/crates/platform/src/note_store.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     ObjectStore, StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition,
+    table_store::encode,
 };
 
 /// Versions between two whole states in the object store.
@@ -280,7 +281,3 @@
         reason: error.to_string(),
     })
 }
-
-fn encode(message: &impl serde::Serialize) -> String {
-    serde_json::to_string(message).expect("wire types are plain data")
-}
--- a/crates/platform/src/stop_store.rs
+++ b/crates/platform/src/stop_store.rs
@@ -5,15 +5,12 @@
 //! decides anew.
 
 use domain::{OrderVersion, vm_membership::StopOrder};
-use wire::vm::{
-    ENTRY_PREFIX, EntryMessage, ORDER_HEAD_KEY, ORDER_PREFIX, OrderHeadMessage, StopOrderMessage,
-    entry_key, order_key,
-};
-
-use crate::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
+use wire::vm::{ORDER_HEAD_KEY, ORDER_PREFIX, OrderHeadMessage, StopOrderMessage, order_key};
 
-/// Rows read at once.
-const SCAN_LIMIT: usize = 500;
+use crate::{
+    StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition,
+    table_store::{encode, scan_all},
+};
 
 /// Times that a transaction whose answer was lost is settled.
 const SETTLE_TRIES: u32 = 8;
@@ -161,60 +158,3 @@
         Ok(StopOutcome::Outrun)
     }
 }
-
-/// Make an entry known, so that operators and peers find it.
-pub async fn announce_entry(
-    table: &impl TableStore,
-    name: &str,
-    entry: EntryMessage,
-) -> Result<(), StoreError> {
-    let key = entry_key(name);
-    let value = encode(&entry);
-    let write = TableWrite {
-        key: &key,
-        condition: WriteCondition::Always,
-        value: Some(&value),
-    };
-    table.transact(&[write]).await.map(drop)
-}
-
-/// Remove an entry that ends.
-pub async fn retire_entry(table: &impl TableStore, name: &str) -> Result<(), StoreError> {
-    let key = entry_key(name);
-    let write = TableWrite {
-        key: &key,
-        condition: WriteCondition::Always,
-        value: None,
-    };
-    table.transact(&[write]).await.map(drop)
-}
-
-/// Entries that made themselves known after a time on the wall clock.
-pub async fn known_entries(
-    table: &impl TableStore,
-    after_ms: u64,
-) -> Result<Vec<EntryMessage>, StoreError> {
-    let rows = scan_all(table, ENTRY_PREFIX).await?;
-    let entries = rows
-        .iter()
-        .filter_map(|row| serde_json::from_str::<EntryMessage>(&row.value).ok())
-        .filter(|entry| entry.known_at_ms >= after_ms);
-    Ok(entries.collect())
-}
-
-async fn scan_all(table: &impl TableStore, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
-    let mut rows: Vec<TableRow> = Vec::new();
-    loop {
-        let after = rows.last().map_or("", |row| row.key.as_str()).to_owned();
-        let page = table.scan(prefix, &after, SCAN_LIMIT).await?;
-        let is_last = page.len() < SCAN_LIMIT;
-        rows.extend(page);
-        if is_last {
-            return Ok(rows);
-        }
-    }
-}
-
-fn encode(message: &impl serde::Serialize) -> String {
-    serde_json::to_string(message).expect("wire types are plain data")
-}
--- a/crates/platform/src/table_store.rs
+++ b/crates/platform/src/table_store.rs
@@ -5,6 +5,9 @@
 use derive_more::{Display, Error};
 use wire::table::{ConditionMessage, RowMessage, WriteMessage};
 
+/// Rows read at once.
+const SCAN_LIMIT: usize = 500;
+
 /// Why the store gave no answer.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum StoreError {
@@ -119,3 +122,25 @@
         }
     }
 }
+
+/// All rows under a prefix, page by page.
+pub(crate) async fn scan_all(
+    table: &impl TableStore,
+    prefix: &str,
+) -> Result<Vec<TableRow>, StoreError> {
+    let mut rows: Vec<TableRow> = Vec::new();
+    loop {
+        let after = rows.last().map_or("", |row| row.key.as_str()).to_owned();
+        let page = table.scan(prefix, &after, SCAN_LIMIT).await?;
+        let is_last = page.len() < SCAN_LIMIT;
+        rows.extend(page);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
+
+/// Value of a row.
+pub(crate) fn encode(message: &impl serde::Serialize) -> String {
+    serde_json::to_string(message).expect("wire types are plain data")
+}
