How a leaving process uses its time stands once, in the domain

Cause: entry and agent each counted three quarters of drain_max_ms before they handed over, in code that no test on a paused clock reached.

Change: DrainPlan in domain::vm_membership says wait, hand over or done; both fronts ask it.

Not measured: the times are as before.

--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -9,6 +9,7 @@
 use domain::{
     GenerationId, TokenPosition,
     backend_server::{SlotPermit, SlotRefusal},
+    vm_membership::{DrainPlan, DrainStep},
 };
 use futures_util::{Stream, future::BoxFuture, stream};
 use http::StatusCode;
@@ -78,21 +79,19 @@
 pub async fn wait_until_drained(state: Arc<AgentState>, mut stop: StopSignal) {
     stop.stopped().await;
     state.set_leaving(true);
-    let drain_max = state.settings.drain_max;
-    let began_at = Instant::now();
-    wait_while_busy(&state, began_at + drain_max * 3 / 4).await;
-    if state.registry.len() > 0 {
-        log::info!("handing {} generations over", state.registry.len());
-        state.begin_hand_over();
-    }
-    wait_while_busy(&state, began_at + drain_max).await;
-    log::info!("drained");
-}
-
-async fn wait_while_busy(state: &AgentState, deadline: Instant) {
-    while is_busy(state) && Instant::now() < deadline {
+    let mut plan = DrainPlan::new(state.settings.drain_max, Instant::now());
+    loop {
+        match plan.step(is_busy(&state), Instant::now()) {
+            DrainStep::Wait => {}
+            DrainStep::HandOver => {
+                log::info!("handing {} generations over", state.registry.len());
+                state.begin_hand_over();
+            }
+            DrainStep::Done => break,
+        }
         tokio::time::sleep(DRAIN_POLL).await;
     }
+    log::info!("drained");
 }
 
 fn is_busy(state: &AgentState) -> bool {
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use domain::vm_membership::{DrainPlan, DrainStep};
 use futures_util::future::BoxFuture;
 use http::{StatusCode, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -70,18 +71,16 @@
 async fn drain<P>(state: Arc<EntryState<P>>, mut stop: StopSignal) {
     stop.stopped().await;
     state.begin_drain();
-    let drain_max = state.settings.drain_max;
-    let began_at = Instant::now();
-    wait_while_busy(&state, began_at + drain_max * 3 / 4).await;
-    state.begin_hand_over();
-    wait_while_busy(&state, began_at + drain_max).await;
-    log::info!("drained");
-}
-
-async fn wait_while_busy<P>(state: &EntryState<P>, deadline: Instant) {
-    while state.gate.counts().0 > 0 && Instant::now() < deadline {
+    let mut plan = DrainPlan::new(state.settings.drain_max, Instant::now());
+    loop {
+        match plan.step(state.gate.counts().0 > 0, Instant::now()) {
+            DrainStep::Wait => {}
+            DrainStep::HandOver => state.begin_hand_over(),
+            DrainStep::Done => break,
+        }
         tokio::time::sleep(DRAIN_POLL).await;
     }
+    log::info!("drained");
 }
 
 async fn chat<P: TableStore>(Extension(state): SharedState<P>, request: Request) -> Response {
