Heartbeats without content, loads on change, control counted by its bytes

Cause: a silent stream cost 1,139 B/s: ten heartbeats a second of about 114 bytes, of which about 85 are JSON that says nothing new (five fields by their long names). A flowing stream told an unchanged load every 900 ms. News were answered with seven fields, of which their teller uses two; the 1.85 kB/s that were given for tellings also held the walk of the lease's holder, 0.84 kB/s, which no entry pays. And the measurement counted every open stream as silent, so it could not show what flowing streams cost.

Ruled out: one heartbeat or load for each pair of entry and agent. 130 streams of an entry over six pools with a subset of 60 servers each meet about 109 different agents (by rule), so pairs would save a sixth. Slower heartbeats would weaken the detection; interval and bounds are as before.

Change: a heartbeat is an unnamed event, empty unless something is to be acted on: silence of the engine from 300 ms on, leaving, load. A load is told when it has changed by a tenth of the slots, at most every 300 ms, and every 4.5 s; an entry forgets it after 5 s instead of 1 s. News and their answer leave defaults out. `measure control` has four points of streams that come and go as at the design size, and its relay tells control from tokens by the bytes. All open streams silent at once stays in the JSON as `all_silent`.

Tests: the case of flowing streams in beat_pace counted 11 loads in 10 s, by the old rule; it now counts 3, bounds the age of a load, and nine cases say when a change is told. The age of a report in backend_server is now checked on both sides of its bound. New: wire messages, scans of bytes, and that what a heartbeat leaves out changes no verdict.

The process test of resume is not yet run with this change.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -8,7 +8,11 @@
     time::Duration,
 };
 
-use domain::{backend_server::SlotGate, generation_stream::LogBudget, service_call::CallOwner};
+use domain::{
+    backend_server::{LoadReport, SlotGate},
+    generation_stream::LogBudget,
+    service_call::CallOwner,
+};
 use platform::TableStore;
 use settings::{AgentSettings, LoadPolicy};
 use tokio::{sync::mpsc, time::Instant};
@@ -129,6 +133,14 @@
         self.handing_over.store(true, Ordering::Relaxed);
     }
 
+    /// Load of the server, as it is counted here.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        LoadReport {
+            held: self.slots.held(),
+            slots: self.slots.slots(),
+        }
+    }
+
     /// The server gave a sign of life.
     pub fn note_sign(&self, now: Instant) {
         let age = now.duration_since(self.started_at).as_millis();
--- a/crates/agent/src/control_front.rs
+++ b/crates/agent/src/control_front.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::Instant;
 use wire::{
-    agent_control::{AgentControlServer, NewsMessage, OrderNews, ServerReport},
+    agent_control::{AgentControlServer, NewsMessage, OrderNews, ServerReport, TellReply},
     lease::{LoadedReport, OrderMessage, OrderReply},
     service_call::{CallMessage, CallReply},
 };
@@ -69,9 +69,12 @@
         Ok(self.report())
     }
 
-    async fn tell(&self, news: NewsMessage) -> RpcResult<ServerReport> {
+    async fn tell(&self, news: NewsMessage) -> RpcResult<TellReply> {
         self.state.hear_news(news);
-        Ok(self.report())
+        Ok(TellReply {
+            leaving: self.state.is_leaving(),
+            note_version: self.state.notes.ledger().version().0,
+        })
     }
 
     async fn heed(&self, order: OrderNews) -> RpcResult<ServerReport> {
--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -11,7 +11,9 @@
 use domain::{
     AttemptNumber, GenerationId, TokenPosition,
     backend_server::SlotPermit,
-    generation_stream::{AttemptGate, AttemptVerdict, BeatPace, LogReservation, TokenLog},
+    generation_stream::{
+        AttemptGate, AttemptVerdict, BeatPace, BeatReport, LogReservation, TokenLog,
+    },
 };
 use exchange::{ExchangeError, StreamEvent};
 use tokio::{
@@ -22,8 +24,7 @@
 use wire::{
     engine::EngineToken,
     stream::{
-        BeatMessage, END_EVENT, EndMessage, LoadMessage, OpenMessage, RecordMessage, TOKEN_EVENT,
-        TokenMessage,
+        BeatMessage, END_EVENT, EndMessage, OpenMessage, RecordMessage, TOKEN_EVENT, TokenMessage,
     },
 };
 
@@ -336,16 +337,14 @@
         };
         let attempt = self.gate.current().0;
         if let Some(text) = self.log.get(reader.next) {
-            let slots = &self.state.slots;
-            let load = reader.pace.note_token(Instant::now()).then(|| LoadMessage {
-                held: slots.held(),
-                slots: slots.slots(),
-            });
+            let now = Instant::now();
+            reader.pace.note_token(now);
+            let load = reader.pace.take_load(self.state.load_report(), now);
             permit.send(StreamItem::Token(TokenMessage {
                 attempt,
                 position: reader.next.0,
                 text: text.to_owned(),
-                load,
+                load: load.map(Into::into),
             }));
             reader.next = reader.next.next();
             return;
@@ -367,7 +366,11 @@
     }
 
     fn beat(&mut self, now: Instant) {
-        let engine_silence_ms = millis(self.engine_silence(now));
+        let report = BeatReport {
+            engine_silence: self.engine_silence(now),
+            server_silence: self.state.server_silence(now),
+        };
+        let report = report.told();
         let leaving = self.state.is_leaving();
         let Some(reader) = &mut self.reader else {
             return;
@@ -378,12 +381,12 @@
         if !reader.pace.take_beat(leaving, now) {
             return;
         }
+        let load = reader.pace.take_load(self.state.load_report(), now);
         let beat = BeatMessage {
-            engine_silence_ms,
-            server_silence_ms: millis(self.state.server_silence(now)),
+            engine_silence_ms: millis(report.engine_silence),
+            server_silence_ms: millis(report.server_silence),
             leaving,
-            held: self.state.slots.held(),
-            slots: self.state.slots.slots(),
+            load: load.map(Into::into),
         };
         // A full channel needs no sign of life: its reader has items to read.
         if let Err(mpsc::error::TrySendError::Closed(_)) =
--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -30,8 +30,7 @@
     ProblemReport,
     note::NOTE_PATH,
     stream::{
-        BEAT_EVENT, END_EVENT, LOST_EVENT, MISMATCH_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT,
-        TOKEN_EVENT,
+        END_EVENT, LOST_EVENT, MISMATCH_EVENT, OpenMessage, RECORD_EVENT, STALE_EVENT, TOKEN_EVENT,
     },
 };
 
@@ -237,7 +236,7 @@
     match item {
         StreamItem::Record(record) => named(RECORD_EVENT, record.as_ref()),
         StreamItem::Token(token) => named(TOKEN_EVENT, token),
-        StreamItem::Beat(beat) => named(BEAT_EVENT, beat),
+        StreamItem::Beat(beat) => Event::new().data(String::from(beat)),
         StreamItem::End(end) => named(END_EVENT, end),
         StreamItem::Stale => Event::new().event(STALE_EVENT).data("{}"),
         StreamItem::Mismatch => Event::new().event(MISMATCH_EVENT).data("{}"),
--- a/crates/domain/src/backend_server/server_node.rs
+++ b/crates/domain/src/backend_server/server_node.rs
@@ -82,8 +82,9 @@
     /// Gap, as a multiple of the peers' median, from which a server is slowed.
     const SLOWED_FACTOR: u32 = 2;
 
-    /// Age after which a report says nothing about now.
-    const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
+    /// Age after which a report says nothing about now; a server whose streams
+    /// go on tells its load again before that, and earlier when it changes.
+    const REPORT_AGE_MAX: Duration = Duration::from_secs(5);
 
     /// Slots of a server that has not told them yet.
     const SLOTS_DEFAULT: u32 = 16;
--- a/crates/domain/src/generation_stream/beat_pace.rs
+++ b/crates/domain/src/generation_stream/beat_pace.rs
@@ -1,26 +1,36 @@
-//! When a stream owes its reader a heartbeat, and when a token carries the
-//! server's load.
+//! When a stream owes its reader a heartbeat, and when it tells the server's
+//! load.
 //!
 //! A token is a sign of life itself, so a stream that flows needs no heartbeat
-//! beside it. The load that heartbeats tell then rides on a token now and then,
-//! which keeps the bytes of control small however many streams are open.
+//! beside it. The load rides on what is sent anyway, and only when it differs
+//! from what the reader knows: the bytes of control then follow the changes,
+//! not the number of open streams.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::backend_server::LoadReport;
+
 /// What one stream has told its reader lately.
 #[derive(Clone, Copy, Debug)]
 pub struct BeatPace {
     interval: Duration,
     sent_at: Option<Instant>,
-    load_at: Option<Instant>,
+    told: Option<(LoadReport, Instant)>,
     is_told_leaving: bool,
 }
 
 impl BeatPace {
-    /// Time between two tokens of a stream that carry the load.
-    pub const LOAD_INTERVAL: Duration = Duration::from_millis(900);
+    /// Time after which a load is told again although it has not changed; it
+    /// is below the age at which readers forget a load.
+    pub const LOAD_REFRESH: Duration = Duration::from_millis(4_500);
+
+    /// Time between two tellings of a load that changes.
+    pub const LOAD_PAUSE: Duration = Duration::from_millis(300);
+
+    /// Change of the load, in thousandths of the slots, that is worth telling.
+    const LOAD_STEP_MILLI: u64 = 100;
 
     /// Pace of a stream that is looked at once an `interval`; its first
     /// heartbeat is due at once.
@@ -28,22 +38,34 @@
         Self {
             interval,
             sent_at: None,
-            load_at: None,
+            told: None,
             is_told_leaving: false,
         }
     }
 
-    /// A token is sent; whether it is to carry the load.
-    pub fn note_token(&mut self, now: Instant) -> bool {
+    /// A token is sent.
+    pub const fn note_token(&mut self, now: Instant) {
         self.sent_at = Some(now);
-        let is_due = match self.load_at {
-            Some(last) => now.duration_since(last) >= Self::LOAD_INTERVAL,
-            None => true,
-        };
-        if is_due {
-            self.load_at = Some(now);
+    }
+
+    /// The load, if what is sent now is to carry it; it then counts as told.
+    pub fn take_load(&mut self, load: LoadReport, now: Instant) -> Option<LoadReport> {
+        if let Some((told, told_at)) = self.told {
+            let age = now.duration_since(told_at);
+            let is_due =
+                age >= Self::LOAD_REFRESH || (age >= Self::LOAD_PAUSE && Self::differs(told, load));
+            if !is_due {
+                return None;
+            }
         }
-        is_due
+        self.told = Some((load, now));
+        Some(load)
+    }
+
+    fn differs(told: LoadReport, load: LoadReport) -> bool {
+        let change = u64::from(told.held.abs_diff(load.held)) * 1_000;
+        told.slots != load.slots
+            || (change > 0 && change >= u64::from(load.slots) * Self::LOAD_STEP_MILLI)
     }
 
     /// Whether a heartbeat is due, and if so, note that it is sent.
@@ -59,7 +81,6 @@
             return false;
         }
         self.sent_at = Some(now);
-        self.load_at = Some(now);
         self.is_told_leaving = is_leaving;
         true
     }
--- a/crates/domain/src/generation_stream/silence_rule.rs
+++ b/crates/domain/src/generation_stream/silence_rule.rs
@@ -27,6 +27,11 @@
     pub server_silence: Duration,
 }
 
+impl SilenceRule {
+    /// Silence of an engine on a stream below which no reader acts on it.
+    pub const TOLD_FROM: Duration = Duration::from_millis(300);
+}
+
 impl Default for SilenceRule {
     fn default() -> Self {
         Self {
@@ -47,6 +52,25 @@
     pub server_silence: Duration,
 }
 
+impl BeatReport {
+    /// Nothing to say of the engine.
+    pub const QUIET: Self = Self {
+        engine_silence: Duration::ZERO,
+        server_silence: Duration::ZERO,
+    };
+
+    /// The part of a report that a reader may act on: every bound on the
+    /// engine asks for silence on the stream, so below the lowest of them the
+    /// report says nothing.
+    #[must_use]
+    pub fn told(self) -> Self {
+        if self.engine_silence < SilenceRule::TOLD_FROM {
+            return Self::QUIET;
+        }
+        self
+    }
+}
+
 /// What silence calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SilenceVerdict {
@@ -72,10 +96,7 @@
         Self {
             last_heard: now,
             is_new: true,
-            report: BeatReport {
-                engine_silence: Duration::ZERO,
-                server_silence: Duration::ZERO,
-            },
+            report: BeatReport::QUIET,
         }
     }
 
--- a/crates/domain/tests/backend_server.rs
+++ b/crates/domain/tests/backend_server.rs
@@ -9,6 +9,7 @@
         ServerChoice, ServerKind, ServerNode, ServerSet, ServerSpec, SlotGate, SlotLimits,
         WeightedChoice,
     },
+    generation_stream::BeatPace,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -181,7 +182,10 @@
         chosen.filter(|node| node.spec().name == busy).count()
     };
     assert_eq!(count(now), 0, "two draws see both servers");
-    tokio::time::advance(Duration::from_secs(2)).await;
+    // As long as a load that does not change may go untold.
+    tokio::time::advance(BeatPace::LOAD_REFRESH).await;
+    assert_eq!(count(Instant::now()), 0, "a report in force is forgotten");
+    tokio::time::advance(Duration::from_secs(1)).await;
     assert!(count(Instant::now()) > 0, "an old report counts for ever");
 }
 
--- a/crates/domain/tests/beat_pace.rs
+++ b/crates/domain/tests/beat_pace.rs
@@ -1,44 +1,62 @@
-//! Streams that flow need no heartbeat; silent ones get it in time.
+//! Streams that flow need no heartbeat; silent ones get it in time, and a load
+//! is told when it changes.
 
 use std::time::Duration;
 
-use domain::generation_stream::BeatPace;
+use domain::{backend_server::LoadReport, generation_stream::BeatPace};
 use rstest::rstest;
 use tokio::time::Instant;
 
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Check how many heartbeats ten seconds bring, and how many tokens carry the
-/// load, when a token comes every `gap`.
-async fn check(gap: Option<Duration>, beats: u32, loads: u32) {
+const LOAD: LoadReport = LoadReport { held: 8, slots: 16 };
+
+/// Check how many heartbeats ten seconds bring, and how many tokens and how
+/// many heartbeats carry the load, when a token comes every `gap`.
+async fn check(gap: Option<Duration>, beats: u32, loads: [u32; 2]) {
     let step = Duration::from_millis(10);
     let start = Instant::now();
     let mut pace = BeatPace::new(INTERVAL);
-    let (mut sent, mut carried) = (0, 0);
+    let (mut sent, mut carried) = (0, [0, 0]);
     let mut last_sign = start;
+    let mut last_load = start;
     for at in 1..=1_000_u32 {
         tokio::time::advance(step).await;
         let now = Instant::now();
         let since = now.duration_since(start).as_millis();
+        let mut carry = |pace: &mut BeatPace, by: usize| {
+            if pace.take_load(LOAD, now).is_some() {
+                carried[by] += 1;
+                last_load = now;
+            }
+        };
         if gap.is_some_and(|gap| since.is_multiple_of(gap.as_millis())) {
-            carried += u32::from(pace.note_token(now));
+            pace.note_token(now);
+            carry(&mut pace, 0);
             last_sign = now;
         }
         if at.is_multiple_of(10) && pace.take_beat(false, now) {
             sent += 1;
+            carry(&mut pace, 1);
             last_sign = now;
         }
         assert!(now.duration_since(last_sign) <= INTERVAL * 3 / 2);
+        let load_age_max = BeatPace::LOAD_REFRESH + INTERVAL * 3 / 2;
+        assert!(now.duration_since(last_load) <= load_age_max);
     }
     assert_eq!((sent, carried), (beats, loads));
 }
 
 #[rstest]
-#[case::flowing(Some(40), 0, 11)]
-#[case::slow(Some(400), 75, 0)]
-#[case::silent(None, 100, 0)]
+#[case::flowing(Some(40), 0, [3, 0])]
+#[case::slow(Some(400), 75, [0, 3])]
+#[case::silent(None, 100, [0, 3])]
 #[tokio::test(start_paused = true)]
-async fn beats_fill_silence(#[case] gap_ms: Option<u64>, #[case] beats: u32, #[case] loads: u32) {
+async fn beats_fill_silence(
+    #[case] gap_ms: Option<u64>,
+    #[case] beats: u32,
+    #[case] loads: [u32; 2],
+) {
     check(gap_ms.map(Duration::from_millis), beats, loads).await;
 }
 
@@ -52,3 +70,35 @@
     assert!(!pace.take_beat(true, now));
     assert!(pace.take_beat(false, now));
 }
+
+/// Check whether a load is told `after` another one.
+async fn check_change(from: [u32; 2], to: [u32; 2], after: Duration, is_told: bool) {
+    let report = |[held, slots]: [u32; 2]| LoadReport { held, slots };
+    let mut pace = BeatPace::new(INTERVAL);
+    let first = pace.take_load(report(from), Instant::now());
+    assert_eq!(first, Some(report(from)), "the first load is always told");
+    tokio::time::advance(after).await;
+    let told = pace.take_load(report(to), Instant::now());
+    assert_eq!(told, is_told.then(|| report(to)));
+    assert_eq!(pace.take_load(report(to), Instant::now()), None);
+}
+
+#[rstest]
+#[case::same([34, 64], [34, 64], 4_400, false)]
+#[case::same_but_old([34, 64], [34, 64], 4_500, true)]
+#[case::little_more([34, 64], [40, 64], 4_400, false)]
+#[case::more([34, 64], [41, 64], 300, true)]
+#[case::fewer([34, 64], [27, 64], 300, true)]
+#[case::more_too_soon([34, 64], [60, 64], 290, false)]
+#[case::one_of_few([3, 4], [4, 4], 300, true)]
+#[case::slots_known([0, 0], [0, 16], 300, true)]
+#[case::slots_never_known([0, 0], [0, 0], 4_400, false)]
+#[tokio::test(start_paused = true)]
+async fn load_is_told_when_it_changes(
+    #[case] from: [u32; 2],
+    #[case] to: [u32; 2],
+    #[case] after_ms: u64,
+    #[case] is_told: bool,
+) {
+    check_change(from, to, Duration::from_millis(after_ms), is_told).await;
+}
--- a/crates/domain/tests/generation_stream.rs
+++ b/crates/domain/tests/generation_stream.rs
@@ -138,6 +138,31 @@
     check(Duration::ZERO, rule.engine_silence, false);
 }
 
+/// What a heartbeat leaves out changes no verdict.
+#[tokio::test(start_paused = true)]
+async fn told_report_is_judged_as_the_whole_one() {
+    let rule = SilenceRule::default();
+    let now = Instant::now();
+    let check = |whole: BeatReport| {
+        let verdict = |report| {
+            let mut watch = StreamWatch::new(now);
+            watch.heard_beat(report, now);
+            watch.judge(&rule, now)
+        };
+        assert_eq!(verdict(whole.told()), verdict(whole), "{whole:?}");
+    };
+    let steps = || (0..=1_000).step_by(50).map(Duration::from_millis);
+    for engine_silence in steps() {
+        for server_silence in steps() {
+            check(report(engine_silence, server_silence));
+        }
+    }
+    assert_eq!(
+        report(SilenceRule::TOLD_FROM, Duration::ZERO).told(),
+        report(SilenceRule::TOLD_FROM, Duration::ZERO)
+    );
+}
+
 #[test]
 fn taken_over_stream_is_not_taken_back() {
     let first = AttemptNumber(1);
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -254,12 +254,15 @@
         match event.name.as_str() {
             TOKEN_EVENT => self.take_token(&event.data, now),
             BEAT_EVENT => {
-                if let Ok(beat) = serde_json::from_str::<BeatMessage>(&event.data)
+                if let Ok(beat) = BeatMessage::try_from(event.data.as_str())
                     && let Some(link) = &mut self.link
                 {
                     link.watch.heard_beat(beat.into(), now);
-                    link.guard.node().note_report(beat.into(), now);
-                    link.guard.node().set_leaving(beat.leaving);
+                    let node = link.guard.node();
+                    if let Some(load) = beat.load {
+                        node.note_report(load.into(), now);
+                    }
+                    node.set_leaving(beat.leaving);
                 }
                 None
             }
--- a/crates/entry/src/tell_task.rs
+++ b/crates/entry/src/tell_task.rs
@@ -9,7 +9,7 @@
 use domain::{NoteVersion, ServerName};
 use platform::NotePeer;
 use rand::seq::SliceRandom;
-use wire::agent_control::{AgentControlClient, ServerReport};
+use wire::agent_control::{AgentControlClient, TellReply};
 
 use crate::EntryState;
 
@@ -61,7 +61,7 @@
     targets
 }
 
-async fn tell<P>(state: &EntryState<P>, target: &TellTarget) -> Option<ServerReport> {
+async fn tell<P>(state: &EntryState<P>, target: &TellTarget) -> Option<TellReply> {
     let client = state.links.client(target.control).ok()?;
     let news = state.news_for(target.server.as_str());
     let told = tokio::time::timeout(TELL_TIMEOUT, client.tell(news)).await;
--- a/crates/wire/src/agent_control.rs
+++ b/crates/wire/src/agent_control.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    default_field::is_default,
     lease::{LoadedReport, OrderMessage, OrderReply},
     service_call::{CallMessage, CallReply},
     vm::StopKindMessage,
@@ -37,30 +38,47 @@
     pub epoch: u64,
 }
 
+/// What an agent answers to news: as much as its teller acts on.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct TellReply {
+    /// Whether the server takes no new work.
+    #[serde(rename = "x", default, skip_serializing_if = "is_default")]
+    pub leaving: bool,
+    /// Version of the release note in force at the agent.
+    #[serde(rename = "n", default, skip_serializing_if = "is_default")]
+    pub note_version: u64,
+}
+
 /// What is recorded of the stopping of a server.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct OrderNews {
     /// Version of the record.
+    #[serde(rename = "v", default, skip_serializing_if = "is_default")]
     pub version: u64,
     /// The stop that stands for the server.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub stop: Option<StopNews>,
 }
 
 /// What an entry tells an agent beside its requests.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct NewsMessage {
     /// Version of the release note in force at the entry.
+    #[serde(rename = "n", default, skip_serializing_if = "is_default")]
     pub note_version: u64,
     /// Where the entry passes notes on.
+    #[serde(rename = "a")]
     pub entry: SocketAddr,
     /// Recorded stops.
+    #[serde(rename = "o", default, skip_serializing_if = "is_default")]
     pub order: OrderNews,
     /// Whether the platform's list says that the VM is leaving.
+    #[serde(rename = "x", default, skip_serializing_if = "is_default")]
     pub is_listed_leaving: bool,
 }
 
 /// A recorded stop as it is told to the server's agent.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct StopNews {
     /// How long it holds.
     pub kind: StopKindMessage,
@@ -94,7 +112,7 @@
 
     /// Hear which release note and which stops are in force.
     #[method(name = "tell")]
-    async fn tell(&self, news: NewsMessage) -> RpcResult<ServerReport>;
+    async fn tell(&self, news: NewsMessage) -> RpcResult<TellReply>;
 
     /// Hear of a recorded stop or its undoing.
     #[method(name = "heed")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent_control;
 pub mod chat;
+mod default_field;
 pub mod engine;
 pub mod event_id;
 pub mod lease;
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,7 +1,7 @@
 //! Token streams between entry and agent.
 //!
 //! A stream is opened by `POST /v1/generations` and read as server-sent events:
-//! `token`, `beat` and one closing `end`, `stale`, `mismatch` or `lost`. An `entry` that
+//! `token`, unnamed heartbeats and one closing `end`, `stale`, `mismatch` or `lost`. An `entry` that
 //! took a caller over opens with `GET /v1/generations/ID`, whose first event is
 //! `record`.
 
@@ -15,10 +15,13 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::default_field::is_default;
+
 /// Name of an event that carries a token.
 pub const TOKEN_EVENT: &str = "token";
-/// Name of a heartbeat.
-pub const BEAT_EVENT: &str = "beat";
+/// Name of a heartbeat: the one that an event has which names none, since most
+/// heartbeats say no more than that the stream is alive.
+pub const BEAT_EVENT: &str = "message";
 /// Name of the event that ends a whole generation.
 pub const END_EVENT: &str = "end";
 /// Name of the event that tells that a later attempt has taken over.
@@ -153,17 +156,47 @@
     pub load: Option<LoadMessage>,
 }
 
-/// Load of a server, as a token carries it.
+/// Load of a server, encoded as the slots held and the slots in all, 0 while
+/// they are not known.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(from = "[u32; 2]", into = "[u32; 2]")]
 pub struct LoadMessage {
-    /// Slots held.
-    #[serde(rename = "h")]
+    /// Requests of all entries that run or wait at the server.
     pub held: u32,
     /// Slots in all.
-    #[serde(rename = "s")]
     pub slots: u32,
 }
 
+impl From<[u32; 2]> for LoadMessage {
+    fn from([held, slots]: [u32; 2]) -> Self {
+        Self { held, slots }
+    }
+}
+
+impl From<LoadMessage> for [u32; 2] {
+    fn from(message: LoadMessage) -> Self {
+        [message.held, message.slots]
+    }
+}
+
+impl From<LoadReport> for LoadMessage {
+    fn from(report: LoadReport) -> Self {
+        Self {
+            held: report.held,
+            slots: report.slots,
+        }
+    }
+}
+
+impl From<LoadMessage> for LoadReport {
+    fn from(message: LoadMessage) -> Self {
+        Self {
+            held: message.held,
+            slots: message.slots,
+        }
+    }
+}
+
 impl TokenMessage {
     /// Attempt and position in the domain's types.
     pub const fn place(&self) -> (AttemptNumber, TokenPosition) {
@@ -172,46 +205,52 @@
 }
 
 /// A sign of life between tokens.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+///
+/// What is at its default is not encoded, and a heartbeat of which nothing is
+/// left is encoded as no data at all.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(default)]
 pub struct BeatMessage {
-    /// Milliseconds since the engine last gave a sign of life on this stream.
+    /// Milliseconds since the engine last gave a sign of life on this stream,
+    /// from the bound on that a reader may act on.
+    #[serde(rename = "e", skip_serializing_if = "is_default")]
     pub engine_silence_ms: u32,
     /// Milliseconds since the engine last gave a sign of life to anyone.
-    #[serde(default)]
+    #[serde(rename = "s", skip_serializing_if = "is_default")]
     pub server_silence_ms: u32,
     /// Whether the server is leaving.
+    #[serde(rename = "x", skip_serializing_if = "is_default")]
     pub leaving: bool,
-    /// Requests of all entries that run or wait at the server.
-    #[serde(default)]
-    pub held: u32,
-    /// Slots of the server; 0 while they are not known.
-    #[serde(default)]
-    pub slots: u32,
+    /// Load of the server, now and then.
+    #[serde(rename = "l", skip_serializing_if = "Option::is_none")]
+    pub load: Option<LoadMessage>,
 }
 
-impl From<BeatMessage> for BeatReport {
-    fn from(message: BeatMessage) -> Self {
-        Self {
-            engine_silence: Duration::from_millis(u64::from(message.engine_silence_ms)),
-            server_silence: Duration::from_millis(u64::from(message.server_silence_ms)),
+impl From<&BeatMessage> for String {
+    fn from(message: &BeatMessage) -> Self {
+        if *message == BeatMessage::default() {
+            return Self::new();
         }
+        serde_json::to_string(message).expect("wire types are plain data")
     }
 }
 
-impl From<BeatMessage> for LoadReport {
-    fn from(message: BeatMessage) -> Self {
-        Self {
-            held: message.held,
-            slots: message.slots,
+impl TryFrom<&str> for BeatMessage {
+    type Error = serde_json::Error;
+
+    fn try_from(data: &str) -> Result<Self, Self::Error> {
+        if data.is_empty() {
+            return Ok(Self::default());
         }
+        serde_json::from_str(data)
     }
 }
 
-impl From<LoadMessage> for LoadReport {
-    fn from(message: LoadMessage) -> Self {
+impl From<BeatMessage> for BeatReport {
+    fn from(message: BeatMessage) -> Self {
         Self {
-            held: message.held,
-            slots: message.slots,
+            engine_silence: Duration::from_millis(u64::from(message.engine_silence_ms)),
+            server_silence: Duration::from_millis(u64::from(message.server_silence_ms)),
         }
     }
 }
--- /dev/null
+++ b/crates/wire/tests/small_messages.rs
@@ -0,0 +1,104 @@
+//! Messages that are sent all the time are small, and lose nothing.
+
+use domain::vm_membership::StopKind;
+use rstest::rstest;
+use wire::{
+    agent_control::{NewsMessage, OrderNews, StopNews, TellReply},
+    stream::{BeatMessage, LoadMessage, TokenMessage},
+};
+
+/// Check how a heartbeat is encoded and that it is read again.
+fn check(beat: BeatMessage, encoded: &str) {
+    assert_eq!(String::from(&beat), encoded);
+    assert_eq!(BeatMessage::try_from(encoded).ok(), Some(beat));
+}
+
+const LOAD: LoadMessage = LoadMessage {
+    held: 34,
+    slots: 64,
+};
+
+#[rstest]
+#[case::quiet(BeatMessage::default(), "")]
+#[case::load(BeatMessage { load: Some(LOAD), ..BeatMessage::default() }, r#"{"l":[34,64]}"#)]
+#[case::leaving(BeatMessage { leaving: true, ..BeatMessage::default() }, r#"{"x":true}"#)]
+#[case::silent(
+    BeatMessage { engine_silence_ms: 412, server_silence_ms: 30, ..BeatMessage::default() },
+    r#"{"e":412,"s":30}"#
+)]
+#[case::whole(
+    BeatMessage {
+        engine_silence_ms: 950, server_silence_ms: 950, leaving: true, load: Some(LOAD),
+    },
+    r#"{"e":950,"s":950,"x":true,"l":[34,64]}"#
+)]
+fn heartbeat_leaves_defaults_out(#[case] beat: BeatMessage, #[case] encoded: &str) {
+    check(beat, encoded);
+}
+
+#[rstest]
+#[case("{")]
+#[case("null")]
+#[case(r#"{"e":-1}"#)]
+fn malformed_heartbeat_is_refused(#[case] data: &str) {
+    assert!(BeatMessage::try_from(data).is_err());
+}
+
+#[rstest]
+#[case::plain(None, r#"{"a":0,"p":3,"t":" rice"}"#)]
+#[case::loaded(Some(LOAD), r#"{"a":0,"p":3,"t":" rice","l":[34,64]}"#)]
+fn token_carries_a_load(#[case] load: Option<LoadMessage>, #[case] encoded: &str) {
+    let token = TokenMessage {
+        attempt: 0,
+        position: 3,
+        text: " rice".to_owned(),
+        load,
+    };
+    assert_eq!(serde_json::to_string(&token).ok().as_deref(), Some(encoded));
+    let read = serde_json::from_str::<TokenMessage>(encoded);
+    assert_eq!(read.ok().map(|token| token.load), Some(load));
+}
+
+/// Check how news are encoded and that they are read again.
+fn check_news(news: NewsMessage, encoded: &str) {
+    assert_eq!(serde_json::to_string(&news).ok().as_deref(), Some(encoded));
+    assert_eq!(serde_json::from_str(encoded).ok(), Some(news));
+}
+
+const NEWS: NewsMessage = NewsMessage {
+    note_version: 7,
+    entry: std::net::SocketAddr::new(
+        std::net::IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1)),
+        8_080,
+    ),
+    order: OrderNews {
+        version: 0,
+        stop: None,
+    },
+    is_listed_leaving: false,
+};
+
+#[rstest]
+#[case::plain(NEWS, r#"{"n":7,"a":"10.0.0.1:8080"}"#)]
+#[case::stopped(
+    NewsMessage {
+        order: OrderNews {
+            version: 4,
+            stop: Some(StopNews { kind: StopKind::Stop.into(), epoch: Some(9) }),
+        },
+        is_listed_leaving: true,
+        ..NEWS
+    },
+    r#"{"n":7,"a":"10.0.0.1:8080","o":{"v":4,"s":{"kind":"stop","epoch":9}},"x":true}"#
+)]
+fn news_leave_defaults_out(#[case] news: NewsMessage, #[case] encoded: &str) {
+    check_news(news, encoded);
+}
+
+#[rstest]
+#[case(TellReply { leaving: false, note_version: 7 }, r#"{"n":7}"#)]
+#[case(TellReply { leaving: true, note_version: 0 }, r#"{"x":true}"#)]
+fn answer_leaves_defaults_out(#[case] reply: TellReply, #[case] encoded: &str) {
+    assert_eq!(serde_json::to_string(&reply).ok().as_deref(), Some(encoded));
+    assert_eq!(serde_json::from_str(encoded).ok(), Some(reply));
+}
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -5,10 +5,13 @@
 //! bounds come from the targets, not from what was measured before.
 
 mod byte_relay;
+pub mod byte_scan;
 pub mod calls;
 mod control;
+mod control_flow;
 mod control_idle;
 mod control_load;
+mod control_site;
 mod design_size;
 mod load;
 pub mod notes;
--- a/xtask/src/measure/control.rs
+++ b/xtask/src/measure/control.rs
@@ -9,17 +9,18 @@
 use serde_json::json;
 
 use crate::measure::{
-    MeasureOptions, MeasureReport, control_idle, control_load, design_size::DeploymentNeed,
-    slope_book::SlopeBook,
+    MeasureOptions, MeasureReport, control_flow, control_idle, control_load,
+    design_size::DeploymentNeed, slope_book::SlopeBook,
 };
 
 /// Measure all slopes and work out the design size.
 ///
-/// Nothing is drawn at random here, so the seed changes nothing.
-pub async fn measure(_options: MeasureOptions) -> Result<MeasureReport> {
+/// The seed draws the times at which generations come on streams that flow.
+pub async fn measure(options: MeasureOptions) -> Result<MeasureReport> {
     let mut book = SlopeBook::default();
     control_idle::measure(&mut book).await?;
     control_load::measure(&mut book).await?;
+    control_flow::measure(&mut book, options.seed).await?;
     let need = DeploymentNeed::from_slopes(&book)?;
     println!("at the design size: {need:#?}");
     Ok(MeasureReport {
--- a/xtask/src/measure/control_idle.rs
+++ b/xtask/src/measure/control_idle.rs
@@ -93,7 +93,7 @@
 
 /// Start an entry, let it settle and watch it.
 async fn watch_entry(fleet: &mut Fleet, name: String, servers: usize) -> Result<EntrySpend> {
-    let relay = ByteRelay::start(fleet.platform()).await?;
+    let relay: ByteRelay = ByteRelay::start(fleet.platform()).await?;
     let entry = idle_entry(fleet, name, relay.address)?;
     fleet.wait_until_ready(entry.address, servers).await?;
     let start_bytes = relay.bytes();
@@ -205,7 +205,7 @@
 async fn by_agents(book: &mut SlopeBook) -> Result<()> {
     let mut fleet = Fleet::start(&["--vm-lag-ms", "0"])?;
     let engine = fleet.engine(&EnginePlan::default())?;
-    let relay = ByteRelay::start(fleet.platform()).await?;
+    let relay: ByteRelay = ByteRelay::start(fleet.platform()).await?;
     let mut agents: Vec<AgentHandle> = Vec::new();
     let mut resident = Vec::new();
     let mut core = Vec::new();
--- a/xtask/src/measure/control_load.rs
+++ b/xtask/src/measure/control_load.rs
@@ -1,27 +1,17 @@
 //! What requests, tokens, heartbeats, teams and control messages cost.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, Result, miette};
 use serde_json::json;
-use stand_ins::PlatformCounts;
-use tokio::task::JoinSet;
 
 use crate::{
-    CallerClient, ChatEnd, Deployment, DeploymentPlan, EnginePlan,
+    CallerClient, ChatEnd, EnginePlan,
     deployment::{MODEL, MODEL_VERSION},
     measure::{
-        byte_relay::ByteRelay,
-        proc_reader::ProcReader,
+        control_site::ControlSite,
         slope_book::{SlopeBook, watch},
     },
 };
@@ -73,118 +63,38 @@
     by_teams(book).await
 }
 
-/// One engine, one service and one entry, with a counted link between entry
-/// and engine's agent.
-struct LoadSite {
-    deployment: Deployment,
-    relay: ByteRelay,
-    controls: Vec<ByteRelay>,
-    entry: ProcReader,
-    agent: ProcReader,
-    service_agent: ProcReader,
-    callers: JoinSet<()>,
-    received: Arc<AtomicU64>,
+/// One engine and one service.
+async fn start_site(token_gap_us: u32) -> Result<ControlSite> {
+    let engine = EnginePlan {
+        slots: 1_000,
+        token_gap_us,
+        prefill_us_per_token: 1,
+        ..EnginePlan::default()
+    };
+    ControlSite::start(engine, 1, SETTLE).await
 }
 
-impl LoadSite {
-    async fn start(token_gap_us: u32) -> Result<Self> {
-        let deployment = DeploymentPlan::default()
-            .engines(1)
-            .services(1)
-            .engine(EnginePlan {
-                slots: 1_000,
-                token_gap_us,
-                prefill_us_per_token: 1,
-                ..EnginePlan::default()
-            })
-            .entry_extra(json!({ "refresh_ms": 1000 }))
-            .platform_args(&["--vm-lag-ms", "0"])
-            .start()
-            .await?;
-        let relay = ByteRelay::start(deployment.sites[0].vm.stream).await?;
-        let mut vms: Vec<_> = deployment
-            .sites
-            .iter()
-            .map(|site| site.vm.clone())
-            .collect();
-        vms[0].stream = relay.address;
-        let mut controls = Vec::new();
-        for vm in &mut vms {
-            let control = ByteRelay::start(vm.control).await?;
-            vm.control = control.address;
-            controls.push(control);
-        }
-        deployment.fleet.set_vms(&vms).await?;
-        tokio::time::sleep(SETTLE).await;
-        Ok(Self {
-            entry: ProcReader::new(deployment.entries[0].pid()),
-            agent: ProcReader::new(deployment.sites[0].agent.process.pid()),
-            service_agent: ProcReader::new(deployment.sites[1].agent.process.pid()),
-            deployment,
-            relay,
-            controls,
-            callers: JoinSet::new(),
-            received: Arc::default(),
-        })
-    }
-
-    fn entry_address(&self) -> SocketAddr {
-        self.deployment.entry(0)
-    }
-
-    /// Open generations until there are `count`.
-    fn open(&mut self, count: usize, tokens: u32) {
-        while self.callers.len() < count {
-            let entry = self.entry_address();
-            let received = Arc::clone(&self.received);
-            let at = self.callers.len();
-            self.callers.spawn(async move {
-                let content = format!("Report {at}.");
-                let (request, _) = CallerClient::request(MODEL, MODEL_VERSION, &content, tokens);
-                let caller = CallerClient::new("kivu-shores");
-                let on_token = |_| {
-                    received.fetch_add(1, Ordering::Relaxed);
-                };
-                caller.chat(entry, &request, None, on_token).await;
-            });
-        }
-    }
-
-    fn received(&self) -> f64 {
-        self.received.load(Ordering::Relaxed) as f64
-    }
-
-    /// Processor seconds so far of the entry, the engine's agent and the
-    /// service's agent.
-    fn spent(&self) -> Result<[f64; 3]> {
-        Ok([
-            self.entry.processor_time()?.as_secs_f64(),
-            self.agent.processor_time()?.as_secs_f64(),
-            self.service_agent.processor_time()?.as_secs_f64(),
-        ])
-    }
-
-    async fn counts(&self) -> Result<PlatformCounts> {
-        let fleet = &self.deployment.fleet;
-        fleet.read(fleet.platform(), "/control").await
-    }
-}
-
-/// Bytes of control calls by one entry without callers, as time goes on.
+/// Bytes of control calls by one entry without callers, and by the holder of
+/// the pool's lease, as time goes on.
 async fn by_tells(book: &mut SlopeBook) -> Result<()> {
-    let site = LoadSite::start(SLOW_GAP_US).await?;
-    let mut bytes = Vec::new();
+    let site = start_site(SLOW_GAP_US).await?;
+    let mut told = Vec::new();
+    let mut asked = Vec::new();
     for point in 0..TELL_POINTS {
-        let sum = site.controls.iter().map(ByteRelay::bytes).sum();
-        bytes.push((point as f64 * TELL_STEP.as_secs_f64(), sum));
+        let at = point as f64 * TELL_STEP.as_secs_f64();
+        let (all, by_entry) = site.control_calls();
+        told.push((at, by_entry));
+        asked.push((at, all - by_entry));
         tokio::time::sleep(TELL_STEP).await;
     }
-    book.enter("entry_tell_bytes_per_second", bytes);
+    book.enter("entry_tell_bytes_per_second", told);
+    // The other calls are those of the pool's holder of the lease.
+    book.enter("lease_walk_bytes_per_second", asked);
     Ok(())
 }
 
 async fn by_generations(book: &mut SlopeBook) -> Result<()> {
-    let mut site = LoadSite::start(SLOW_GAP_US).await?;
+    let mut site = start_site(SLOW_GAP_US).await?;
     let mut entry_resident = Vec::new();
     let mut agent_resident = Vec::new();
     let mut entry_core = Vec::new();
@@ -193,14 +103,14 @@
     for count in GENERATIONS {
         site.open(count, LONG_TOKENS);
         tokio::time::sleep(SETTLE).await;
-        let before = site.relay.bytes();
-        let spent = watch(&[&site.entry, &site.agent], WINDOW).await?;
+        let before = site.stream_bytes();
+        let spent = watch(&[&site.entry, &site.agents[0]], WINDOW).await?;
         let x = count as f64;
         entry_resident.push((x, spent[0].resident_bytes));
         agent_resident.push((x, spent[1].resident_bytes));
         entry_core.push((x, spent[0].core));
         agent_core.push((x, spent[1].core));
-        bytes.push((x, (site.relay.bytes() - before) / WINDOW.as_secs_f64()));
+        bytes.push((x, (site.stream_bytes() - before) / WINDOW.as_secs_f64()));
     }
     book.enter("entry_rss_bytes_per_generation", entry_resident);
     book.enter("agent_rss_bytes_per_generation", agent_resident);
@@ -215,16 +125,16 @@
     let mut agent_core = Vec::new();
     let mut bytes = Vec::new();
     for gap in TOKEN_GAPS_US {
-        let mut site = LoadSite::start(gap).await?;
+        let mut site = start_site(gap).await?;
         site.open(TOKEN_GENERATIONS, LONG_TOKENS);
         tokio::time::sleep(SETTLE).await;
-        let (bytes_before, tokens_before) = (site.relay.bytes(), site.received());
-        let spent = watch(&[&site.entry, &site.agent], WINDOW).await?;
+        let (bytes_before, tokens_before) = (site.stream_bytes(), site.received());
+        let spent = watch(&[&site.entry, &site.agents[0]], WINDOW).await?;
         let per_second = |count: f64| count / WINDOW.as_secs_f64();
         let x = per_second(site.received() - tokens_before);
         entry_core.push((x, spent[0].core));
         agent_core.push((x, spent[1].core));
-        bytes.push((x, per_second(site.relay.bytes() - bytes_before)));
+        bytes.push((x, per_second(site.stream_bytes() - bytes_before)));
     }
     book.enter("entry_core_seconds_per_token", entry_core);
     book.enter("agent_core_seconds_per_token", agent_core);
@@ -234,7 +144,7 @@
 
 /// Memory against the tokens in the logs of generations that go on.
 async fn by_log(book: &mut SlopeBook) -> Result<()> {
-    let mut site = LoadSite::start(LOG_GAP_US).await?;
+    let mut site = start_site(LOG_GAP_US).await?;
     site.open(LOG_GENERATIONS, LOG_TOKENS);
     let mut entry_resident = Vec::new();
     let mut agent_resident = Vec::new();
@@ -242,7 +152,7 @@
         tokio::time::sleep(LOG_STEP).await;
         let tokens = site.received();
         entry_resident.push((tokens, site.entry.resident_bytes()?));
-        agent_resident.push((tokens, site.agent.resident_bytes()?));
+        agent_resident.push((tokens, site.agents[0].resident_bytes()?));
     }
     book.enter("entry_rss_bytes_per_log_token", entry_resident);
     book.enter("agent_rss_bytes_per_log_token", agent_resident);
@@ -252,7 +162,7 @@
 /// Processor time of short chats, keyed calls and probes, and the store's work
 /// for calls.
 async fn by_requests(book: &mut SlopeBook) -> Result<()> {
-    let site = LoadSite::start(1_000).await?;
+    let site = start_site(1_000).await?;
     let mut chat = [Vec::new(), Vec::new()];
     let mut call = [Vec::new(), Vec::new()];
     let mut probe = Vec::new();
@@ -296,7 +206,7 @@
 
 /// Memory of an entry against the teams that it has served.
 async fn by_teams(book: &mut SlopeBook) -> Result<()> {
-    let site = LoadSite::start(1_000).await?;
+    let site = start_site(1_000).await?;
     let mut resident = Vec::new();
     let mut served = 0;
     // The buffers of the first requests are not the teams'.
@@ -310,7 +220,11 @@
     Ok(())
 }
 
-async fn run_chats(site: &LoadSite, count: usize, team_of: impl Fn(usize) -> String) -> Result<()> {
+async fn run_chats(
+    site: &ControlSite,
+    count: usize,
+    team_of: impl Fn(usize) -> String,
+) -> Result<()> {
     let entry = site.entry_address();
     let chats = (0..count).map(|at| {
         let team = team_of(at);
@@ -330,7 +244,7 @@
     }
 }
 
-async fn run_calls(site: &LoadSite, count: usize) -> Result<()> {
+async fn run_calls(site: &ControlSite, count: usize) -> Result<()> {
     let entry = site.entry_address();
     let calls = (0..count).map(|at| async move {
         let key = format!("order-{count}-{at}");
@@ -351,7 +265,7 @@
     Ok(())
 }
 
-async fn run_probes(site: &LoadSite, count: usize) -> Result<()> {
+async fn run_probes(site: &ControlSite, count: usize) -> Result<()> {
     let exchange = HttpExchange::pooled();
     let agent = site.deployment.sites[0].agent.vm.control;
     let probe = json!({ "jsonrpc": "2.0", "id": 1, "method": "agent_probe", "params": [] });
--- a/xtask/src/measure/design_size.rs
+++ b/xtask/src/measure/design_size.rs
@@ -18,7 +18,13 @@
 const TOKENS: f64 = 1_200_000.0;
 
 /// Seconds between two tokens of a generation.
-const TOKEN_GAP: f64 = 0.04;
+pub const TOKEN_GAP: f64 = 0.04;
+
+/// Seconds until the first token of a generation.
+pub const FIRST_TOKEN: f64 = 0.31;
+
+/// Tokens of a generation on average.
+pub const TOKENS_EACH: f64 = TOKENS / REQUESTS;
 
 /// Teams.
 const TEAMS: f64 = 13_000.0;
@@ -56,10 +62,21 @@
     pub core_pct: f64,
     /// Control, in bytes a second.
     pub bps: f64,
+    /// Control if all open generations were silent at once.
+    pub all_silent: SilentNeed,
     /// Requests and tokens, in percent of a core.
     pub carried_core_pct: f64,
 }
 
+/// Control of a role in the worst case that streams can be in.
+#[derive(Clone, Copy, Debug)]
+pub struct SilentNeed {
+    /// In percent of a core.
+    pub core_pct: f64,
+    /// In bytes a second.
+    pub bps: f64,
+}
+
 /// What the whole deployment needs at the design size.
 #[derive(Clone, Copy, Debug)]
 pub struct DeploymentNeed {
@@ -162,6 +179,10 @@
             "log_mb": self.log_mb,
             "core_pct": self.core_pct,
             "bps": self.bps,
+            "all_silent": {
+                "core_pct": self.all_silent.core_pct,
+                "bps": self.all_silent.bps,
+            },
             "carried_core_pct": self.carried_core_pct,
         })
     }
@@ -170,7 +191,7 @@
 /// Tokens in the logs of one process: a generation that is under way has half
 /// of its tokens on average.
 fn log_tokens(generations: f64) -> f64 {
-    generations * TOKENS / REQUESTS / 2.0
+    generations * TOKENS_EACH / 2.0
 }
 
 fn entry_need(book: &SlopeBook) -> Result<RoleNeed> {
@@ -180,12 +201,16 @@
         + generations * slope("entry_rss_bytes_per_generation")?
         + TEAMS * slope("entry_rss_bytes_per_team")?.max(0.0)
         + MODELS * slope("entry_rss_bytes_per_model")?.max(0.0);
-    let core = book.fit("entry_idle_core_per_server")?.at(AGENTS)
-        + generations * slope("entry_silent_core_per_generation")?;
-    let bps = book.fit("entry_platform_bps_per_server")?.base
+    let idle_core = book.fit("entry_idle_core_per_server")?.at(AGENTS);
+    let silent_core = slope("entry_silent_core_per_generation")?.max(0.0);
+    let silent_bps = slope("stream_silent_bps_per_generation")?;
+    let flow_bps = slope("flow_control_bps_per_generation")?;
+    // An entry works on control when some of it comes, and no heartbeat costs
+    // less than a load that rides on a token.
+    let core = idle_core + generations * silent_core * flow_bps / silent_bps;
+    let fixed_bps = book.fit("entry_platform_bps_per_server")?.base
         + book.fit("entry_list_bytes_per_server")?.at(AGENTS) / LIST_INTERVAL
-        + slope("entry_tell_bytes_per_second")?
-        + generations * slope("stream_silent_bps_per_generation")?;
+        + slope("entry_tell_bytes_per_second")?;
     let carried = TOKENS / ENTRIES * slope("entry_core_seconds_per_token")?
         + REQUESTS / ENTRIES * slope("entry_core_seconds_per_chat")?;
     Ok(RoleNeed {
@@ -193,7 +218,11 @@
         rss_mb: rss / MEGABYTE,
         log_mb: log_tokens(generations) * slope("entry_rss_bytes_per_log_token")? / MEGABYTE,
         core_pct: core * 100.0,
-        bps,
+        bps: fixed_bps + generations * flow_bps,
+        all_silent: SilentNeed {
+            core_pct: (idle_core + generations * silent_core) * 100.0,
+            bps: fixed_bps + generations * silent_bps,
+        },
         carried_core_pct: carried * 100.0,
     })
 }
@@ -203,11 +232,12 @@
     let generations = TOKENS * TOKEN_GAP / AGENTS;
     let rss = slope("agent_rss_bytes_per_process")?
         + generations * slope("agent_rss_bytes_per_generation")?;
+    // An agent looks at each open stream as often as at a silent one, so all
+    // count as silent here.
     let core = slope("agent_idle_core_per_process")?
-        + generations * slope("agent_silent_core_per_generation")?;
-    let bps = slope("agent_platform_bps_per_process")?
-        + slope("entry_tell_bytes_per_second")? * ENTRIES / AGENTS
-        + generations * slope("stream_silent_bps_per_generation")?;
+        + generations * slope("agent_silent_core_per_generation")?.max(0.0);
+    let fixed_bps = slope("agent_platform_bps_per_process")?
+        + slope("entry_tell_bytes_per_second")? * ENTRIES / AGENTS;
     let carried = TOKENS / AGENTS * slope("agent_core_seconds_per_token")?
         + REQUESTS / AGENTS * slope("agent_core_seconds_per_chat")?;
     Ok(RoleNeed {
@@ -215,7 +245,11 @@
         rss_mb: rss / MEGABYTE,
         log_mb: log_tokens(generations) * slope("agent_rss_bytes_per_log_token")? / MEGABYTE,
         core_pct: core * 100.0,
-        bps,
+        bps: fixed_bps + generations * slope("flow_control_bps_per_generation")?,
+        all_silent: SilentNeed {
+            core_pct: core * 100.0,
+            bps: fixed_bps + generations * slope("stream_silent_bps_per_generation")?,
+        },
         carried_core_pct: carried * 100.0,
     })
 }
--- a/xtask/src/measure/resume/baseline.rs
+++ b/xtask/src/measure/resume/baseline.rs
@@ -165,7 +165,7 @@
         TOKEN_EVENT => Some(BaselineStep::Token),
         END_EVENT => Some(BaselineStep::End),
         BEAT_EVENT => {
-            let beat: BeatMessage = serde_json::from_str(&event.data).ok()?;
+            let beat = BeatMessage::try_from(event.data.as_str()).ok()?;
             (beat.engine_silence_ms < ENGINE_SILENCE_MS).then_some(BaselineStep::Beat)
         }
         LOST_EVENT => None,
