Stragglers move from their first token on, and only to free places

Three faults led there. Moves entered their new server whatever its slots held, so long work that left a slowed server filled the slots of a healthy one, where short work then waited 715 to 1,026 ms. A generation that left a slow server came straight back, five times in one case, since one sample of its gap hardly moves the average. And nothing judged the wait for a first token.

Ruled out: refusals that are asked again (7 of 444 refused, none among the slowest); the time between tokens, at most 44 ms in these where nothing moved.

Change: a move is offered to another server, which may refuse it like new work; the generation leaves only when it was taken, with the next attempt number, and the older attempt is cancelled at once. A move goes to no slowed server and takes no trial. A late generation's gap raises the average of its server at once. Small requests (up to 128 tokens to read) are compared with the median first-token time of the peers. A refused move is put back into the budget, which is 250 of 1,000 in place of 150, since moves no longer add load to full servers. Trials come every 500 ms in place of 1 s.

The tests of `PaceWatch` hand in both medians where they handed in one, and stand in a file of their own; their cases are the same. The relay's property test takes moves among its steps.

--- a/crates/agent/src/stream_front.rs
+++ b/crates/agent/src/stream_front.rs
@@ -161,10 +161,12 @@
     Ok(GenerationGrant { permit, room })
 }
 
-/// A slot for a generation; one that was promised already is never refused.
+/// A slot for a generation; one that was promised already is never refused,
+/// unless another server has it.
 fn slot_for(state: &AgentState, open: &OpenMessage) -> Result<SlotPermit, SlotRefusal> {
     let class = open.class.into();
-    if open.attempt > 0 || !open.delivered.is_empty() {
+    let is_promised = open.attempt > 0 || !open.delivered.is_empty();
+    if is_promised && !open.is_move {
         return Ok(state.slots.enter_always(class));
     }
     state.slots.enter(class, Instant::now())
--- a/crates/domain/benches/server_choice.rs
+++ b/crates/domain/benches/server_choice.rs
@@ -57,6 +57,7 @@
                         pool: &pool,
                         exclude: &[],
                         prefix,
+                        is_move: false,
                         now: Instant::now(),
                     };
                     black_box(set.choose(&WeightedChoice, &query, &mut rng).is_some())
--- a/crates/domain/src/backend_server.rs
+++ b/crates/domain/src/backend_server.rs
@@ -13,6 +13,7 @@
 //! - The counters of a node survive the replacement of the set it stands in.
 //! - Long work never holds the slots that are set apart for short work.
 
+mod atomic_average;
 mod atomic_time;
 mod pace_watch;
 mod peer_pace;
@@ -21,9 +22,10 @@
 mod server_set;
 mod slot_gate;
 
+pub use atomic_average::AtomicAverage;
 pub use atomic_time::AtomicTime;
 pub use pace_watch::{PaceVerdict, PaceWatch};
-pub use peer_pace::PeerPace;
+pub use peer_pace::{PeerMedians, PeerPace};
 pub use server_choice::{ChoiceQuery, RandomChoice, ServerChoice, WeightedChoice};
 pub use server_node::{
     InflightGuard, LoadReport, ServerAddresses, ServerKind, ServerNode, ServerSpec,
--- /dev/null
+++ b/crates/domain/src/backend_server/atomic_average.rs
@@ -0,0 +1,47 @@
+//! A moving average that requests read and write without a lock.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// Moving average of times; zero without any.
+///
+/// Concurrent samples may overwrite one another; the average only steers
+/// choices, so a lost sample does no harm.
+#[derive(Debug, Default)]
+pub struct AtomicAverage {
+    nanos: AtomicU64,
+}
+
+impl AtomicAverage {
+    /// Weight of a new sample, as a power of two.
+    const SAMPLE_SHIFT: u32 = 3;
+
+    /// Record a sample.
+    pub fn note(&self, time: Duration) {
+        let sample = Self::nanos_of(time);
+        let old = self.nanos.load(Ordering::Relaxed);
+        let new = if old == 0 {
+            sample
+        } else {
+            old - (old >> Self::SAMPLE_SHIFT) + (sample >> Self::SAMPLE_SHIFT)
+        };
+        self.nanos.store(new, Ordering::Relaxed);
+    }
+
+    /// Record a time that the average must not stay below.
+    pub fn raise_to(&self, time: Duration) {
+        self.nanos
+            .fetch_max(Self::nanos_of(time), Ordering::Relaxed);
+    }
+
+    /// The average.
+    pub fn get(&self) -> Duration {
+        Duration::from_nanos(self.nanos.load(Ordering::Relaxed))
+    }
+
+    fn nanos_of(time: Duration) -> u64 {
+        u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/domain/src/backend_server/pace_watch.rs
+++ b/crates/domain/src/backend_server/pace_watch.rs
@@ -2,11 +2,15 @@
 //!
 //! Such a generation goes on elsewhere by resumption, so that no work is done
 //! twice. What counts is how far it has fallen behind, not one late token.
+//! Before its first token a small request is compared with other small ones; a
+//! long prompt is read for a time that tells nothing about the server.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::backend_server::PeerMedians;
+
 /// What to do about the pace of a generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PaceVerdict {
@@ -19,44 +23,79 @@
 }
 
 /// Pace of one generation at one server.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct PaceWatch {
+    opened_at: Instant,
+    is_small: bool,
     last_token_at: Option<Instant>,
     lag: Duration,
 }
 
 impl PaceWatch {
+    /// Tokens, of prompt and delivered ones, up to which a request is small.
+    const SMALL_TOKENS: usize = 128;
+
     /// Times between tokens, of the peers' median, that a generation may fall
     /// behind by.
     const LAG_GAPS: u32 = 3;
 
+    /// Times to the first token, of the peers' median, that one may take.
+    const FIRST_WAITS: u32 = 3;
+
     /// Part of the median by which a token may be late without lag.
     const BORNE_SHARE: u32 = 4;
 
     /// Lag that is borne whatever the median is.
     const LAG_MIN: Duration = Duration::from_millis(15);
 
-    /// A token came.
-    pub fn heard_token(&mut self, median: Option<Duration>, now: Instant) {
-        if let (Some(last), Some(median)) = (self.last_token_at, median) {
+    /// Pace of a stream that was asked for at `opened_at`, whose server has
+    /// `tokens` of prompt and delivered text to read first.
+    pub const fn new(opened_at: Instant, tokens: usize) -> Self {
+        Self {
+            opened_at,
+            is_small: tokens <= Self::SMALL_TOKENS,
+            last_token_at: None,
+            lag: Duration::ZERO,
+        }
+    }
+
+    /// A token came; the time to the first one of a small request is returned.
+    pub fn heard_token(&mut self, medians: PeerMedians, now: Instant) -> Option<Duration> {
+        let last = self.last_token_at.replace(now);
+        let Some(last) = last else {
+            return self.is_small.then(|| now.duration_since(self.opened_at));
+        };
+        if let Some(median) = medians.token_gap {
             let gap = now.duration_since(last);
             self.lag = (self.lag + gap).saturating_sub(median + median / Self::BORNE_SHARE);
         }
-        self.last_token_at = Some(now);
+        None
     }
 
     /// Judge the pace.
-    pub fn judge(&self, median: Option<Duration>, now: Instant) -> PaceVerdict {
-        let (Some(last), Some(median)) = (self.last_token_at, median) else {
-            return PaceVerdict::Unknown;
+    pub fn judge(&self, medians: PeerMedians, now: Instant) -> PaceVerdict {
+        let until = match self.last_token_at {
+            Some(last) => self.token_due(last, medians),
+            None => self.first_due(medians),
         };
+        match until {
+            None => PaceVerdict::Unknown,
+            Some(until) if now >= until => PaceVerdict::Behind,
+            Some(until) => PaceVerdict::Wait(until),
+        }
+    }
+
+    fn token_due(&self, last: Instant, medians: PeerMedians) -> Option<Instant> {
+        let median = medians.token_gap?;
         let lag_max = median * Self::LAG_GAPS + Self::LAG_MIN;
-        let allowance = median + lag_max.saturating_sub(self.lag);
-        let until = last + allowance;
-        if self.lag > lag_max || now >= until {
-            PaceVerdict::Behind
-        } else {
-            PaceVerdict::Wait(until)
+        match lag_max.checked_sub(self.lag) {
+            Some(left) => Some(last + median + left),
+            None => Some(last),
         }
     }
+
+    fn first_due(&self, medians: PeerMedians) -> Option<Instant> {
+        let median = medians.first_wait.filter(|_| self.is_small)?;
+        Some(self.opened_at + median * Self::FIRST_WAITS + Self::LAG_MIN)
+    }
 }
--- a/crates/domain/src/backend_server/peer_pace.rs
+++ b/crates/domain/src/backend_server/peer_pace.rs
@@ -15,10 +15,20 @@
 
 use crate::backend_server::{AtomicTime, ServerNode};
 
-/// Median time between tokens of a pool's servers.
+/// Medians over a pool's servers, as far as enough were measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerMedians {
+    /// Time between tokens.
+    pub token_gap: Option<Duration>,
+    /// Time to the first token of small requests.
+    pub first_wait: Option<Duration>,
+}
+
+/// What is usual for a pool's servers.
 #[derive(Debug)]
 pub struct PeerPace {
-    median_ns: AtomicU64,
+    token_gap_ns: AtomicU64,
+    first_wait_ns: AtomicU64,
     judged_at: AtomicTime,
 }
 
@@ -32,16 +42,22 @@
     /// Pace of a pool without measurements.
     pub const fn new(now: Instant) -> Self {
         Self {
-            median_ns: AtomicU64::new(0),
+            token_gap_ns: AtomicU64::new(0),
+            first_wait_ns: AtomicU64::new(0),
             judged_at: AtomicTime::new(now),
         }
     }
 
     /// Median time between tokens, once enough servers were measured.
     pub fn median(&self) -> Option<Duration> {
-        match self.median_ns.load(Ordering::Relaxed) {
-            0 => None,
-            nanos => Some(Duration::from_nanos(nanos)),
+        Self::read(&self.token_gap_ns)
+    }
+
+    /// All medians.
+    pub fn medians(&self) -> PeerMedians {
+        PeerMedians {
+            token_gap: self.median(),
+            first_wait: Self::read(&self.first_wait_ns),
         }
     }
 
@@ -50,18 +66,32 @@
         if !self.judged_at.claim(Self::JUDGE_PAUSE, now) {
             return;
         }
-        let mut gaps: Vec<Duration> = nodes
-            .iter()
-            .map(|node| node.token_gap())
-            .filter(|gap| !gap.is_zero())
-            .collect();
-        if gaps.len() < Self::PEERS_MIN {
+        Self::store(
+            &self.token_gap_ns,
+            nodes.iter().map(|node| node.token_gap()),
+        );
+        Self::store(
+            &self.first_wait_ns,
+            nodes.iter().map(|node| node.first_wait()),
+        );
+    }
+
+    fn read(nanos: &AtomicU64) -> Option<Duration> {
+        match nanos.load(Ordering::Relaxed) {
+            0 => None,
+            nanos => Some(Duration::from_nanos(nanos)),
+        }
+    }
+
+    fn store(nanos: &AtomicU64, times: impl Iterator<Item = Duration>) {
+        let mut times: Vec<Duration> = times.filter(|time| !time.is_zero()).collect();
+        if times.len() < Self::PEERS_MIN {
             return;
         }
         // The lower median, so that half of the servers may be slow.
-        let middle = (gaps.len() - 1) / 2;
-        let (_, median, _) = gaps.select_nth_unstable(middle);
-        let nanos = u64::try_from(median.as_nanos()).unwrap_or(u64::MAX);
-        self.median_ns.store(nanos, Ordering::Relaxed);
+        let middle = (times.len() - 1) / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = u64::try_from(median.as_nanos()).unwrap_or(u64::MAX);
+        nanos.store(median, Ordering::Relaxed);
     }
 }
--- a/crates/domain/src/backend_server/server_choice.rs
+++ b/crates/domain/src/backend_server/server_choice.rs
@@ -22,6 +22,9 @@
     pub exclude: &'a [ServerName],
     /// Hash of the prompt's beginning, if it is worth caching.
     pub prefix: Option<u64>,
+    /// Whether the request is served already and only looks for a faster
+    /// server, so that a slowed one is no better than none.
+    pub is_move: bool,
     /// Time of the choice.
     pub now: Instant,
 }
@@ -88,7 +91,7 @@
             }
             if node.is_avoided(median) {
                 // One request now and then tells whether it is well again.
-                if node.claim_trial(query.now) {
+                if !query.is_move && node.claim_trial(query.now) {
                     return Some(node);
                 }
                 continue;
@@ -154,7 +157,10 @@
                 })
             })
             // A slowed or suspect server is better than none.
-            .or_else(|| first_from(pool.subset(), rng, |node| query.allows(node)))?;
+            .or_else(|| {
+                let admits = |node: &ServerNode| query.allows(node);
+                first_from(pool.subset(), rng, admits).filter(|_| !query.is_move)
+            })?;
         Some(match query.prefix {
             Some(prefix) => Self::prefer_prefix(pool, drawn, prefix, query),
             None => drawn,
--- a/crates/domain/src/backend_server/server_node.rs
+++ b/crates/domain/src/backend_server/server_node.rs
@@ -5,14 +5,17 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 
 use tokio::time::Instant;
 
-use crate::{DomainName, PoolName, ServerName, backend_server::AtomicTime};
+use crate::{
+    DomainName, PoolName, ServerName,
+    backend_server::{AtomicAverage, AtomicTime},
+};
 
 /// What a backend server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,7 +66,8 @@
     inflight: AtomicU32,
     failures: AtomicU32,
     leaving: AtomicBool,
-    token_gap_ns: AtomicU64,
+    token_gap: AtomicAverage,
+    first_wait: AtomicAverage,
     gap_at: AtomicTime,
     slots: AtomicU32,
     others: AtomicU32,
@@ -73,9 +77,6 @@
 }
 
 impl ServerNode {
-    /// Weight of a new sample in the moving average, as a power of two.
-    const GAP_SHIFT: u32 = 3;
-
     /// Consecutive failures after which a server is chosen last.
     const FAILURES_SUSPECT: u32 = 2;
 
@@ -89,7 +90,7 @@
     const SLOTS_DEFAULT: u32 = 16;
 
     /// Time between two trials of a slowed or suspect server.
-    const TRIAL_PAUSE: Duration = Duration::from_secs(1);
+    const TRIAL_PAUSE: Duration = Duration::from_millis(500);
 
     /// Node without requests.
     pub fn new(spec: ServerSpec, now: Instant) -> Self {
@@ -108,7 +109,8 @@
             inflight: AtomicU32::new(0),
             failures: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
-            token_gap_ns: AtomicU64::new(0),
+            token_gap: AtomicAverage::default(),
+            first_wait: AtomicAverage::default(),
         }
     }
 
@@ -149,23 +151,32 @@
 
     /// Moving average of the time between tokens.
     pub fn token_gap(&self) -> Duration {
-        Duration::from_nanos(self.token_gap_ns.load(Ordering::Relaxed))
+        self.token_gap.get()
     }
 
     /// Record a time between two tokens.
-    ///
-    /// Concurrent samples may overwrite one another; the average only steers
-    /// choices, so a lost sample does no harm.
     pub fn note_token_gap(&self, gap: Duration, now: Instant) {
         self.gap_at.set(now);
-        let sample = u64::try_from(gap.as_nanos()).unwrap_or(u64::MAX);
-        let old = self.token_gap_ns.load(Ordering::Relaxed);
-        let new = if old == 0 {
-            sample
-        } else {
-            old - (old >> Self::GAP_SHIFT) + (sample >> Self::GAP_SHIFT)
-        };
-        self.token_gap_ns.store(new, Ordering::Relaxed);
+        self.token_gap.note(gap);
+    }
+
+    /// Record a time without a token after which a generation left.
+    ///
+    /// The average takes several samples to follow; without this the generation
+    /// might come straight back.
+    pub fn note_straggler(&self, gap: Duration, now: Instant) {
+        self.gap_at.set(now);
+        self.token_gap.raise_to(gap);
+    }
+
+    /// Moving average of the time to the first token of small requests.
+    pub fn first_wait(&self) -> Duration {
+        self.first_wait.get()
+    }
+
+    /// Record a small request's time to its first token.
+    pub fn note_first_wait(&self, wait: Duration) {
+        self.first_wait.note(wait);
     }
 
     /// Record what the server's agent counts.
--- a/crates/domain/src/backend_server/server_set.rs
+++ b/crates/domain/src/backend_server/server_set.rs
@@ -139,9 +139,10 @@
         rng: &mut impl Rng,
     ) -> Option<&Arc<ServerNode>> {
         let pool = self.pool(query.pool)?;
-        choice
-            .choose(pool, query, rng)
-            .or_else(|| pool.all.iter().find(|node| query.allows(node)))
+        choice.choose(pool, query, rng).or_else(|| {
+            let mut others = pool.all.iter().filter(|_| !query.is_move);
+            others.find(|node| query.allows(node))
+        })
     }
 
     fn enter(&mut self, node: &Arc<ServerNode>, previous: &Self, now: Instant) {
--- a/crates/domain/src/generation_stream/stream_relay.rs
+++ b/crates/domain/src/generation_stream/stream_relay.rs
@@ -169,6 +169,18 @@
         self.resume()
     }
 
+    /// Attempt that a server is asked for which may take the generation over
+    /// from the one that has it.
+    pub const fn next_attempt(&self) -> AttemptNumber {
+        self.attempt.next()
+    }
+
+    /// That server has taken it: only its tokens count from now on.
+    pub const fn moved(&mut self) {
+        self.attempt = self.attempt.next();
+        self.reconnects = 0;
+    }
+
     /// Whether no token came for so long that the generation is given up.
     pub fn is_hopeless(&self, now: Instant) -> bool {
         now.duration_since(self.progress_at) >= self.limits.patience
--- a/crates/domain/src/team_budget/retry_budget.rs
+++ b/crates/domain/src/team_budget/retry_budget.rs
@@ -38,6 +38,11 @@
         self.update(|saved| saved.checked_sub(Self::RETRY_MILLI))
     }
 
+    /// Put a retry back that was refused before it cost anything.
+    pub fn put_back(&self) {
+        self.update(|saved| Some((saved + Self::RETRY_MILLI).min(Self::SAVED_MAX_MILLI)));
+    }
+
     fn update(&self, change: impl Fn(u32) -> Option<u32>) -> bool {
         self.saved_milli
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, change)
--- a/crates/domain/tests/backend_server.rs
+++ b/crates/domain/tests/backend_server.rs
@@ -5,9 +5,8 @@
 use domain::{
     DomainName, PoolName, ServerName, WorkClass,
     backend_server::{
-        ChoiceQuery, LoadReport, PaceVerdict, PaceWatch, RandomChoice, ServerAddresses,
-        ServerChoice, ServerKind, ServerNode, ServerSet, ServerSpec, SlotGate, SlotLimits,
-        WeightedChoice,
+        ChoiceQuery, LoadReport, RandomChoice, ServerAddresses, ServerChoice, ServerKind,
+        ServerNode, ServerSet, ServerSpec, SlotGate, SlotLimits, WeightedChoice,
     },
 };
 use proptest::prelude::*;
@@ -58,6 +57,7 @@
         pool: &pool(),
         exclude: &[],
         prefix: None,
+        is_move: false,
         now,
     };
     let chosen = set.choose(choice, &query, rng);
@@ -194,6 +194,7 @@
         pool: &pool,
         exclude: &[],
         prefix: Some(42),
+        is_move: false,
         now,
     };
     let mut rng = SmallRng::seed_from_u64(7);
@@ -231,29 +232,65 @@
         pool: &pool,
         exclude: &[],
         prefix: None,
+        is_move: false,
         now,
     };
     assert!(set.choose(&choice, &query, &mut rng).is_none());
 }
 
-#[rstest]
-#[case::steady(GAP, 100, false)]
-#[case::one_late_token(Duration::from_millis(30), 1, false)]
-#[case::three_times_slower(GAP * 3, 6, true)]
-#[case::silent(Duration::from_millis(100), 1, true)]
 #[tokio::test(start_paused = true)]
-async fn straggler_is_found(#[case] gap: Duration, #[case] tokens: u32, #[case] is_behind: bool) {
-    let mut watch = PaceWatch::default();
-    watch.heard_token(Some(GAP), Instant::now());
-    assert_eq!(watch.judge(None, Instant::now()), PaceVerdict::Unknown);
-    let mut was_behind = false;
-    for _ in 0..tokens {
-        tokio::time::advance(gap).await;
-        let now = Instant::now();
-        was_behind |= watch.judge(Some(GAP), now) == PaceVerdict::Behind;
-        watch.heard_token(Some(GAP), now);
+async fn generation_does_not_come_straight_back_to_a_slow_server() {
+    let set = set(0..5, "entry-1", Instant::now());
+    tokio::time::advance(Duration::from_millis(100)).await;
+    let now = Instant::now();
+    for node in set.nodes() {
+        measure_gap(node, GAP, now);
     }
-    assert_eq!(was_behind, is_behind);
+    let slow = &set.nodes()[0];
+    slow.note_straggler(GAP * 5, now);
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..200 {
+        let node = choose(&set, &WeightedChoice, &mut rng, now);
+        assert_ne!(node.spec().name, slow.spec().name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn move_goes_to_no_slowed_server() {
+    let set = set(0..4, "entry-1", Instant::now());
+    tokio::time::advance(Duration::from_secs(10)).await;
+    let now = Instant::now();
+    for (at, node) in set.nodes().iter().enumerate() {
+        measure_gap(node, if at < 2 { GAP * 5 } else { GAP }, now);
+    }
+    // Long enough without tokens for trials, which moves leave to new work.
+    tokio::time::advance(Duration::from_secs(10)).await;
+    let now = Instant::now();
+    let pool = pool();
+    let mut exclude = Vec::new();
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..2 {
+        let query = ChoiceQuery {
+            pool: &pool,
+            exclude: &exclude,
+            prefix: None,
+            is_move: true,
+            now,
+        };
+        let node = set.choose(&WeightedChoice, &query, &mut rng);
+        let node = node.expect("two servers are well");
+        assert_eq!(node.token_gap(), GAP);
+        let name = node.spec().name.clone();
+        exclude.push(name);
+    }
+    let query = ChoiceQuery {
+        pool: &pool,
+        exclude: &exclude,
+        prefix: None,
+        is_move: true,
+        now,
+    };
+    assert!(set.choose(&WeightedChoice, &query, &mut rng).is_none());
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/domain/tests/generation_stream.rs
+++ b/crates/domain/tests/generation_stream.rs
@@ -32,6 +32,7 @@
     Token { attempt: u32, position: u32 },
     LoseConnection,
     LoseServer,
+    Move,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -39,6 +40,7 @@
         6 => (0..4_u32, 0..12_u32).prop_map(|(attempt, position)| Step::Token { attempt, position }),
         1 => Just(Step::LoseConnection),
         1 => Just(Step::LoseServer),
+        1 => Just(Step::Move),
     ]
 }
 
@@ -72,6 +74,12 @@
                     let before = relay.attempt();
                     prop_assert_eq!(relay.lost_server(now), LossAction::Resume(before.next()));
                 }
+                Step::Move => {
+                    let offered = relay.next_attempt();
+                    prop_assert!(offered > relay.attempt());
+                    relay.moved();
+                    prop_assert_eq!(relay.attempt(), offered);
+                }
             }
             let log: Vec<&str> = relay.log().tokens_from(TokenPosition(0)).collect();
             prop_assert_eq!(&log, &delivered);
--- /dev/null
+++ b/crates/domain/tests/pace_watch.rs
@@ -0,0 +1,62 @@
+//! A generation far slower than its peers is found, and no other.
+
+use std::time::Duration;
+
+use domain::backend_server::{PaceVerdict, PaceWatch, PeerMedians};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const GAP: Duration = Duration::from_millis(10);
+
+const MEDIANS: PeerMedians = PeerMedians {
+    token_gap: Some(GAP),
+    first_wait: Some(Duration::from_millis(20)),
+};
+
+#[rstest]
+#[case::steady(GAP, 100, false)]
+#[case::one_late_token(Duration::from_millis(30), 1, false)]
+#[case::three_times_slower(GAP * 3, 6, true)]
+#[case::silent(Duration::from_millis(100), 1, true)]
+#[tokio::test(start_paused = true)]
+async fn straggler_is_found(#[case] gap: Duration, #[case] tokens: u32, #[case] is_behind: bool) {
+    let mut watch = PaceWatch::new(Instant::now(), 8);
+    watch.heard_token(MEDIANS, Instant::now());
+    let unknown = watch.judge(PeerMedians::default(), Instant::now());
+    assert_eq!(unknown, PaceVerdict::Unknown);
+    let mut was_behind = false;
+    for _ in 0..tokens {
+        tokio::time::advance(gap).await;
+        let now = Instant::now();
+        was_behind |= watch.judge(MEDIANS, now) == PaceVerdict::Behind;
+        watch.heard_token(MEDIANS, now);
+    }
+    assert_eq!(was_behind, is_behind);
+}
+
+#[rstest]
+#[case::as_its_peers(8, 20, false)]
+#[case::behind_one_that_ran(8, 60, false)]
+#[case::far_behind(8, 75, true)]
+#[case::long_prompt(2_000, 500, false)]
+#[tokio::test(start_paused = true)]
+async fn wait_for_a_first_token_is_compared(
+    #[case] tokens: usize,
+    #[case] millis: u64,
+    #[case] is_behind: bool,
+) {
+    let opened_at = Instant::now();
+    let mut watch = PaceWatch::new(opened_at, tokens);
+    tokio::time::advance(Duration::from_millis(millis)).await;
+    let now = Instant::now();
+    assert_eq!(watch.judge(MEDIANS, now) == PaceVerdict::Behind, is_behind);
+    let unknown = watch.judge(PeerMedians::default(), now);
+    assert_eq!(unknown, PaceVerdict::Unknown, "nothing to compare with");
+    let sample = watch.heard_token(MEDIANS, now);
+    assert_eq!(
+        sample.is_some(),
+        tokens < 2_000,
+        "only small requests are samples"
+    );
+    assert_eq!(watch.heard_token(MEDIANS, now), None, "not a first token");
+}
--- a/crates/entry/src/call_router.rs
+++ b/crates/entry/src/call_router.rs
@@ -181,6 +181,7 @@
         pool,
         exclude: tried,
         prefix: None,
+        is_move: false,
         now: Instant::now(),
     };
     let Some(key) = key else {
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -88,6 +88,7 @@
         delivered: Vec::new(),
         max_tokens: request.max_tokens,
         class: state.policy.server_class(class).into(),
+        is_move: false,
     };
     let relay = StreamRelay::new(
         pin,
--- a/crates/entry/src/load_policy.rs
+++ b/crates/entry/src/load_policy.rs
@@ -20,7 +20,10 @@
 use tokio::time::Instant;
 
 /// Generations that may move for being slow, of 1,000 first tries.
-const MOVES_MILLI: u32 = 150;
+///
+/// A move is taken only where there is room for it, so this bounds the tokens
+/// that are read again rather than the load.
+const MOVES_MILLI: u32 = 250;
 
 /// Calls that may be tried again, of 1,000 first tries.
 const RETRIES_MILLI: u32 = 200;
@@ -52,6 +55,9 @@
     /// Whether a generation that is far slower than its peers may move now.
     fn may_move(&self) -> bool;
 
+    /// The server that was to take such a generation refused it.
+    fn note_move_refused(&self);
+
     /// Class by which servers treat work of a class.
     fn server_class(&self, class: WorkClass) -> WorkClass;
 }
@@ -123,6 +129,10 @@
         self.moves.withdraw()
     }
 
+    fn note_move_refused(&self) {
+        self.moves.put_back();
+    }
+
     fn server_class(&self, class: WorkClass) -> WorkClass {
         class
     }
@@ -159,6 +169,8 @@
         false
     }
 
+    fn note_move_refused(&self) {}
+
     fn server_class(&self, _class: WorkClass) -> WorkClass {
         WorkClass::Short
     }
@@ -228,6 +240,13 @@
         }
     }
 
+    fn note_move_refused(&self) {
+        match self {
+            Self::Balanced(policy) => policy.note_move_refused(),
+            Self::Plain(policy) => policy.note_move_refused(),
+        }
+    }
+
     fn server_class(&self, class: WorkClass) -> WorkClass {
         match self {
             Self::Balanced(policy) => policy.server_class(class),
--- a/crates/entry/src/stream_driver.rs
+++ b/crates/entry/src/stream_driver.rs
@@ -13,7 +13,7 @@
 use derive_more::Display;
 use domain::{
     AttemptNumber, GenerationId, PoolName, ServerName, TokenPosition,
-    backend_server::{InflightGuard, ServerNode},
+    backend_server::{InflightGuard, PaceVerdict, ServerNode},
     generation_stream::{
         EndVerdict, LossAction, SilenceVerdict, StreamRelay, StreamWatch, TokenVerdict,
     },
@@ -229,8 +229,15 @@
                     continue;
                 }
             };
-            let Some(wake) = self.judge_pace(wake, now) else {
-                continue;
+            let wake = match self.judge_pace(now) {
+                PaceVerdict::Wait(until) => wake.min(until),
+                PaceVerdict::Unknown => wake,
+                PaceVerdict::Behind => {
+                    if let Some(event) = self.move_on(now).await {
+                        return Some(event);
+                    }
+                    continue;
+                }
             };
             let Some(link) = &mut self.link else {
                 continue;
@@ -323,8 +330,11 @@
         let mut server = ServerName::from("none");
         if let Some(link) = &mut self.link {
             link.watch.heard_token(now);
-            link.pace.heard_token(now);
+            let first_wait = link.pace.heard_token(now);
             let node = link.guard.node();
+            if let Some(wait) = first_wait {
+                node.note_first_wait(wait);
+            }
             if let Some(last) = self.last_token_at
                 && !is_first_here
             {
@@ -417,13 +427,20 @@
             return None;
         }
         let silent_since = self.last_token_at.unwrap_or(self.started_at);
-        let prompt_tokens = self.open.prompt.len() / BYTES_PER_TOKEN;
-        let cost = prompt_tokens + self.relay.log().next_position().index();
-        let cost = u32::try_from(cost).unwrap_or(u32::MAX);
+        let cost = u32::try_from(self.unread_tokens()).unwrap_or(u32::MAX);
         Some(self.state.resumes.enter(silent_since, cost))
     }
 
+    /// Tokens that a server reads before it can go on.
+    fn unread_tokens(&self) -> usize {
+        let prompt_tokens = self.open.prompt.len() / BYTES_PER_TOKEN;
+        prompt_tokens + self.relay.log().next_position().index()
+    }
+
     fn exclude(&mut self, name: &ServerName) {
+        if self.excluded.contains(name) {
+            return;
+        }
         if self.excluded.len() >= EXCLUDED_MAX {
             self.excluded.remove(0);
         }
--- a/crates/entry/src/stream_driver/link_pace.rs
+++ b/crates/entry/src/stream_driver/link_pace.rs
@@ -1,83 +1,109 @@
 //! Moving a generation that is far slower than its peers.
+//!
+//! The server that is to take it may refuse like any new work: the generation
+//! is served where it is, so nothing was promised that only a full server could
+//! keep. It leaves its server only when another one has taken it.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use domain::{
-    AttemptNumber,
-    backend_server::{PaceVerdict, PaceWatch, PoolServers, ServerNode},
-    generation_stream::LossAction,
+use domain::backend_server::{
+    PaceVerdict, PaceWatch, PeerMedians, PeerPace, PoolServers, ServerNode,
 };
 use tokio::time::Instant;
 
-use super::{LinkTarget, StreamDriver};
+use super::{CallerEvent, OpenError, StreamDriver};
 use crate::{EntryState, load_policy::EntryPolicy};
 
+/// Time between two tries to move a generation.
+const MOVE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Pace of a stream, beside that of its server's peers.
 pub(super) struct LinkPace {
     watch: PaceWatch,
-    peers: Option<Arc<domain::backend_server::PeerPace>>,
+    peers: Option<Arc<PeerPace>>,
+    next_move: Instant,
 }
 
 impl LinkPace {
-    /// Pace of a new stream from a server.
-    pub(super) fn new<P>(state: &EntryState<P>, node: &ServerNode) -> Self {
+    /// Pace of a new stream from a server that has `tokens` to read first.
+    pub(super) fn new<P>(
+        state: &EntryState<P>,
+        node: &ServerNode,
+        opened_at: Instant,
+        tokens: usize,
+    ) -> Self {
         let servers = state.servers.load();
         let pool = servers.pool(&node.spec().pool);
         Self {
-            watch: PaceWatch::default(),
+            watch: PaceWatch::new(opened_at, tokens),
             peers: pool.map(PoolServers::shared_pace),
+            next_move: opened_at,
         }
     }
 
-    /// A token came.
-    pub(super) fn heard_token(&mut self, now: Instant) {
-        let median = self.peers.as_ref().and_then(|peers| peers.median());
-        self.watch.heard_token(median, now);
+    /// A token came; the time to the first one of a small request is returned.
+    pub(super) fn heard_token(&mut self, now: Instant) -> Option<Duration> {
+        self.watch.heard_token(self.medians(), now)
     }
 
     fn judge(&self, now: Instant) -> PaceVerdict {
-        let median = self.peers.as_ref().and_then(|peers| peers.median());
-        self.watch.judge(median, now)
+        match self.watch.judge(self.medians(), now) {
+            PaceVerdict::Behind if now < self.next_move => PaceVerdict::Wait(self.next_move),
+            verdict => verdict,
+        }
+    }
+
+    fn medians(&self) -> PeerMedians {
+        let peers = self.peers.as_ref();
+        peers.map(|peers| peers.medians()).unwrap_or_default()
     }
 }
 
 impl<P: Send + Sync + 'static> StreamDriver<P> {
-    /// Time to look again, at `wake` at the latest; nothing if the generation
-    /// left its server for being slow.
-    pub(super) fn judge_pace(&mut self, wake: Instant, now: Instant) -> Option<Instant> {
-        let verdict = match &self.link {
-            Some(link) => link.pace.judge(now),
-            None => return None,
-        };
-        match verdict {
-            PaceVerdict::Wait(until) => Some(wake.min(until)),
-            PaceVerdict::Unknown => Some(wake),
-            PaceVerdict::Behind if !self.state.policy.may_move() => Some(wake),
-            PaceVerdict::Behind => {
-                self.leave_slow(now);
-                None
-            }
-        }
+    /// Judge the pace of the open stream.
+    pub(super) fn judge_pace(&self, now: Instant) -> PaceVerdict {
+        let link = self.link.as_ref();
+        link.map_or(PaceVerdict::Unknown, |link| link.pace.judge(now))
     }
 
-    fn leave_slow(&mut self, now: Instant) {
-        let Some(link) = self.link.take() else {
-            return;
-        };
-        self.target = LinkTarget::Any;
-        let LossAction::Resume(attempt) = self.relay.lost_server(now) else {
-            return;
-        };
-        self.state.metrics.moves.inc();
-        let spec = link.guard.node().spec();
-        let older = AttemptNumber(attempt.0 - 1);
-        let control = spec.addresses.control;
-        self.state.links.cancel(control, self.generation, older);
-        self.exclude(&spec.name);
-        if let Some(last) = self.last_token_at {
-            let node = link.guard.node();
-            node.note_token_gap(now.duration_since(last), now);
+    /// Move the generation to a server that is well, if one takes it.
+    pub(super) async fn move_on(&mut self, now: Instant) -> Option<CallerEvent> {
+        let link = self.link.as_mut()?;
+        link.pace.next_move = now + MOVE_PAUSE;
+        let slow = Arc::clone(link.guard.node());
+        // Before the first token the request may have waited for a slot.
+        if let Some(last) = self.last_token_at.filter(|_| !self.is_resuming) {
+            slow.note_straggler(now.duration_since(last), now);
+        }
+        self.exclude(&slow.spec().name);
+        let node = self.faster_node()?;
+        if !self.state.policy.may_move() {
+            return None;
+        }
+        let attempt = self.relay.next_attempt();
+        match self.open_attempt(&node, attempt, true).await {
+            Ok(events) => {
+                let older = self.relay.attempt();
+                let control = slow.spec().addresses.control;
+                self.state.links.cancel(control, self.generation, older);
+                self.relay.moved();
+                self.state.metrics.moves.inc();
+                self.is_resuming = true;
+                self.link = Some(self.link_to(&node, events, now));
+                self.place(&node)
+            }
+            Err(OpenError::Full | OpenError::Unreachable(_)) => {
+                self.state.policy.note_move_refused();
+                self.exclude(&node.spec().name);
+                None
+            }
+            Err(OpenError::Other(_)) => {
+                // The attempt may have been started there.
+                let control = node.spec().addresses.control;
+                self.state.links.cancel(control, self.generation, attempt);
+                self.exclude(&node.spec().name);
+                None
+            }
         }
-        self.is_resuming = true;
     }
 }
--- a/crates/entry/src/stream_driver/server_search.rs
+++ b/crates/entry/src/stream_driver/server_search.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    TokenPosition,
+    AttemptNumber, TokenPosition,
     backend_server::{ChoiceQuery, ServerNode},
     generation_stream::{LossAction, StreamWatch},
 };
@@ -85,12 +85,12 @@
             events,
             guard: node.begin(),
             watch: StreamWatch::new(opened_at),
-            pace: LinkPace::new(&self.state, node),
+            pace: LinkPace::new(&self.state, node, opened_at, self.unread_tokens()),
         }
     }
 
     /// Tell a caller that has tokens where to come back to from now on.
-    fn place(&self, node: &ServerNode) -> Option<CallerEvent> {
+    pub(super) fn place(&self, node: &ServerNode) -> Option<CallerEvent> {
         let next = self.relay.log().next_position();
         (next > TokenPosition(0)).then(|| CallerEvent::Moved {
             next,
@@ -113,6 +113,7 @@
             pool: &self.pool,
             exclude: &self.excluded,
             prefix: prefix_of(&self.open.prompt),
+            is_move: false,
             now: Instant::now(),
         };
         servers
@@ -133,9 +134,35 @@
         })
     }
 
-    pub(super) async fn open_at(&mut self, node: &ServerNode) -> Result<EventStream, OpenError> {
+    /// A server that is well, for a generation that leaves a slow one.
+    pub(super) fn faster_node(&self) -> Option<Arc<ServerNode>> {
+        let query = ChoiceQuery {
+            pool: &self.pool,
+            exclude: &self.excluded,
+            prefix: None,
+            is_move: true,
+            now: Instant::now(),
+        };
+        let servers = self.state.servers.load();
+        servers
+            .choose(&self.state.policy, &query, &mut rand::rng())
+            .cloned()
+    }
+
+    /// Open a stream of the current attempt.
+    pub(super) async fn open_at(&self, node: &ServerNode) -> Result<EventStream, OpenError> {
+        self.open_attempt(node, self.relay.attempt(), false).await
+    }
+
+    pub(super) async fn open_attempt(
+        &self,
+        node: &ServerNode,
+        attempt: AttemptNumber,
+        is_move: bool,
+    ) -> Result<EventStream, OpenError> {
         let open = OpenMessage {
-            attempt: self.relay.attempt().0,
+            attempt: attempt.0,
+            is_move,
             delivered: self
                 .relay
                 .log()
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -110,6 +110,10 @@
     pub max_tokens: u32,
     /// Class of work.
     pub class: ClassMessage,
+    /// Whether another server has the generation and goes on with it if this
+    /// one refuses.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_move: bool,
 }
 
 impl OpenMessage {
--- a/xtask/src/measure/resume/baseline.rs
+++ b/xtask/src/measure/resume/baseline.rs
@@ -142,6 +142,7 @@
             delivered: Vec::new(),
             max_tokens: request.max_tokens,
             class: ClassMessage::Long,
+            is_move: false,
         };
         let agent = self.agents[self.rng.random_range(0..self.agents.len())];
         let call = ExchangeCall::post(agent, "/v1/generations")
