Weights of the release note set the teams' shares

`NoteState::team_limit` had a weight that admission did not use. The rate of a team is now compared per share of its weight; a team that no note names has one. The domain test has three teams far above capacity with weights of 1, 2 and 3; each is served within 15 in 100 of its share.

A refused retry that is put back has its test in the same file.

--- a/crates/domain/src/team_budget/share_gate.rs
+++ b/crates/domain/src/team_budget/share_gate.rs
@@ -78,9 +78,17 @@
         f64::from_bits(self.fair_rate.load(Ordering::Relaxed))
     }
 
-    /// Judge a request that costs `cost` tokens.
-    pub fn judge(&self, team: &str, cost: u32, now: Instant, rng: &mut impl Rng) -> ShareVerdict {
-        let rate = f64::from(self.sketch.add(team, cost, now));
+    /// Judge a request that costs `cost` tokens, of a team that has `weight`
+    /// shares; rates are those of one share.
+    pub fn judge(
+        &self,
+        team: &str,
+        weight: u32,
+        cost: u32,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> ShareVerdict {
+        let rate = f64::from(self.sketch.add(team, cost, now)) / f64::from(weight.max(1));
         self.adapt(now);
         // Rates are not negative, so their bits are in the order of the numbers.
         self.peak_rate.fetch_max(rate.to_bits(), Ordering::Relaxed);
--- a/crates/domain/tests/team_budget.rs
+++ b/crates/domain/tests/team_budget.rs
@@ -1,6 +1,6 @@
 //! Small teams keep their share, retries stay within theirs.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use domain::team_budget::{RateSketch, RetryBudget, ShareGate, ShareVerdict};
 use proptest::prelude::*;
@@ -16,19 +16,31 @@
 /// Served requests a second of each team, the largest first, when teams send
 /// `rates` and servers take `capacity` requests a second.
 async fn serve(rates: &[f64], capacity: f64, seconds: u32) -> Vec<f64> {
+    let teams: Vec<_> = rates.iter().map(|&rate| (rate, 1)).collect();
+    serve_weighted(&teams, capacity, seconds / 2..seconds).await
+}
+
+/// The same for teams of a rate and a weight each, over the given seconds of a
+/// crest that begins at once.
+async fn serve_weighted(teams: &[(f64, u32)], capacity: f64, counted: Range<u32>) -> Vec<f64> {
     let gate = ShareGate::new(Instant::now());
     let mut rng = SmallRng::seed_from_u64(11);
-    let mut served = vec![0_u32; rates.len()];
+    let mut served = vec![0_u32; teams.len()];
     let mut room = 0.0;
-    let steps = seconds * 200;
-    for step in 0..steps {
+    for step in 0..counted.end * 200 {
         tokio::time::advance(STEP).await;
         room = f64::min(room + capacity * STEP.as_secs_f64(), QUEUE);
-        for (team, rate) in rates.iter().enumerate() {
+        for (team, &(rate, weight)) in teams.iter().enumerate() {
             if !rng.random_bool(rate * STEP.as_secs_f64()) {
                 continue;
             }
-            let verdict = gate.judge(&format!("team-{team}"), 16, Instant::now(), &mut rng);
+            let verdict = gate.judge(
+                &format!("team-{team}"),
+                weight,
+                16,
+                Instant::now(),
+                &mut rng,
+            );
             if verdict == ShareVerdict::Above {
                 continue;
             }
@@ -37,13 +49,12 @@
                 continue;
             }
             room -= 1.0;
-            // The first half is left for the gate to find its level.
-            if step >= steps / 2 {
+            if step >= counted.start * 200 {
                 served[team] += 1;
             }
         }
     }
-    let seconds = f64::from(seconds) / 2.0;
+    let seconds = counted.len() as f64;
     served
         .iter()
         .map(|&count| f64::from(count) / seconds)
@@ -66,6 +77,19 @@
     assert!(total >= 50.0 * 0.85, "only {total} of 50 a second are used");
 }
 
+#[tokio::test(start_paused = true)]
+async fn weights_set_the_shares() {
+    // All teams send far more than their share of 60 requests a second.
+    let teams = [(60.0, 1), (60.0, 2), (60.0, 3)];
+    let served = serve_weighted(&teams, 60.0, 30..90).await;
+    let total: f64 = served.iter().sum();
+    for ((_, weight), served) in teams.iter().zip(&served) {
+        let share = total * f64::from(*weight) / 6.0;
+        let bounds = share * 0.85..share * 1.15;
+        assert!(bounds.contains(served), "{served} a second, not {share}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_refused_without_congestion() {
     let gate = ShareGate::new(Instant::now());
@@ -73,7 +97,7 @@
     for number in 0..2_000 {
         tokio::time::advance(STEP).await;
         let team = if number % 2 == 0 { "large" } else { "small" };
-        let verdict = gate.judge(team, 300, Instant::now(), &mut rng);
+        let verdict = gate.judge(team, 1, 300, Instant::now(), &mut rng);
         assert_eq!(verdict, ShareVerdict::Within);
     }
 }
@@ -84,14 +108,14 @@
     let mut rng = SmallRng::seed_from_u64(11);
     for _ in 0..400 {
         tokio::time::advance(STEP).await;
-        if gate.judge("large", 16, Instant::now(), &mut rng) == ShareVerdict::Within {
+        if gate.judge("large", 1, 16, Instant::now(), &mut rng) == ShareVerdict::Within {
             gate.note_turned_away();
         }
     }
     assert!(gate.fair_rate().is_finite());
     for _ in 0..750 {
         tokio::time::advance(STEP * 4).await;
-        gate.judge("large", 16, Instant::now(), &mut rng);
+        gate.judge("large", 1, 16, Instant::now(), &mut rng);
     }
     assert!(gate.fair_rate().is_infinite(), "{}", gate.fair_rate());
 }
@@ -151,3 +175,16 @@
     let earned = (0..1_000).filter(|_| budget.withdraw()).count();
     assert_eq!(earned, 20);
 }
+
+#[test]
+fn refused_retry_is_put_back_and_no_more() {
+    let budget = RetryBudget::new(200);
+    for _ in 0..30 {
+        budget.put_back();
+    }
+    let saved = (0..1_000).filter(|_| budget.withdraw()).count();
+    assert_eq!(saved, 20);
+    budget.put_back();
+    let left = (0..1_000).filter(|_| budget.withdraw()).count();
+    assert_eq!(left, 1);
+}
--- a/crates/entry/src/chat_front.rs
+++ b/crates/entry/src/chat_front.rs
@@ -63,6 +63,7 @@
         .inspect_err(|refusal| count_refusal(state, refusal))?;
     let admission = AdmissionRequest {
         team,
+        weight: weight_of(state, team),
         class,
         tokens: request.max_tokens,
     };
@@ -112,6 +113,12 @@
     }
 }
 
+/// Shares of a team; one if no note names it.
+fn weight_of<P>(state: &EntryState<P>, team: &str) -> u32 {
+    let note = state.note.load();
+    note.team_limit(team).map_or(1, |limit| limit.weight)
+}
+
 fn key_reused() -> ProblemReply {
     ProblemReply::refused(StatusCode::UNPROCESSABLE_ENTITY, "key-reused", KEY_REUSED)
 }
--- a/crates/entry/src/load_policy.rs
+++ b/crates/entry/src/load_policy.rs
@@ -33,6 +33,8 @@
 pub struct AdmissionRequest<'a> {
     /// Team that asks.
     pub team: &'a str,
+    /// Shares of the capacity that the release note gives the team.
+    pub weight: u32,
     /// Class of work.
     pub class: WorkClass,
     /// Tokens to generate at most.
@@ -108,7 +110,7 @@
         rng: &mut impl Rng,
     ) -> Result<(), AdmissionRefusal> {
         let shares = self.shares(request.class);
-        match shares.judge(request.team, request.tokens, now, rng) {
+        match shares.judge(request.team, request.weight, request.tokens, now, rng) {
             ShareVerdict::Within => {
                 self.moves.note_first_try();
                 Ok(())
