One count of requests by class for both gates

The gate of an entry and that of an agent counted all requests and the long ones with the same code written twice, and undid a half-made count in two ways. `ClassCounts` does it once; the gates keep their bounds, their causes of refusal and their permits.

--- a/crates/domain/src/backend_server/slot_gate.rs
+++ b/crates/domain/src/backend_server/slot_gate.rs
@@ -19,7 +19,7 @@
 
 use tokio::time::Instant;
 
-use crate::{WorkClass, backend_server::AtomicTime};
+use crate::{ClassCounts, CountBounds, CountRefusal, WorkClass, backend_server::AtomicTime};
 
 /// How a server's slots are shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,8 +50,7 @@
 pub struct SlotGate {
     limits: Option<SlotLimits>,
     slots: AtomicU32,
-    held: AtomicU32,
-    long: AtomicU32,
+    counts: ClassCounts,
     long_wanted_at: AtomicTime,
 }
 
@@ -68,8 +67,7 @@
         Self {
             limits,
             slots: AtomicU32::new(0),
-            held: AtomicU32::new(0),
-            long: AtomicU32::new(0),
+            counts: ClassCounts::new(),
             long_wanted_at: AtomicTime::new(now),
         }
     }
@@ -86,7 +84,7 @@
 
     /// Requests that run or wait at the server.
     pub fn held(&self) -> u32 {
-        self.held.load(Ordering::Relaxed)
+        self.counts.all()
     }
 
     /// Take new work in, or refuse it.
@@ -99,77 +97,45 @@
         let (Some(limits), true) = (self.limits, slots > 0) else {
             return Ok(self.enter_always(class));
         };
-        let entered = match class {
-            WorkClass::Short => self.enter_short(limits, slots, now),
-            WorkClass::Long => self.enter_long(limits, slots),
+        let bounds = match class {
+            WorkClass::Short => CountBounds {
+                all: self.short_max(limits, slots, now),
+                long: 0,
+            },
+            // Long work never waits here: it would hold short work's turn.
+            WorkClass::Long => CountBounds {
+                all: slots,
+                long: Self::share(slots, limits.long_milli).max(1),
+            },
         };
-        if entered.is_err() && class == WorkClass::Long {
-            self.long_wanted_at.set(now);
+        match self.counts.raise(class, bounds) {
+            Ok(()) => Ok(self.permit(class)),
+            Err(CountRefusal { held, limit }) => {
+                if class == WorkClass::Long {
+                    self.long_wanted_at.set(now);
+                }
+                Err(SlotRefusal { class, held, limit })
+            }
         }
-        entered
     }
 
-    fn enter_short(
-        self: &Arc<Self>,
-        limits: SlotLimits,
-        slots: u32,
-        now: Instant,
-    ) -> Result<SlotPermit, SlotRefusal> {
+    /// Requests beyond which short work is refused.
+    fn short_max(&self, limits: SlotLimits, slots: u32, now: Instant) -> u32 {
         let queue_max = Self::share(slots, limits.queue_milli).max(1);
         let long_floor = Self::share(slots, limits.long_floor_milli);
-        let long_missing = long_floor.saturating_sub(self.long.load(Ordering::Relaxed));
+        let long_missing = long_floor.saturating_sub(self.counts.long());
         let is_wanted = self.long_wanted_at.age(now) < Self::WANTED_FOR;
         // Work that waits would take the slot that is being left.
-        let held_max = if is_wanted && long_missing > 0 {
+        if is_wanted && long_missing > 0 {
             slots - long_missing.min(slots - 1)
         } else {
             slots + queue_max
-        };
-        self.raise_held(WorkClass::Short, held_max)
-    }
-
-    fn enter_long(
-        self: &Arc<Self>,
-        limits: SlotLimits,
-        slots: u32,
-    ) -> Result<SlotPermit, SlotRefusal> {
-        let long_max = Self::share(slots, limits.long_milli).max(1);
-        if !Self::raise(&self.long, long_max) {
-            return Err(SlotRefusal {
-                class: WorkClass::Long,
-                held: long_max,
-                limit: long_max,
-            });
-        }
-        // Long work never waits here: it would hold short work's turn.
-        let entered = self.raise_held(WorkClass::Long, slots);
-        if entered.is_err() {
-            self.long.fetch_sub(1, Ordering::Relaxed);
-        }
-        entered
-    }
-
-    fn raise_held(
-        self: &Arc<Self>,
-        class: WorkClass,
-        held_max: u32,
-    ) -> Result<SlotPermit, SlotRefusal> {
-        if Self::raise(&self.held, held_max) {
-            return Ok(self.permit(class));
         }
-        Err(SlotRefusal {
-            class,
-            held: self.held(),
-            limit: held_max,
-        })
     }
 
     /// Take in work that was promised already, whatever the counts are.
     pub fn enter_always(self: &Arc<Self>, class: WorkClass) -> SlotPermit {
-        self.held.fetch_add(1, Ordering::Relaxed);
-        if class == WorkClass::Long {
-            self.long.fetch_add(1, Ordering::Relaxed);
-        }
+        self.counts.raise_always(class);
         self.permit(class)
     }
 
@@ -183,14 +149,6 @@
     const fn share(slots: u32, milli: u32) -> u32 {
         slots.saturating_mul(milli) / 1_000
     }
-
-    fn raise(counter: &AtomicU32, max: u32) -> bool {
-        counter
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
-                (count < max).then_some(count + 1)
-            })
-            .is_ok()
-    }
 }
 
 /// A request at the server, until it is dropped.
@@ -202,9 +160,6 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        self.gate.held.fetch_sub(1, Ordering::Relaxed);
-        if self.class == WorkClass::Long {
-            self.gate.long.fetch_sub(1, Ordering::Relaxed);
-        }
+        self.gate.counts.lower(self.class);
     }
 }
--- /dev/null
+++ b/crates/domain/src/class_counts.rs
@@ -0,0 +1,88 @@
+//! Requests under way by class, counted without a lock.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::WorkClass;
+
+/// Most requests that may be under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CountBounds {
+    /// Requests of both classes together.
+    pub all: u32,
+    /// Long requests among them.
+    pub long: u32,
+}
+
+/// The bound that a request was not counted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CountRefusal {
+    /// Requests that count towards the bound.
+    pub held: u32,
+    /// The bound.
+    pub limit: u32,
+}
+
+/// Requests under way, and the long ones among them.
+#[derive(Debug, Default)]
+pub struct ClassCounts {
+    all: AtomicU32,
+    long: AtomicU32,
+}
+
+impl ClassCounts {
+    /// Counts of nothing.
+    pub const fn new() -> Self {
+        Self {
+            all: AtomicU32::new(0),
+            long: AtomicU32::new(0),
+        }
+    }
+
+    /// Requests of both classes.
+    pub fn all(&self) -> u32 {
+        self.all.load(Ordering::Relaxed)
+    }
+
+    /// Long requests.
+    pub fn long(&self) -> u32 {
+        self.long.load(Ordering::Relaxed)
+    }
+
+    /// Count a request if that keeps the bounds of its class.
+    pub fn raise(&self, class: WorkClass, bounds: CountBounds) -> Result<(), CountRefusal> {
+        if class == WorkClass::Long {
+            Self::raise_one(&self.long, bounds.long)?;
+        }
+        let raised = Self::raise_one(&self.all, bounds.all);
+        if raised.is_err() && class == WorkClass::Long {
+            self.long.fetch_sub(1, Ordering::Relaxed);
+        }
+        raised
+    }
+
+    /// Count a request whatever the counts are.
+    pub fn raise_always(&self, class: WorkClass) {
+        self.all.fetch_add(1, Ordering::Relaxed);
+        if class == WorkClass::Long {
+            self.long.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// A request that was counted has ended.
+    pub fn lower(&self, class: WorkClass) {
+        self.all.fetch_sub(1, Ordering::Relaxed);
+        if class == WorkClass::Long {
+            self.long.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    fn raise_one(counter: &AtomicU32, limit: u32) -> Result<(), CountRefusal> {
+        let raised = counter.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+            (count < limit).then_some(count + 1)
+        });
+        match raised {
+            Ok(_) => Ok(()),
+            Err(held) => Err(CountRefusal { held, limit }),
+        }
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,6 +7,7 @@
 //! spawns tasks; time and randomness come in as arguments.
 
 pub mod backend_server;
+pub mod class_counts;
 pub mod duty_lease;
 pub mod generation_stream;
 pub mod identity;
@@ -15,6 +16,7 @@
 pub mod team_budget;
 pub mod vm_membership;
 
+pub use class_counts::{ClassCounts, CountBounds, CountRefusal};
 pub use identity::{
     AdapterName, AttemptNumber, BodyDigest, DomainName, FencingNumber, GenerationId, ModelName,
     ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, RequestKey, ServerName, ServiceName,
--- a/crates/domain/src/team_budget/admission_gate.rs
+++ b/crates/domain/src/team_budget/admission_gate.rs
@@ -1,16 +1,10 @@
 //! Admission of requests by class.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
 
-use crate::WorkClass;
+use crate::{ClassCounts, CountBounds, WorkClass};
 
 /// Requests that a process takes at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +45,7 @@
 #[derive(Debug)]
 pub struct AdmissionGate {
     limits: ClassLimits,
-    total: AtomicU32,
-    long: AtomicU32,
+    counts: ClassCounts,
 }
 
 impl AdmissionGate {
@@ -63,48 +56,32 @@
     pub const fn new(limits: ClassLimits) -> Self {
         Self {
             limits,
-            total: AtomicU32::new(0),
-            long: AtomicU32::new(0),
+            counts: ClassCounts::new(),
         }
     }
 
     /// Requests taken in and not finished: all, and the long ones among them.
     pub fn counts(&self) -> (u32, u32) {
-        (
-            self.total.load(Ordering::Relaxed),
-            self.long.load(Ordering::Relaxed),
-        )
+        (self.counts.all(), self.counts.long())
     }
 
     /// Take a request in, or refuse it.
     pub fn admit(self: &Arc<Self>, class: WorkClass) -> Result<AdmissionPermit, AdmissionRefusal> {
-        let refusal = |limit| AdmissionRefusal {
+        let bounds = CountBounds {
+            all: self.limits.total_max,
+            long: self.limits.long_max,
+        };
+        let counted = self.counts.raise(class, bounds);
+        counted.map_err(|refusal| AdmissionRefusal {
             class,
-            cause: RefusalCause::Limit(limit),
+            cause: RefusalCause::Limit(refusal.limit),
             retry_after: Self::RETRY_AFTER,
-        };
-        if class == WorkClass::Long && !Self::raise(&self.long, self.limits.long_max) {
-            return Err(refusal(self.limits.long_max));
-        }
-        if !Self::raise(&self.total, self.limits.total_max) {
-            if class == WorkClass::Long {
-                self.long.fetch_sub(1, Ordering::Relaxed);
-            }
-            return Err(refusal(self.limits.total_max));
-        }
+        })?;
         Ok(AdmissionPermit {
             gate: Arc::clone(self),
             class,
         })
     }
-
-    fn raise(counter: &AtomicU32, max: u32) -> bool {
-        counter
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
-                (count < max).then_some(count + 1)
-            })
-            .is_ok()
-    }
 }
 
 /// A request that was taken in, until it is dropped.
@@ -116,9 +93,6 @@
 
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
-        self.gate.total.fetch_sub(1, Ordering::Relaxed);
-        if self.class == WorkClass::Long {
-            self.gate.long.fetch_sub(1, Ordering::Relaxed);
-        }
+        self.gate.counts.lower(self.class);
     }
 }
