A server that is well again is used after few tokens

Cause: in the slowed phase two of eight servers are slow and two more were slow a moment ago.

Change: a token that took less than half of the average counts as much as all before: two tokens after three times slower, four after ten times. Taking one sample in four for all tokens was ruled out, since one late token would then have a server avoided.

The new test counts these tokens.

--- a/crates/domain/src/backend_server/atomic_average.rs
+++ b/crates/domain/src/backend_server/atomic_average.rs
@@ -19,13 +19,16 @@
     const SAMPLE_SHIFT: u32 = 3;
 
     /// Record a sample.
+    ///
+    /// One that is less than half of the average counts as much as all before:
+    /// a server that is well again should not be left idle for many tokens.
     pub fn note(&self, time: Duration) {
         let sample = Self::nanos_of(time);
         let old = self.nanos.load(Ordering::Relaxed);
-        let new = if old == 0 {
-            sample
-        } else {
-            old - (old >> Self::SAMPLE_SHIFT) + (sample >> Self::SAMPLE_SHIFT)
+        let new = match old {
+            0 => sample,
+            _ if sample < old / 2 => old.midpoint(sample),
+            _ => old - (old >> Self::SAMPLE_SHIFT) + (sample >> Self::SAMPLE_SHIFT),
         };
         self.nanos.store(new, Ordering::Relaxed);
     }
--- a/crates/domain/tests/backend_server.rs
+++ b/crates/domain/tests/backend_server.rs
@@ -255,6 +255,24 @@
     }
 }
 
+#[rstest]
+#[case::three_times_slower(GAP * 3, 2)]
+#[case::ten_times_slower(GAP * 10, 4)]
+#[tokio::test(start_paused = true)]
+async fn server_that_is_well_again_is_used_after_few_tokens(
+    #[case] gap: Duration,
+    #[case] tokens: u32,
+) {
+    let now = Instant::now();
+    let node = ServerNode::new(spec(0, 5), now);
+    measure_gap(&node, gap, now);
+    assert!(node.is_slowed(Some(GAP)));
+    for _ in 0..tokens {
+        node.note_token_gap(GAP, now);
+    }
+    assert!(!node.is_slowed(Some(GAP)), "{:?}", node.token_gap());
+}
+
 #[tokio::test(start_paused = true)]
 async fn move_goes_to_no_slowed_server() {
     let set = set(0..4, "entry-1", Instant::now());
