--- a/crates/entry/src/load_policy.rs
+++ b/crates/entry/src/load_policy.rs
@@ -20,7 +20,10 @@
 use tokio::time::Instant;
 
 /// Generations that may move for being slow, of 1,000 first tries.
-const MOVES_MILLI: u32 = 150;
+///
+/// A move is taken only where there is room for it, so this bounds the tokens
+/// that are read again rather than the load.
+const MOVES_MILLI: u32 = 250;
 
 /// Calls that may be tried again, of 1,000 first tries.
 const RETRIES_MILLI: u32 = 200;
@@ -30,6 +33,8 @@
 pub struct AdmissionRequest<'a> {
     /// Team that asks.
     pub team: &'a str,
+    /// Shares of the capacity that the release note gives the team.
+    pub weight: u32,
     /// Class of work.
     pub class: WorkClass,
     /// Tokens to generate at most.
@@ -52,6 +57,9 @@
     /// Whether a generation that is far slower than its peers may move now.
     fn may_move(&self) -> bool;
 
+    /// The server that was to take such a generation refused it.
+    fn note_move_refused(&self);
+
     /// Class by which servers treat work of a class.
     fn server_class(&self, class: WorkClass) -> WorkClass;
 }
@@ -102,7 +110,7 @@
         rng: &mut impl Rng,
     ) -> Result<(), AdmissionRefusal> {
         let shares = self.shares(request.class);
-        match shares.judge(request.team, request.tokens, now, rng) {
+        match shares.judge(request.team, request.weight, request.tokens, now, rng) {
             ShareVerdict::Within => {
                 self.moves.note_first_try();
                 Ok(())
@@ -123,6 +131,10 @@
         self.moves.withdraw()
     }
 
+    fn note_move_refused(&self) {
+        self.moves.put_back();
+    }
+
     fn server_class(&self, class: WorkClass) -> WorkClass {
         class
     }
@@ -159,6 +171,8 @@
         false
     }
 
+    fn note_move_refused(&self) {}
+
     fn server_class(&self, _class: WorkClass) -> WorkClass {
         WorkClass::Short
     }
@@ -228,6 +242,13 @@
         }
     }
 
+    fn note_move_refused(&self) {
+        match self {
+            Self::Balanced(policy) => policy.note_move_refused(),
+            Self::Plain(policy) => policy.note_move_refused(),
+        }
+    }
+
     fn server_class(&self, class: WorkClass) -> WorkClass {
         match self {
             Self::Balanced(policy) => policy.server_class(class),
