--- a/crates/agent/src/generation_task.rs
+++ b/crates/agent/src/generation_task.rs
@@ -12,8 +12,8 @@
     AttemptNumber, GenerationId, TokenPosition,
     backend_server::SlotPermit,
     generation_stream::{
-        AttemptGate, AttemptVerdict, BeatPace, BeatReport, LogReservation, ReaderLimits, ReaderWatch,
-        TokenLog,
+        AttemptGate, AttemptVerdict, BeatPace, BeatReport, LogReservation, ReaderLimits,
+        ReaderWatch, TokenLog,
     },
 };
 use exchange::{ExchangeError, StreamEvent};
