Tests of calls fail for the faults they name

Cause: three faults of the fence passed `lacking_key_counts`, shown by changing the rule and running the test as it was (31 passed each time): leaving the last dispatch out of the fence, a failed answer that does not end the vigil, and a server that was never seen awake. `agent_that_dies...` killed the agent 200 ms after the request was sent, wherever the call was by then, and left 200 ms until the run, so that a busy machine could hide a fence that is not kept.

Change in tests, all stricter: - `lacking_key_counts` gets the last dispatch, failures and the moment of the reading as inputs, and both sides of each bound. The three changes of the rule now fail it (1, 2 and 2 cases). `intent_is_waited_for` is new; `age_decides` has a case for an intent and one for a clock behind, and asks for another body in every case; the two age tests stand at their bounds. - `agent_that_dies...` waits until the call is recorded, or has run, kills, checks at the ledger that it was where the case says, and restarts. 550 ms instead of 400 lie between dispatch and run, still below the service's longest run. - `store_down_is_an_honest_refusal` also sends a key without `X-First-Use`, and sees that nothing ran during the outage. - The test target is a folder, with what its files share in `support`.

Duplicates: the list of faults in the storm comes from one declaration; faults of stand-ins have constructors, used by the storm and the tests of calls; records and queries of `decide_key` are built in one place. The order in which a seed draws faults is as before.

A booking that stays open is now explained with the rows that the table holds.

Ruled out by reading: listings that miss an open record, a case forgotten before its write, a port taken by an outgoing connection, a listing taken away early.

--- a/crates/domain/tests/service_call.rs
+++ b/crates/domain/tests/service_call.rs
@@ -51,6 +51,34 @@
     answer: "booked",
 };
 
+/// Record of 20 litres by the first process of `ledger-1`, in a state.
+fn record(state: CallState) -> CallRecord {
+    CallRecord {
+        digest: BodyDigest::of("order", b"20 litres"),
+        owner: owner("ledger-1", 1),
+        run: 0,
+        recorded_at: RECORDED,
+        state,
+    }
+}
+
+/// What a process may do about a request for some litres, sent and looked at so
+/// many milliseconds after the record.
+fn decided<'a>(
+    record: Option<&'a CallRecord>,
+    asker: &CallOwner,
+    litres: &str,
+    (sent_after, now_after): (u64, u64),
+) -> KeyDecision<'a> {
+    let query = KeyQuery {
+        digest: BodyDigest::of("order", litres.as_bytes()),
+        owner: asker,
+        sent_at: WallTime(RECORDED.0 + sent_after),
+        now: WallTime(RECORDED.0 + now_after),
+    };
+    decide_key(record, &query)
+}
+
 #[rstest]
 #[case::other_server(CallState::Intended, "ledger-2", 1, KeyDecision::InFlight)]
 #[case::later_process(CallState::Intended, "ledger-1", 2, KeyDecision::InFlight)]
@@ -64,28 +92,12 @@
     #[case] epoch: u64,
     #[case] expected: KeyDecision<'_>,
 ) {
-    let digest = BodyDigest::of("order", b"20 litres");
-    let record = CallRecord {
-        digest,
-        owner: owner("ledger-1", 1),
-        run: 0,
-        recorded_at: RECORDED,
-        state,
-    };
+    let record = record(state);
     let asker = owner(server, epoch);
-    let query = KeyQuery {
-        digest,
-        owner: &asker,
-        sent_at: WallTime(RECORDED.0 + 1),
-        now: WallTime(RECORDED.0 + 2),
-    };
-    assert_eq!(decide_key(Some(&record), &query), expected);
-    let other = KeyQuery {
-        digest: BodyDigest::of("order", b"21 litres"),
-        ..query
-    };
-    assert_eq!(decide_key(Some(&record), &other), KeyDecision::OtherBody);
-    assert_eq!(decide_key(None, &query), KeyDecision::Run);
+    let decide = |record, litres| decided(record, &asker, litres, (1, 2));
+    assert_eq!(decide(Some(&record), "20 litres"), expected);
+    assert_eq!(decide(Some(&record), "21 litres"), KeyDecision::OtherBody);
+    assert_eq!(decide(None, "20 litres"), KeyDecision::Run);
 }
 
 #[rstest]
@@ -94,27 +106,21 @@
 #[case::past_the_end(ran(), 1, millis(KEY_LIFETIME) + 1, KeyDecision::Expired)]
 #[case::not_run_past_the_end(CallState::NotRun, 1, millis(KEY_LIFETIME) + 1, KeyDecision::Expired)]
 #[case::unknown_stays(CallState::Unknown, 1, millis(KEY_LIFETIME) + 1, KeyDecision::Unknown)]
+#[case::intended_stays(CallState::Intended, 1, millis(KEY_LIFETIME) + 1, KeyDecision::InFlight)]
+#[case::clock_behind_the_word(CallState::NotRun, 0, 0, KeyDecision::Superseded)]
 fn age_decides(
     #[case] state: CallState,
     #[case] sent_after: u64,
     #[case] now_after: u64,
     #[case] expected: KeyDecision<'_>,
 ) {
-    let digest = BodyDigest::of("order", b"20 litres");
-    let record = CallRecord {
-        digest,
-        owner: owner("ledger-1", 1),
-        run: 0,
-        recorded_at: RECORDED,
-        state,
-    };
-    let query = KeyQuery {
-        digest,
-        owner: &owner("ledger-2", 1),
-        sent_at: WallTime(RECORDED.0 + sent_after),
-        now: WallTime(RECORDED.0 + now_after),
-    };
-    assert_eq!(decide_key(Some(&record), &query), expected);
+    let record = record(state);
+    let asker = owner("ledger-2", 1);
+    let times = (sent_after, now_after);
+    let decide = |litres| decided(Some(&record), &asker, litres, times);
+    assert_eq!(decide("20 litres"), expected);
+    // However old it is, the key stays bound to its body.
+    assert_eq!(decide("21 litres"), KeyDecision::OtherBody);
 }
 
 fn millis(time: Duration) -> u64 {
@@ -128,29 +134,78 @@
     }
 }
 
-/// What is settled of a call dispatched at 0 ms, with the server answering at
-/// the given moments and the journal asked at the last of them.
-fn settled(answers: &[u64], reads: impl FnOnce(Instant) -> JournalReading) -> Option<CallState> {
+/// A sign of the server, in milliseconds since the start.
+#[derive(Clone, Copy, Debug)]
+enum ServerSign {
+    Answered(u64),
+    Failed,
+}
+
+use ServerSign::{Answered, Failed};
+
+/// What is settled of a call dispatched until `limit` ms, with the journal read
+/// at `asked_at` ms.
+fn settled(
+    limit: u64,
+    signs: &[ServerSign],
+    asked_at: u64,
+    reads: impl FnOnce(Instant) -> JournalReading,
+) -> Option<CallState> {
     let begun = Instant::now();
     let at = |ms: u64| begun + Duration::from_millis(ms);
     let mut vigil = ServerVigil::default();
-    for &answer in answers {
-        vigil.answered(&RULE, at(answer));
+    for &sign in signs {
+        match sign {
+            Answered(ms) => vigil.answered(&RULE, at(ms)),
+            Failed => vigil.failed(),
+        }
     }
-    let reading = reads(at(answers.last().copied().unwrap_or_default()));
-    settle(DispatchLimit::Until(begun), &reading, &vigil, &RULE)
+    let limit = DispatchLimit::Until(at(limit));
+    settle(limit, &reads(at(asked_at)), &vigil, &RULE)
 }
 
+const fn lacks(asked_at: Instant) -> JournalReading {
+    JournalReading::Lacks { asked_at }
+}
+
+/// Answers 400 ms apart.
+const AWAKE: [ServerSign; 5] = [
+    Answered(0),
+    Answered(400),
+    Answered(800),
+    Answered(1_200),
+    Answered(1_600),
+];
+
 #[rstest]
-#[case::before_the_fence(&[0, 400, 800, 1_200], None)]
-#[case::past_the_fence(&[0, 400, 800, 1_200, 1_600], Some(CallState::NotRun))]
-#[case::after_a_gap(&[0, 400, 1_600, 2_000], None)]
-#[case::long_after_a_gap(&[0, 1_000, 1_400, 1_800, 2_200, 2_600], Some(CallState::NotRun))]
-#[case::first_look(&[9_000], None)]
-#[case::never_awake(&[], None)]
-fn lacking_key_counts(#[case] answers: &[u64], #[case] expected: Option<CallState>) {
-    let lacks = |asked_at| JournalReading::Lacks { asked_at };
-    assert_eq!(settled(answers, lacks), expected);
+#[case::before_the_fence(0, &AWAKE, 1_499, None)]
+#[case::past_the_fence(0, &AWAKE, 1_500, Some(CallState::NotRun))]
+#[case::dispatched_later(200, &AWAKE, 1_600, None)]
+#[case::past_the_later_fence(100, &AWAKE, 1_600, Some(CallState::NotRun))]
+#[case::after_a_gap(0, &[Answered(0), Answered(501), Answered(1_000)], 1_999, None)]
+#[case::long_after_a_gap(
+    0,
+    &[Answered(0), Answered(501), Answered(1_000)],
+    2_001,
+    Some(CallState::NotRun)
+)]
+#[case::after_a_failure(0, &[Answered(0), Failed, Answered(400)], 1_899, None)]
+#[case::long_after_a_failure(
+    0,
+    &[Answered(0), Failed, Answered(400)],
+    1_900,
+    Some(CallState::NotRun)
+)]
+#[case::failed_last(0, &[Answered(0), Answered(400), Failed], 9_000, None)]
+#[case::first_look(0, &[Answered(9_000)], 9_000, None)]
+#[case::never_awake(0, &[], 9_000, None)]
+fn lacking_key_counts(
+    #[case] limit: u64,
+    #[case] signs: &[ServerSign],
+    #[case] asked_at: u64,
+    #[case] expected: Option<CallState>,
+) {
+    assert_eq!(settled(limit, signs, asked_at, lacks), expected);
 }
 
 #[test]
@@ -159,11 +214,9 @@
         status: 200,
         answer: "done".to_owned(),
     };
-    assert_eq!(settled(&[0], |_| has()), Some(ran));
-    assert_eq!(
-        settled(&[0, 400, 800, 1_200, 1_600], |_| JournalReading::Silent),
-        None
-    );
+    assert_eq!(settled(0, &AWAKE[..1], 0, |_| has()), Some(ran));
+    let silent = settled(0, &AWAKE, 9_000, |_| JournalReading::Silent);
+    assert_eq!(silent, None);
 }
 
 #[test]
@@ -175,7 +228,9 @@
 
 #[rstest]
 #[case::at_once(0, 2_000, true)]
-#[case::after_a_pause(1_000, 2_000, false)]
+#[case::at_the_limit(440, 2_000, true)]
+#[case::after_a_pause(441, 2_000, false)]
+#[case::at_the_deadline(200, 200, false)]
 #[case::past_the_deadline(300, 200, false)]
 fn claim_may_be_dispatched(#[case] age: u64, #[case] deadline: u64, #[case] expected: bool) {
     let rule = DispatchRule::default();
@@ -185,8 +240,21 @@
 }
 
 #[rstest]
-#[case(2_900, false)]
-#[case(3_100, true)]
+#[case::store_works(false, 2_000, 220)]
+#[case::store_fails(true, 2_000, 40)]
+#[case::short_deadline(false, 100, 100)]
+#[case::shorter_deadline(true, 30, 30)]
+fn intent_is_waited_for(#[case] is_failing: bool, #[case] deadline: u64, #[case] expected: u64) {
+    let rule = DispatchRule::default();
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let until = rule.intent_deadline(is_failing, now, at(deadline));
+    assert_eq!(until, at(expected));
+}
+
+#[rstest]
+#[case(3_000, false)]
+#[case(3_001, true)]
 fn request_grows_stale(#[case] age_ms: u64, #[case] expected: bool) {
     let rule = DispatchRule::default();
     let now = WallTime(RECORDED.0 + age_ms);
--- a/crates/stand-ins/src/platform_server.rs
+++ b/crates/stand-ins/src/platform_server.rs
@@ -64,6 +64,32 @@
     pub lose_answers: u64,
 }
 
+impl PlatformFaults {
+    /// Everything is refused.
+    pub fn down() -> Self {
+        Self {
+            down: true,
+            ..Self::default()
+        }
+    }
+
+    /// Every answer comes later.
+    pub fn slow(slow_ms: u64) -> Self {
+        Self {
+            slow_ms,
+            ..Self::default()
+        }
+    }
+
+    /// The answers of so many transactions are lost.
+    pub fn losing(lose_answers: u64) -> Self {
+        Self {
+            lose_answers,
+            ..Self::default()
+        }
+    }
+}
+
 /// What the platform did, read by `GET /control`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct PlatformCounts {
--- a/crates/stand-ins/src/service_server.rs
+++ b/crates/stand-ins/src/service_server.rs
@@ -45,6 +45,32 @@
     pub lose_answers: u64,
 }
 
+impl ServiceFaults {
+    /// Every call takes longer before its run.
+    pub fn late_run(delay_before_ms: u64) -> Self {
+        Self {
+            delay_before_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Every answer comes later after the run.
+    pub fn late_answer(delay_after_ms: u64) -> Self {
+        Self {
+            delay_after_ms,
+            ..Self::default()
+        }
+    }
+
+    /// So many answers are lost after the run.
+    pub fn losing(lose_answers: u64) -> Self {
+        Self {
+            lose_answers,
+            ..Self::default()
+        }
+    }
+}
+
 /// What a service ran, read by `GET /control`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct ServiceCounts {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -17,12 +17,17 @@
     time::Duration,
 };
 
+use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, Result};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::{Value, json};
 use stand_ins::{PlatformFaults, ServiceCounts, ServiceFaults};
 use tokio::{task::JoinSet, time::Instant};
+use wire::{
+    service_call::{all_open_rows, call_row, unknown_row},
+    table::{ReadMessage, ScanMessage},
+};
 
 use self::{
     booking::{BookingPlan, BookingRecord, CallerAnswer, book},
@@ -46,6 +51,9 @@
 /// Outcomes asked for at once.
 const ASKED_AT_ONCE: usize = 32;
 
+/// Open calls that are shown beside a booking that stayed open.
+const OPEN_SHOWN: usize = 100;
+
 /// Team of all callers.
 const TEAM: &str = "kivu-shores";
 
@@ -147,7 +155,7 @@
         .zip(&finals)
         .filter(|(_, outcome)| **outcome == FinalOutcome::Unsettled)
     {
-        explain(deployment, &record.key);
+        explain(deployment, &record.key).await?;
     }
     Ok(StormOutcome {
         records,
@@ -157,9 +165,24 @@
     })
 }
 
-/// Print what the agents logged of a booking.
-fn explain(deployment: &Deployment, key: &str) {
+/// Print what the table holds of a booking, and what the agents logged of it.
+async fn explain(deployment: &Deployment, key: &str) -> Result<()> {
     let request = format!("{TEAM}/{key}");
+    let read = ReadMessage {
+        keys: vec![call_row(&request), unknown_row(&request)],
+    };
+    let platform = deployment.fleet.platform();
+    let call = ExchangeCall::post(platform, "/v1/table/read").json(&read);
+    let rows = HttpExchange::fresh().send(call).await.into_diagnostic()?;
+    println!("{request}: {}", String::from_utf8_lossy(&rows.body));
+    let open = ScanMessage {
+        prefix: all_open_rows().to_owned(),
+        after: String::new(),
+        limit: OPEN_SHOWN,
+    };
+    let call = ExchangeCall::post(platform, "/v1/table/scan").json(&open);
+    let rows = HttpExchange::fresh().send(call).await.into_diagnostic()?;
+    println!("open: {}", String::from_utf8_lossy(&rows.body));
     for site in &deployment.sites {
         let log = deployment.fleet.log(&site.vm.name);
         for line in log.lines().filter(|line| {
@@ -170,6 +193,7 @@
             println!("{}: {line}", site.vm.name);
         }
     }
+    Ok(())
 }
 
 fn report(figures: Value, faults: CallFaults) -> MeasureReport {
@@ -345,10 +369,7 @@
 /// Callers that go to the service themselves and repeat on a timeout.
 async fn measure_baseline(deployment: &Deployment) -> Result<usize> {
     let service = deployment.sites[0].server.address;
-    let faults = ServiceFaults {
-        lose_answers: BASELINE_BOOKINGS as u64 / 4,
-        ..ServiceFaults::default()
-    };
+    let faults = ServiceFaults::losing(BASELINE_BOOKINGS as u64 / 4);
     deployment.fleet.control(service, &faults).await?;
     let client = CallerClient::new(TEAM);
     for at in 0..BASELINE_BOOKINGS {
--- a/xtask/src/measure/calls/crest.rs
+++ b/xtask/src/measure/calls/crest.rs
@@ -90,10 +90,7 @@
 /// Take the store away and see what is still served.
 pub async fn measure_outage(deployment: &Deployment) -> Result<Value> {
     let platform = deployment.fleet.platform();
-    let down = PlatformFaults {
-        down: true,
-        ..PlatformFaults::default()
-    };
+    let down = PlatformFaults::down();
     deployment.fleet.control(platform, &down).await?;
     let gap = Duration::from_millis(10);
     let bookings = offer(deployment, ORDER, Some("outage"), gap, OUTAGE_TIME).await?;
--- a/xtask/src/measure/calls/fault_storm.rs
+++ b/xtask/src/measure/calls/fault_storm.rs
@@ -12,9 +12,21 @@
 
 use crate::deployment::Deployment;
 
-/// One kind of fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FaultKind {
+/// Declare the kinds of faults, and the list of all of them.
+macro_rules! fault_kinds {
+    ($($(#[$doc:meta])* $kind:ident,)*) => {
+        /// One kind of fault.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum FaultKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        /// All kinds.
+        pub const KINDS: &[FaultKind] = &[$(FaultKind::$kind,)*];
+    };
+}
+
+fault_kinds! {
     /// The store refuses everything.
     StoreDown,
     /// The store answers late.
@@ -57,29 +69,6 @@
 
 use FaultKind::*;
 
-/// All kinds.
-pub const KINDS: [FaultKind; 19] = [
-    StoreDown,
-    StoreSlow,
-    StoreLosesAnswers,
-    StoreCut,
-    StoreAnswersLost,
-    ServiceLosesAnswers,
-    ServiceLateRun,
-    ServiceLateAnswer,
-    ServicePause,
-    ServiceKill,
-    AgentKill,
-    AgentKillAtIntent,
-    AgentKillBeforeRun,
-    AgentKillAfterRun,
-    AgentPause,
-    LinkCut,
-    LinkSilence,
-    LinkSilenceOpen,
-    LinkAnswersLost,
-];
-
 /// Time that a fault is given to catch calls before an agent is killed.
 const CATCH: Duration = Duration::from_millis(150);
 
@@ -117,17 +106,17 @@
 /// Cause a fault.
 pub async fn begin(deployment: &mut Deployment, kind: FaultKind, site: usize) -> Result<()> {
     match kind {
-        StoreDown => set_store(deployment, store(true, 0, 0)).await,
-        StoreSlow => set_store(deployment, store(false, 400, 0)).await,
-        StoreLosesAnswers => set_store(deployment, store(false, 0, 6)).await,
+        StoreDown => set_store(deployment, PlatformFaults::down()).await,
+        StoreSlow => set_store(deployment, PlatformFaults::slow(400)).await,
+        StoreLosesAnswers => set_store(deployment, PlatformFaults::losing(6)).await,
         StoreCut => deployment.set_store_link(site, LinkMode::Cut).await,
         StoreAnswersLost => {
             let mode = LinkMode::LoseBackward;
             deployment.set_store_link(site, mode).await
         }
-        ServiceLosesAnswers => set_service(deployment, site, service(0, 0, 20)).await,
-        ServiceLateRun => set_service(deployment, site, service(400, 0, 0)).await,
-        ServiceLateAnswer => set_service(deployment, site, service(0, 400, 0)).await,
+        ServiceLosesAnswers => set_service(deployment, site, ServiceFaults::losing(20)).await,
+        ServiceLateRun => set_service(deployment, site, ServiceFaults::late_run(400)).await,
+        ServiceLateAnswer => set_service(deployment, site, ServiceFaults::late_answer(400)).await,
         ServicePause => {
             deployment.sites[site].server.signal(Signal::SIGSTOP);
             Ok(())
@@ -138,15 +127,15 @@
         }
         AgentKill => kill_agent(deployment, site).await,
         AgentKillAtIntent => {
-            set_store(deployment, store(false, 200, 0)).await?;
+            set_store(deployment, PlatformFaults::slow(200)).await?;
             kill_agent(deployment, site).await
         }
         AgentKillBeforeRun => {
-            set_service(deployment, site, service(400, 0, 0)).await?;
+            set_service(deployment, site, ServiceFaults::late_run(400)).await?;
             kill_agent(deployment, site).await
         }
         AgentKillAfterRun => {
-            set_service(deployment, site, service(0, 400, 0)).await?;
+            set_service(deployment, site, ServiceFaults::late_answer(400)).await?;
             kill_agent(deployment, site).await
         }
         AgentPause => {
@@ -200,22 +189,6 @@
     Ok(())
 }
 
-const fn store(down: bool, slow_ms: u64, lose_answers: u64) -> PlatformFaults {
-    PlatformFaults {
-        down,
-        slow_ms,
-        lose_answers,
-    }
-}
-
-const fn service(delay_before_ms: u64, delay_after_ms: u64, lose_answers: u64) -> ServiceFaults {
-    ServiceFaults {
-        delay_before_ms,
-        delay_after_ms,
-        lose_answers,
-    }
-}
-
 async fn set_store(deployment: &Deployment, faults: PlatformFaults) -> Result<()> {
     let platform = deployment.fleet.platform();
     deployment.fleet.control(platform, &faults).await
--- /dev/null
+++ b/xtask/tests/calls/main.rs
@@ -0,0 +1,6 @@
+//! Bookings as real processes.
+//!
+//! What ran is counted at the ledger that all servers of the service share.
+
+mod single_faults;
+mod support;
--- a/xtask/tests/calls.rs
+++ b/xtask/tests/calls/single_faults.rs
@@ -1,107 +1,21 @@
-//! Bookings under single faults, as real processes.
-//!
-//! What ran is counted at the ledger that all servers of the service share.
+//! Bookings under single faults.
 
 use std::time::Duration;
 
-use exchange::ExchangeReply;
 use miette::{Result, miette};
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use serde_json::{Value, json};
-use stand_ins::{PlatformFaults, ServiceCounts, ServiceFaults};
-use wire::service_call::RequestList;
+use serde_json::json;
+use stand_ins::{PlatformFaults, ServiceFaults};
 use xtask::{
-    CallerClient, Deployment, DeploymentPlan,
+    CallerClient,
     measure::calls::{CallFaults, storm_faults},
 };
 
-const ORDER: &str = "/v1/services/ledger/order";
-
-const TEAM: &str = "kivu-shores";
-
-/// Looks at a record before it counts as stuck.
-const LOOKS_MAX: u32 = 300;
-
-/// Pause between two looks.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
-
-fn plan(services: usize) -> DeploymentPlan {
-    DeploymentPlan::default()
-        .engines(0)
-        .services(services)
-        .entries(2)
-        .proxied()
-        .shared_ledger()
-        .agent_extra(json!({ "journal": "by_key", "service_run_max_ms": 600 }))
-        .platform_args(&["--vm-lag-ms", "0"])
-}
-
-async fn ledger(services: usize) -> Result<Deployment> {
-    plan(services).start().await
-}
-
-/// Status and `outcome` of an answer; answers of the service have none.
-fn told(reply: &ExchangeReply) -> (u16, String) {
-    let body: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
-    let outcome = body["outcome"].as_str().unwrap_or("ran");
-    (reply.status.as_u16(), outcome.to_owned())
-}
-
-async fn order(deployment: &Deployment, entry: usize, key: &str) -> Result<(u16, String)> {
-    let caller = CallerClient::new(TEAM);
-    let reply = caller.call(deployment.entry(entry), ORDER, Some(key), "{}");
-    Ok(told(&reply.await?))
-}
-
-async fn runs(deployment: &Deployment, key: &str) -> Result<u64> {
-    let ledger = deployment.ledger.as_ref().expect("the plan has a ledger");
-    let counts: ServiceCounts = deployment.fleet.read(ledger.address, "/control").await?;
-    let runs = counts.runs.get(&format!("{TEAM}/{key}"));
-    Ok(runs.copied().unwrap_or_default())
-}
-
-/// Look at the record until its outcome is final.
-async fn final_outcome(deployment: &Deployment, key: &str) -> Result<String> {
-    let caller = CallerClient::new(TEAM);
-    let path = format!("/v1/requests/{key}");
-    for _ in 0..LOOKS_MAX {
-        let reply = caller.get(deployment.entry(0), &path).await?;
-        let (status, outcome) = told(&reply);
-        if outcome != "unknown" || status == 404 {
-            return Ok(outcome);
-        }
-        tokio::time::sleep(LOOK_PAUSE).await;
-    }
-    Err(miette!("{key} is not settled"))
-}
-
-async fn unknown_keys(deployment: &Deployment) -> Result<Vec<String>> {
-    let caller = CallerClient::new(TEAM);
-    let path = "/v1/requests?state=unknown";
-    let reply = caller.get(deployment.entry(1), path).await?;
-    let list: RequestList =
-        serde_json::from_slice(&reply.body).map_err(|error| miette!("{error}"))?;
-    Ok(list
-        .requests
-        .into_iter()
-        .map(|request| request.key)
-        .collect())
-}
-
-async fn set_service(deployment: &Deployment, site: usize, faults: ServiceFaults) -> Result<()> {
-    let address = deployment.sites[site].server.address;
-    deployment.fleet.control(address, &faults).await
-}
-
-async fn set_store(deployment: &Deployment, faults: PlatformFaults) -> Result<()> {
-    let platform = deployment.fleet.platform();
-    deployment.fleet.control(platform, &faults).await
-}
-
-fn ran() -> (u16, String) {
-    (200, "ran".to_owned())
-}
+use crate::support::{
+    LOOK_PAUSE, ORDER, TEAM, final_outcome, ledger, order, plan, ran, recorded, runs, set_service,
+    set_store, told, unknown_keys, wait_for,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn key_through_two_entries_runs_once() -> Result<()> {
@@ -132,31 +46,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_is_listed_until_settled() -> Result<()> {
     let deployment = ledger(1).await?;
-    let lose = ServiceFaults {
-        lose_answers: 1,
-        ..ServiceFaults::default()
-    };
-    set_service(&deployment, 0, lose).await?;
+    set_service(&deployment, 0, ServiceFaults::losing(1)).await?;
     // The journal is out of reach, so that the outcome stays open for a while.
     let site = &deployment.sites[0];
     let (answer, paused) = tokio::join!(order(&deployment, 0, "lost"), async {
-        while runs(&deployment, "lost").await? == 0 {
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
+        wait_for("the run", async || Ok(runs(&deployment, "lost").await? > 0)).await?;
         site.server.signal(Signal::SIGSTOP);
         Ok::<_, miette::Report>(())
     });
     paused?;
     assert_eq!(answer?, (504, "unknown".to_owned()));
-    let mut listed = unknown_keys(&deployment).await?;
-    for _ in 0..LOOKS_MAX {
-        if !listed.is_empty() {
-            break;
-        }
-        tokio::time::sleep(LOOK_PAUSE).await;
-        listed = unknown_keys(&deployment).await?;
-    }
-    assert_eq!(listed, ["lost"]);
+    wait_for("the list", async || {
+        Ok(!unknown_keys(&deployment).await?.is_empty())
+    })
+    .await?;
+    assert_eq!(unknown_keys(&deployment).await?, ["lost"]);
     let (status, text) = deployment.fleet.operator(&["requests", "--team", TEAM])?;
     assert!(status.success() && text.contains("lost"), "{text}");
     assert_eq!(order(&deployment, 1, "lost").await?.1, "unknown");
@@ -168,28 +72,42 @@
     Ok(())
 }
 
+/// Where a call is when its agent dies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallPlace {
+    /// The service has it, and will run it while the next process looks.
+    BeforeRun,
+    /// It ran, and the service keeps the answer back.
+    AfterRun,
+}
+
 #[rstest]
-#[case::before_the_run(400, 0)]
-#[case::after_the_run(0, 400)]
+#[case(CallPlace::BeforeRun)]
+#[case(CallPlace::AfterRun)]
 #[tokio::test(flavor = "multi_thread")]
-async fn agent_that_dies_leaves_no_key_behind(
-    #[case] delay_before_ms: u64,
-    #[case] delay_after_ms: u64,
-) -> Result<()> {
+async fn agent_that_dies_leaves_no_key_behind(#[case] place: CallPlace) -> Result<()> {
     let mut deployment = ledger(1).await?;
-    let slow = ServiceFaults {
-        delay_before_ms,
-        delay_after_ms,
-        ..ServiceFaults::default()
+    let faults = match place {
+        CallPlace::BeforeRun => ServiceFaults::late_run(550),
+        CallPlace::AfterRun => ServiceFaults::late_answer(550),
     };
-    set_service(&deployment, 0, slow).await?;
+    set_service(&deployment, 0, faults).await?;
     let caller = CallerClient::new(TEAM);
     let entry = deployment.entry(0);
     let booking = tokio::spawn(async move {
         let reply = caller.call(entry, ORDER, Some("orphan"), "{}").await?;
         Ok::<_, miette::Report>(told(&reply))
     });
-    tokio::time::sleep(Duration::from_millis(200)).await;
+    wait_for("the call", async || match place {
+        CallPlace::BeforeRun => Ok(recorded(&deployment, "orphan").await?.0 == 409),
+        CallPlace::AfterRun => Ok(runs(&deployment, "orphan").await? == 1),
+    })
+    .await?;
+    // The dispatch comes right after the record.
+    tokio::time::sleep(LOOK_PAUSE).await;
+    deployment.sites[0].agent.process.kill();
+    let has_run = runs(&deployment, "orphan").await? == 1;
+    assert_eq!(has_run, place == CallPlace::AfterRun);
     deployment.restart_agent(0)?;
     let answer = booking.await.map_err(|error| miette!("{error}"))??;
     assert_ne!(answer.1, "not run");
@@ -209,11 +127,7 @@
     let deployment = ledger(2).await?;
     assert_eq!(order(&deployment, 0, "earlier").await?, ran());
     assert_eq!(final_outcome(&deployment, "earlier").await?, "ran");
-    let down = PlatformFaults {
-        down: true,
-        ..PlatformFaults::default()
-    };
-    set_store(&deployment, down).await?;
+    set_store(&deployment, PlatformFaults::down()).await?;
     // An earlier use of the key may have run, and one did.
     assert_eq!(
         order(&deployment, 1, "earlier").await?,
@@ -222,6 +136,18 @@
     let first = CallerClient::new(TEAM).first_use();
     let reply = first.call(deployment.entry(0), ORDER, Some("first"), "{}");
     assert_eq!(told(&reply.await?), (503, "not run".to_owned()));
+    // Without the word of the caller nobody can know that the key is new.
+    assert_eq!(
+        order(&deployment, 1, "silent").await?,
+        (503, "unknown".to_owned())
+    );
+    for key in ["first", "silent"] {
+        assert_eq!(
+            runs(&deployment, key).await?,
+            0,
+            "{key} ran without a record"
+        );
+    }
     let stock = CallerClient::new(TEAM);
     let path = "/v1/services/ledger/stock";
     let reply = stock.call(deployment.entry(0), path, None, "{}");
@@ -237,11 +163,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_store_answer_leaves_no_key_behind() -> Result<()> {
     let deployment = ledger(2).await?;
-    let lose = PlatformFaults {
-        lose_answers: 3,
-        ..PlatformFaults::default()
-    };
-    set_store(&deployment, lose).await?;
+    set_store(&deployment, PlatformFaults::losing(3)).await?;
     let answer = order(&deployment, 0, "late").await?;
     set_store(&deployment, PlatformFaults::default()).await?;
     if answer.1 == "unknown" {
@@ -298,12 +220,8 @@
         }))
         .start()
         .await?;
-    let slow = ServiceFaults {
-        delay_before_ms: 300,
-        ..ServiceFaults::default()
-    };
     for site in 0..2 {
-        set_service(&deployment, site, slow.clone()).await?;
+        set_service(&deployment, site, ServiceFaults::late_run(300)).await?;
     }
     let keys: Vec<String> = (0..8).map(|at| format!("gone-{at}")).collect();
     let entry = deployment.entry(0);
