--- a/crates/agent/src/call_rows.rs
+++ b/crates/agent/src/call_rows.rs
@@ -1,8 +1,10 @@
 //! Rows that hold and list the records of calls.
 
-use domain::service_call::{CallOwner, CallRecord, CallState};
-use platform::WriteCondition;
-use wire::service_call::{OpenMessage, RecordMessage, call_row, open_row, unknown_row};
+use domain::service_call::{CallOwner, CallRecord, CallState, is_removable};
+use platform::{TableRow, WriteCondition};
+use wire::service_call::{
+    EndedMessage, OpenMessage, RecordMessage, call_row, ended_row, open_row, unknown_row,
+};
 
 use crate::{
     AgentState,
@@ -21,15 +23,31 @@
 impl CallClaim {
     /// Claim that was recorded under a condition.
     pub const fn new(condition: WriteCondition, record: CallRecord) -> Self {
-        let version = match condition {
-            WriteCondition::Version(version) => version + 1,
-            WriteCondition::Absent | WriteCondition::Always => 1,
-        };
-        Self { version, record }
+        Self {
+            version: version_after(condition),
+            record,
+        }
+    }
+}
+
+/// Version of a row that was written under a condition.
+const fn version_after(condition: WriteCondition) -> u64 {
+    match condition {
+        WriteCondition::Version(version) => version + 1,
+        WriteCondition::Absent | WriteCondition::Always => 1,
     }
 }
 
-/// Write of a record, with the rows that list it while it is open.
+/// The record of a row, if it is the open one of a run.
+pub fn open_record(row: &TableRow, owner: &CallOwner, run: u64) -> Option<CallRecord> {
+    let message = serde_json::from_str::<RecordMessage>(&row.value).ok()?;
+    let record = CallRecord::try_from(message).ok()?;
+    let is_own = record.owner == *owner && record.run == run;
+    (is_own && record.state.is_open()).then_some(record)
+}
+
+/// Write of a record, with the rows that list it while it is open, or from when
+/// it is settled until it is taken away.
 pub fn record_write(
     state: &AgentState,
     request: &str,
@@ -55,6 +73,14 @@
             listings.push((unknown_row(request), None));
         }
     }
+    if is_removable(&record.state) {
+        let ended = EndedMessage {
+            request: request.to_owned(),
+            version: version_after(condition),
+        };
+        let key = ended_row(pool, record.recorded_at, request);
+        listings.push((key, Some(encode(&ended))));
+    }
     RowWrite {
         key: call_row(request),
         condition,
--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -15,7 +15,7 @@
     BodyDigest,
     service_call::{
         CallEvidence, CallOutcome, CallRecord, CallState, DispatchLimit, DispatchRule, KeyDecision,
-        KeyQuery, WallTime, decide_key,
+        KeyQuery, WallTime, decide_key, is_spent,
     },
 };
 use platform::{TableRow, WriteCondition};
@@ -25,7 +25,7 @@
 use crate::{
     AgentState,
     call_registry::{JoinOutcome, OpenCase, ReplyReceiver, ReplySender},
-    call_rows::{CallClaim, record_write},
+    call_rows::{CallClaim, open_record, record_write},
     intent_log::{WriteOutcome, WriteUrgency},
     service_client::CallResult,
 };
@@ -88,6 +88,9 @@
             let _counted = CountedCall::new(&self.state);
             return reply_of(&self.state.service.send(call, deadline).await);
         };
+        if is_spent(key, wall_now()) {
+            return CallReply::Expired;
+        }
         let request = request_name(&call.team, key);
         let digest = BodyDigest::of(&call.operation, call.body.as_bytes());
         match self.state.call_registry.join(&request, digest) {
@@ -266,7 +269,7 @@
             },
             ..claim.record
         };
-        let condition = WriteCondition::Version(claim.version);
+        let mut condition = WriteCondition::Version(claim.version);
         loop {
             let write = record_write(
                 state,
@@ -278,6 +281,13 @@
             let deadline = Instant::now() + RECORD_PATIENCE;
             match state.intents.write(write, deadline).await {
                 WriteOutcome::Recorded => break,
+                // A peer took this process for gone and called the outcome
+                // unknown; what is known here settles it.
+                WriteOutcome::Conflict(Some(row))
+                    if open_record(&row, &state.owner, run).is_some() =>
+                {
+                    condition = WriteCondition::Version(row.version);
+                }
                 WriteOutcome::Conflict(row) => {
                     log::error!(request = self.request.as_str(); "another record stands: {row:?}");
                     break;
--- a/crates/agent/src/call_settler.rs
+++ b/crates/agent/src/call_settler.rs
@@ -14,12 +14,12 @@
 use platform::{StoreError, TableRow, TableStore, VmList, WriteCondition};
 use settings::JournalOffer;
 use tokio::time::{Instant, MissedTickBehavior};
-use wire::service_call::{RecordMessage, call_row};
+use wire::service_call::call_row;
 
 use crate::{
     AgentState,
     call_registry::OpenCase,
-    call_rows::{listing_removal, record_write},
+    call_rows::{listing_removal, open_record, record_write},
     call_runner::wall_now,
     intent_log::{RowWrite, WriteOutcome, WriteUrgency},
     orphan_calls::{OrphanCalls, STORE_LATE_MAX},
@@ -138,7 +138,9 @@
         case: &'a OpenCase,
         row: Option<&TableRow>,
     ) -> Option<SettledCase<'a>> {
-        let Some((row, record)) = row.and_then(|row| Some((row, own_record(case, row)?))) else {
+        let Some((row, record)) =
+            row.and_then(|row| Some((row, open_record(row, &case.owner, case.run)?)))
+        else {
             // A write that was given up may still take effect, but not for ever.
             let is_late = case.opened_at.elapsed() > STORE_LATE_MAX;
             let is_over = is_late || case.limit != DispatchLimit::Never && row.is_some();
@@ -206,11 +208,3 @@
         }
     }
 }
-
-/// The record of a row, if it is the open one of the case.
-fn own_record(case: &OpenCase, row: &TableRow) -> Option<CallRecord> {
-    let message = serde_json::from_str::<RecordMessage>(&row.value).ok()?;
-    let record = CallRecord::try_from(message).ok()?;
-    let is_own = record.owner == case.owner && record.run == case.run;
-    (is_own && record.state.is_open()).then_some(record)
-}
--- a/crates/agent/src/duty_holder.rs
+++ b/crates/agent/src/duty_holder.rs
@@ -1,8 +1,10 @@
 //! The task that takes the lease of the pool and gives its orders.
 //!
-//! Any agent may hold it; none is set aside. The holder walks the servers of
-//! the pool, compares what each has loaded with the release note in force, and
-//! checks its lease again right before each order.
+//! Any agent may hold it; none is set aside. The holder of a pool of engines
+//! walks the servers of the pool, compares what each has loaded with the release
+//! note in force, and checks its lease again right before each order. The holder
+//! of a pool of services takes away the records of calls that have outlived
+//! their time; there the lease only saves work, since two may do it at once.
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,14 +17,14 @@
 };
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use platform::{ClaimOutcome, LeaseRow, LeaseStore, StoreError, TableStore, VmList, list_interval};
-use tokio::time::Instant;
+use tokio::{task::JoinHandle, time::Instant};
 use wire::{
     agent_control::AgentControlClient,
     engine::OrderKind,
     lease::{LeaseMessage, OrderMessage, OrderReply},
 };
 
-use crate::AgentState;
+use crate::{AgentState, record_sweeper::RecordSweeper};
 
 /// Time that a lease is valid.
 const LEASE_TERM: Duration = Duration::from_secs(6);
@@ -95,9 +97,6 @@
 
     /// Go on for as long as the process runs.
     pub async fn run(mut self) {
-        if self.state.settings.kind != ServerKind::Engine {
-            return;
-        }
         loop {
             match self.try_take().await {
                 Ok(Some(lease)) => self.hold(lease).await,
@@ -158,8 +157,7 @@
     /// Renew the lease and walk the pool until the lease is lost.
     async fn hold(&mut self, mut lease: ClaimedLease) {
         log::info!(fencing:% = lease.fencing; "lease of the pool taken");
-        let walk = PoolWalk::new(Arc::clone(&self.state), self.platform.clone());
-        let walk = tokio::spawn(walk.run());
+        let duty = self.begin_duty();
         while self.state.lease.fencing(Instant::now()) == Some(lease.fencing)
             && !self.state.is_leaving()
         {
@@ -171,9 +169,23 @@
             }
         }
         self.state.lease.set(None);
-        walk.abort();
+        duty.abort();
         log::info!(fencing:% = lease.fencing; "lease of the pool given up");
     }
+
+    fn begin_duty(&self) -> JoinHandle<()> {
+        match self.state.settings.kind {
+            ServerKind::Engine => {
+                let walk = PoolWalk::new(Arc::clone(&self.state), self.platform.clone());
+                tokio::spawn(walk.run())
+            }
+            ServerKind::Service => {
+                let pool = self.state.settings.pool.as_str();
+                let sweeper = RecordSweeper::new(self.platform.clone(), pool);
+                tokio::spawn(sweeper.run())
+            }
+        }
+    }
 }
 
 /// Walk over the servers of the pool.
--- a/crates/domain/src/service_call.rs
+++ b/crates/domain/src/service_call.rs
@@ -11,10 +11,12 @@
 //! - Only the process that recorded an intent dispatches the call, and once.
 //! - A request older than a recorded `not run` never runs.
 //! - A key with another body is refused, whatever its state.
+//! - An open record is never taken away; a settled one stays for its lifetime.
 
 mod call_outcome;
 mod call_record;
 mod dispatch_rule;
+mod record_lifetime;
 mod settle_rule;
 
 pub use call_outcome::{CallEvidence, CallOutcome};
@@ -22,4 +24,7 @@
     CallOwner, CallRecord, CallState, KEY_LIFETIME, KeyDecision, KeyQuery, WallTime, decide_key,
 };
 pub use dispatch_rule::DispatchRule;
+pub use record_lifetime::{
+    RECORD_LIFETIME, SweepPace, is_outlived, is_removable, is_spent, key_time,
+};
 pub use settle_rule::{DispatchLimit, FenceRule, JournalReading, ServerVigil, settle};
--- /dev/null
+++ b/crates/domain/tests/record_lifetime.rs
@@ -0,0 +1,98 @@
+//! Which records may go, when, and how fast.
+
+use std::time::Duration;
+
+use domain::service_call::{
+    CallState, KEY_LIFETIME, RECORD_LIFETIME, SweepPace, WallTime, is_outlived, is_removable,
+    is_spent, key_time,
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// A moment of the year 2026.
+const MADE: WallTime = WallTime(0x019b_7710_8cc7);
+
+fn after(start: WallTime, time: Duration) -> WallTime {
+    let millis = u64::try_from(time.as_millis()).expect("lifetimes are short");
+    WallTime(start.0 + millis)
+}
+
+#[rstest]
+#[case::intended(CallState::Intended, false)]
+#[case::unknown(CallState::Unknown, false)]
+#[case::not_run(CallState::NotRun, true)]
+#[case::ran(CallState::Ran { status: 200, answer: String::new() }, true)]
+fn open_records_stay(#[case] state: CallState, #[case] expected: bool) {
+    assert_eq!(is_removable(&state), expected);
+}
+
+#[rstest]
+#[case::answers_are_given_out(KEY_LIFETIME, false)]
+#[case::repeats_are_refused(KEY_LIFETIME * 2, false)]
+#[case::at_the_end(RECORD_LIFETIME, false)]
+#[case::past_the_end(RECORD_LIFETIME + Duration::from_millis(1), true)]
+fn record_is_outlived(#[case] age: Duration, #[case] expected: bool) {
+    assert_eq!(is_outlived(MADE, after(MADE, age)), expected);
+}
+
+#[test]
+fn record_of_a_clock_ahead_stays() {
+    let behind = WallTime(MADE.0 - 1);
+    assert!(!is_outlived(MADE, behind));
+}
+
+#[rstest]
+#[case::version_7("019b7710-8cc7-7abc-8def-0123456789ab", Some(MADE))]
+#[case::upper_case("019B7710-8CC7-7ABC-BDEF-0123456789AB", Some(MADE))]
+#[case::version_4("019b7710-8cc7-4abc-8def-0123456789ab", None)]
+#[case::other_variant("019b7710-8cc7-7abc-cdef-0123456789ab", None)]
+#[case::no_hyphens("019b771008cc707abc08def00123456789ab", None)]
+#[case::no_number("019b7710-8cc7-7abc-8def-0123456789ag", None)]
+#[case::too_long("019b7710-8cc7-7abc-8def-0123456789abc", None)]
+#[case::plain("booking-17", None)]
+fn key_tells_its_time(#[case] key: &str, #[case] expected: Option<WallTime>) {
+    assert_eq!(key_time(key), expected);
+}
+
+#[rstest]
+#[case::while_its_record_stands("019b7710-8cc7-7abc-8def-0123456789ab", RECORD_LIFETIME, false)]
+#[case::from_when_it_may_be_gone(
+    "019b7710-8cc7-7abc-8def-0123456789ab",
+    RECORD_LIFETIME + Duration::from_millis(1),
+    true
+)]
+#[case::without_a_time("booking-17", RECORD_LIFETIME * 9, false)]
+fn key_is_spent(#[case] key: &str, #[case] age: Duration, #[case] expected: bool) {
+    assert_eq!(is_spent(key, after(MADE, age)), expected);
+}
+
+/// Batches begun within a minute when each takes `batch_ms` and deals with so
+/// many records.
+async fn batches(dealt: usize, batch_ms: u64) -> usize {
+    let pace = SweepPace::default();
+    let end = Instant::now() + Duration::from_secs(60);
+    let mut count = 0;
+    loop {
+        let begun_at = Instant::now();
+        if begun_at >= end {
+            return count;
+        }
+        count += 1;
+        tokio::time::sleep(Duration::from_millis(batch_ms)).await;
+        tokio::time::sleep_until(pace.next_turn(dealt, begun_at, Instant::now())).await;
+    }
+}
+
+#[rstest]
+#[case::backlog(100, 10, 600)]
+#[case::backlog_at_a_slow_store(100, 400, 134)]
+#[case::nearly_done(99, 10, 12)]
+#[case::nothing_or_failed(0, 500, 11)]
+#[tokio::test(start_paused = true)]
+async fn batches_keep_their_pace(
+    #[case] dealt: usize,
+    #[case] batch_ms: u64,
+    #[case] expected: usize,
+) {
+    assert_eq!(batches(dealt, batch_ms).await, expected);
+}
--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -204,13 +204,16 @@
         }
         CallReply::Expired => {
             count("expired");
-            Err(ProblemReply::refused(
+            // That use may have run, so that this is no `not run`.
+            Err(ProblemReply::with_outcome(
                 StatusCode::GONE,
                 "key-expired",
                 format!(
-                    "the key was used more than {} hours ago; use a new one",
+                    "not dispatched now; the key is more than {} hours old, and its use then may \
+                     have run: use a new one",
                     KEY_LIFETIME.as_secs() / 3_600
                 ),
+                "unknown",
             ))
         }
         CallReply::Unknown { reason } => {
--- a/crates/wire/src/service_call.rs
+++ b/crates/wire/src/service_call.rs
@@ -15,6 +15,9 @@
 /// Prefix of the rows that name calls whose outcome is not recorded.
 const OPEN_PREFIX: &str = "open/";
 
+/// Prefix of the rows that name settled calls, the oldest first.
+const ENDED_PREFIX: &str = "ended/";
+
 /// A caller's request by team and key, `TEAM/KEY`.
 pub fn request_name(team: &str, key: &str) -> String {
     format!("{team}/{key}")
@@ -69,6 +72,33 @@
     format!("{}{epoch:016x}/{run:016x}", open_rows(pool, server))
 }
 
+/// Prefix of the rows that name the settled calls of a pool, in the order of
+/// the time at which they were settled.
+pub fn ended_rows(pool: &str) -> String {
+    format!("{ENDED_PREFIX}{pool}/")
+}
+
+/// Row that names one settled call; its value is an [`EndedMessage`].
+pub fn ended_row(pool: &str, recorded_at: WallTime, request: &str) -> String {
+    let recorded_at_ms = u64::from(recorded_at);
+    format!("{}{recorded_at_ms:016x}/{request}", ended_rows(pool))
+}
+
+/// When the call was settled that a row of `ended_rows` names.
+pub fn ended_at(row: &str) -> Option<WallTime> {
+    let time = row.strip_prefix(ENDED_PREFIX)?.split('/').nth(1)?;
+    u64::from_str_radix(time, 16).ok().map(WallTime)
+}
+
+/// A call whose outcome is recorded for good.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EndedMessage {
+    /// The request, `TEAM/KEY`.
+    pub request: String,
+    /// Version of the row that holds the record.
+    pub version: u64,
+}
+
 /// A call whose outcome is not recorded.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct OpenMessage {
--- a/xtask/tests/calls/main.rs
+++ b/xtask/tests/calls/main.rs
@@ -2,5 +2,6 @@
 //!
 //! What ran is counted at the ledger that all servers of the service share.
 
+mod old_records;
 mod single_faults;
 mod support;
