--- a/xtask/src/measure/control_flow.rs
+++ b/xtask/src/measure/control_flow.rs
@@ -3,7 +3,10 @@
 //! Generations come and go as they do at the design size: drawn from a Poisson
 //! process, with the mean length, the time between tokens and the time until
 //! the first token that the users name, and as many at an agent as there would
-//! be. Control is counted on the links, by what the bytes are.
+//! be. Control is counted on the links, by what the bytes are. Its processor
+//! time cannot be told from that of tokens in one process, so each point is run
+//! a second time with agents that hardly look at their streams: what is missing
+//! then is the looks' and the heartbeats'.
 
 use std::time::Duration;
 
@@ -14,7 +17,7 @@
 use crate::{
     EnginePlan,
     measure::{
-        control_site::ControlSite,
+        control_site::{BEAT_MS, ControlSite},
         design_size::{FIRST_TOKEN, TOKEN_GAP, TOKENS_EACH},
         proc_reader::ProcReader,
         slope_book::{SlopeBook, watch},
@@ -28,6 +31,9 @@
 const GENERATIONS_EACH: usize = 34;
 const SLOTS: u32 = 48;
 
+/// Time between two looks of agents that hardly look, in milliseconds.
+const RARE_BEAT_MS: u32 = 1_000;
+
 /// Words of a prompt that the engine has not cached.
 const PROMPT_WORDS: u32 = 10;
 
@@ -41,15 +47,24 @@
     let mut bytes = Vec::new();
     let mut entry_core = Vec::new();
     let mut agent_core = Vec::new();
+    let mut entry_beats = Vec::new();
+    let mut agent_beats = Vec::new();
     for agents in AGENTS {
-        let point = measure_point(agents, &mut rng).await?;
+        // Both runs of a point draw the same arrivals.
+        let seed = rng.random();
+        let point = measure_point(agents, BEAT_MS, seed).await?;
+        let rare = measure_point(agents, RARE_BEAT_MS, seed).await?;
         bytes.push((point.generations, point.control_bps));
         entry_core.push((point.generations, point.entry_core));
         agent_core.push((point.generations, point.agent_core));
+        entry_beats.push((point.generations, point.entry_core - rare.entry_core));
+        agent_beats.push((point.generations, point.agent_core - rare.agent_core));
     }
     book.enter("flow_control_bps_per_generation", bytes);
     book.enter("entry_flow_core_per_generation", entry_core);
     book.enter("agent_flow_core_per_generation", agent_core);
+    book.enter("entry_flow_beats_core_per_generation", entry_beats);
+    book.enter("agent_flow_beats_core_per_generation", agent_beats);
     Ok(())
 }
 
@@ -65,7 +80,8 @@
     agent_core: f64,
 }
 
-async fn measure_point(agents: usize, rng: &mut SmallRng) -> Result<FlowPoint> {
+async fn measure_point(agents: usize, beat_ms: u32, seed: u64) -> Result<FlowPoint> {
+    let rng = &mut SmallRng::seed_from_u64(seed);
     let prefill = FIRST_TOKEN - TOKEN_GAP;
     let engine = EnginePlan {
         slots: SLOTS,
@@ -73,7 +89,7 @@
         prefill_us_per_token: (prefill * 1e6) as u32 / PROMPT_WORDS,
         ..EnginePlan::default()
     };
-    let mut site = ControlSite::start(engine, agents, SETTLE).await?;
+    let mut site = ControlSite::start_beating(engine, agents, SETTLE, beat_ms).await?;
     let mut arrivals = ArrivalPlan::new(agents * GENERATIONS_EACH);
     arrivals.open_standing(&mut site, rng);
     arrivals.run(&mut site, rng, SETTLE).await;
--- a/xtask/src/measure/control_site.rs
+++ b/xtask/src/measure/control_site.rs
@@ -25,6 +25,9 @@
     },
 };
 
+/// Time between two heartbeats in use, in milliseconds.
+pub const BEAT_MS: u32 = 100;
+
 /// What is measured, and the callers that load it.
 pub struct ControlSite {
     /// Reader of the entry.
@@ -44,10 +47,21 @@
 impl ControlSite {
     /// Start so many engines and all the rest, and let it settle.
     pub async fn start(engine: EnginePlan, engines: usize, settle: Duration) -> Result<Self> {
+        Self::start_beating(engine, engines, settle, BEAT_MS).await
+    }
+
+    /// The same, with agents that look at their streams at another interval.
+    pub async fn start_beating(
+        engine: EnginePlan,
+        engines: usize,
+        settle: Duration,
+        beat_ms: u32,
+    ) -> Result<Self> {
         let deployment = DeploymentPlan::default()
             .engines(engines)
             .services(1)
             .engine(engine)
+            .agent_extra(json!({ "beat_ms": beat_ms }))
             .entry_extra(json!({ "refresh_ms": 1000 }))
             .platform_args(&["--vm-lag-ms", "0"])
             .start()
