measure notes works out control bytes at the design size

Cause: the issue asks for control bytes a node at the design size by measured slopes, and for the slope against teams. The command told the bytes of an entry that 12 agents ask, where 3.8 ask one at the design size, and nothing of teams.

Change: what the questions of agents cost is multiplied by the agents that ask one entry, in the run and at the design size; both are in the JSON, the last line has the latter.

--- a/xtask/src/measure/notes.rs
+++ b/xtask/src/measure/notes.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     deployment::{ENGINE_POOL, MODEL},
-    measure::{MeasureOptions, MeasureReport},
+    measure::{MeasureOptions, MeasureReport, slope_fit::SlopeFit},
 };
 use note_site::{DOMAINS, NoteSite};
 
@@ -48,6 +48,12 @@
 /// Time between two questions of an agent to entries, as in the product.
 const PULL_INTERVAL_S: f64 = 1.5;
 
+/// Agents that ask one entry, at the design size.
+const AGENTS_PER_ENTRY: f64 = 1_400.0 / 370.0;
+
+/// Teams in each of the notes by which the slope against teams is measured.
+const TEAMS_STEP: u32 = 250;
+
 /// Slowest processes that are named.
 const SLOWEST_SHOWN: usize = 12;
 
@@ -67,16 +73,23 @@
 /// Traffic in a quiet window with a few notes.
 #[derive(Clone, Copy, Debug, Default)]
 struct TrafficFigures {
-    entry_bps: f64,
     agent_bps: f64,
     reads_per_s: f64,
     writes_per_s: f64,
     note_bytes: f64,
     pull_bytes: f64,
+    pull_bps: f64,
     tell_bps: f64,
     entry_store_bps: f64,
 }
 
+impl TrafficFigures {
+    /// Bytes a second of an entry that so many agents ask.
+    fn entry_bps(&self, agents: f64) -> f64 {
+        self.entry_store_bps + self.tell_bps + self.pull_bps * agents
+    }
+}
+
 /// Run the measurement.
 pub async fn measure(options: MeasureOptions) -> Result<MeasureReport> {
     let size = NoteSize {
@@ -130,7 +143,9 @@
         self.phase = "end";
         self.settle().await?;
         let lost = self.count_lost().await?;
-        self.report(&traffic, &stops, (lost, taken_over)).await
+        let teams = self.measure_teams().await?;
+        self.report(&traffic, &stops, &teams, (lost, taken_over))
+            .await
     }
 
     /// A note that sets the limit of one of many teams.
@@ -339,16 +354,15 @@
         let notes_per_s = 4.0 / seconds;
         let pull_bps = pull_bytes / PULL_INTERVAL_S + note_bytes * notes_per_s;
         let (agents, entries) = (self.site.agents.len(), self.site.entries.len());
-        let per_entry = agents as f64 / entries as f64;
         let share = |bytes: u64, nodes: usize| bytes as f64 / seconds / nodes as f64;
         self.wait_everywhere(newest).await?;
         Ok(TrafficFigures {
-            entry_bps: share(entry_bytes + tell_bytes, entries) + pull_bps * per_entry,
             agent_bps: share(agent_bytes + tell_bytes, agents) + pull_bps,
             reads_per_s: (after.reads - before.reads) as f64 / seconds,
             writes_per_s: (after.transactions - before.transactions) as f64 / seconds,
             note_bytes,
             pull_bytes,
+            pull_bps,
             tell_bps: share(tell_bytes, entries),
             entry_store_bps: share(entry_bytes, entries),
         })
@@ -363,6 +377,22 @@
         Ok(self.site.bytes(&[counted]).await? as f64)
     }
 
+    /// Bytes of all that a new process takes in, by the teams with a limit.
+    async fn measure_teams(&mut self) -> Result<SlopeFit> {
+        let mut points = Vec::new();
+        for step in 1..=SlopeFit::POINTS_MIN as u32 {
+            let teams = TEAMS_STEP * (step - 1)..TEAMS_STEP * step;
+            let changes: Vec<Value> = teams
+                .map(|team| json!({ "change": "limit_team", "team": format!("new-{team}"), "weight": 7 }))
+                .collect();
+            let published = self.publish(&json!({ "changes": changes }), None)?;
+            self.wait_everywhere(published.unwrap_or(0)).await?;
+            let bytes = self.pull_bytes(0).await?;
+            points.push((f64::from(TEAMS_STEP * step), bytes));
+        }
+        Ok(SlopeFit::new(points))
+    }
+
     async fn stale_orders(&self) -> Result<(u64, u64)> {
         let mut sums = (0, 0);
         for engine in &self.site.engines {
@@ -377,6 +407,7 @@
         &self,
         traffic: &TrafficFigures,
         stops: &StopFigures,
+        teams: &SlopeFit,
         (lost, taken_over): (u64, u64),
     ) -> Result<MeasureReport> {
         let (stale_orders, orders) = self.stale_orders().await?;
@@ -399,7 +430,9 @@
         }
         let max_s = quantile(1.0);
         let lost = lost + sightings.missing() as u64;
-        let control_bps = traffic.entry_bps.max(traffic.agent_bps);
+        let agents = self.site.agents.len() as f64 / self.site.entries.len() as f64;
+        let design_bps = traffic.entry_bps(AGENTS_PER_ENTRY);
+        let control_bps = design_bps.max(traffic.agent_bps);
         let figures = json!({
             "processes": self.site.agents.len() + self.site.entries.len(),
             "notes_accepted": self.accepted.len(),
@@ -413,7 +446,9 @@
             "late_work": stops.late_work,
             "cut": stops.cut,
             "chats": stops.chats,
-            "entry_bps": traffic.entry_bps,
+            "entry_bps": { "here": traffic.entry_bps(agents), "at_the_design_size": design_bps },
+            "agents_per_entry": { "here": agents, "at_the_design_size": AGENTS_PER_ENTRY },
+            "whole_note_bytes_by_teams": teams.to_json(),
             "agent_bps": traffic.agent_bps,
             "note_bytes": traffic.note_bytes,
             "pull_bytes": traffic.pull_bytes,
