A server that refuses a move still takes what fails elsewhere

Found by reading the change as a newcomer: servers that had refused a move were put among those that failed. They are now kept with the stream and forgotten when no other is left. A server that could not be reached for a move counts as failed, as for any other request.

--- a/crates/entry/src/stream_driver/link_pace.rs
+++ b/crates/entry/src/stream_driver/link_pace.rs
@@ -6,8 +6,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use domain::backend_server::{
-    PaceVerdict, PaceWatch, PeerMedians, PeerPace, PoolServers, ServerNode,
+use domain::{
+    ServerName,
+    backend_server::{PaceVerdict, PaceWatch, PeerMedians, PeerPace, PoolServers, ServerNode},
 };
 use tokio::time::Instant;
 
@@ -22,6 +23,9 @@
     watch: PaceWatch,
     peers: Option<Arc<PeerPace>>,
     next_move: Instant,
+    // Kept apart from the servers that failed: one that refuses a move still
+    // takes the generation when its own server fails.
+    not_to: Vec<ServerName>,
 }
 
 impl LinkPace {
@@ -38,6 +42,7 @@
             watch: PaceWatch::new(opened_at, tokens),
             peers: pool.map(PoolServers::shared_pace),
             next_move: opened_at,
+            not_to: vec![node.spec().name.clone()],
         }
     }
 
@@ -75,8 +80,12 @@
         if let Some(last) = self.last_token_at.filter(|_| !self.is_resuming) {
             slow.note_straggler(now.duration_since(last), now);
         }
-        self.exclude(&slow.spec().name);
-        let node = self.faster_node()?;
+        let not_to = &self.link.as_ref()?.pace.not_to;
+        let Some(node) = self.faster_node(not_to) else {
+            // All were asked, or none is well: they may have room next time.
+            self.forget_refusals();
+            return None;
+        };
         if !self.state.policy.may_move() {
             return None;
         }
@@ -87,23 +96,43 @@
                 let control = slow.spec().addresses.control;
                 self.state.links.cancel(control, self.generation, older);
                 self.relay.moved();
+                self.exclude(&slow.spec().name);
                 self.state.metrics.moves.inc();
                 self.is_resuming = true;
                 self.link = Some(self.link_to(&node, events, now));
                 self.place(&node)
             }
-            Err(OpenError::Full | OpenError::Unreachable(_)) => {
-                self.state.policy.note_move_refused();
-                self.exclude(&node.spec().name);
+            Err(error) => {
+                self.note_refusal(&node, &error);
                 None
             }
-            Err(OpenError::Other(_)) => {
+        }
+    }
+
+    fn note_refusal(&mut self, node: &ServerNode, error: &OpenError) {
+        let spec = node.spec();
+        match error {
+            OpenError::Full => self.state.policy.note_move_refused(),
+            OpenError::Unreachable(_) => {
+                self.state.policy.note_move_refused();
+                node.note_failure();
+            }
+            OpenError::Other(_) => {
                 // The attempt may have been started there.
-                let control = node.spec().addresses.control;
+                let attempt = self.relay.next_attempt();
+                let control = spec.addresses.control;
                 self.state.links.cancel(control, self.generation, attempt);
-                self.exclude(&node.spec().name);
-                None
+                node.note_failure();
             }
         }
+        if let Some(link) = &mut self.link {
+            link.pace.not_to.push(spec.name.clone());
+        }
+    }
+
+    fn forget_refusals(&mut self) {
+        if let Some(link) = &mut self.link {
+            link.pace.not_to.truncate(1);
+        }
     }
 }
--- a/crates/entry/src/stream_driver/server_search.rs
+++ b/crates/entry/src/stream_driver/server_search.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    AttemptNumber, TokenPosition,
+    AttemptNumber, ServerName, TokenPosition,
     backend_server::{ChoiceQuery, ServerNode},
     generation_stream::{LossAction, StreamWatch},
 };
@@ -135,10 +135,10 @@
     }
 
     /// A server that is well, for a generation that leaves a slow one.
-    pub(super) fn faster_node(&self) -> Option<Arc<ServerNode>> {
+    pub(super) fn faster_node(&self, exclude: &[ServerName]) -> Option<Arc<ServerNode>> {
         let query = ChoiceQuery {
             pool: &self.pool,
-            exclude: &self.excluded,
+            exclude,
             prefix: None,
             is_move: true,
             now: Instant::now(),
