measure notes waits for a holder before it pauses one

Change: the measurement waits for a holder, 30 s at most, before it publishes the note. Without a holder by then the check fails as before.

--- a/xtask/src/measure/notes.rs
+++ b/xtask/src/measure/notes.rs
@@ -45,6 +45,9 @@
 /// Time that the holder of a lease is paused, past its term.
 const HOLDER_PAUSE: Duration = Duration::from_secs(14);
 
+/// Time within which a lease that has lapsed is taken again.
+const HOLDER_PATIENCE: Duration = Duration::from_secs(30);
+
 /// Time between two questions of an agent to entries, as in the product.
 const PULL_INTERVAL_S: f64 = 1.5;
 
@@ -272,6 +275,7 @@
                 "change": "change", "model": MODEL, "version": version,
                 "pool": ENGINE_POOL, "window": 32_768,
             }] });
+            self.wait_for_holder().await?;
             let published = self.publish(&note, None)?;
             tokio::time::sleep(Duration::from_millis(700)).await;
             let holder = self.holder(None).await?;
@@ -287,6 +291,16 @@
         Ok(taken_over)
     }
 
+    /// Wait until the lease is held, which lapsed if the store was down for long.
+    async fn wait_for_holder(&self) -> Result<()> {
+        let deadline = Instant::now() + HOLDER_PATIENCE;
+        while self.holder(None).await?.is_none() && Instant::now() < deadline {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        // Without a holder nothing is taken over, which the report counts.
+        Ok(())
+    }
+
     /// The agent that holds the lease of the pool, by its own word; the paused
     /// one is not asked.
     async fn holder(&self, paused: Option<usize>) -> Result<Option<usize>> {
