A load report is soon old where no stream is open

Changes are told on open streams only; after the last one ends, a server that was full is taken for full for 5 s.

The test has a case for each.

--- a/crates/domain/src/backend_server/server_node.rs
+++ b/crates/domain/src/backend_server/server_node.rs
@@ -87,6 +87,10 @@
     /// go on tells its load again before that, and earlier when it changes.
     const REPORT_AGE_MAX: Duration = Duration::from_secs(5);
 
+    /// The same for a server with no stream to this process: nothing tells it
+    /// when the load changes.
+    const REPORT_AGE_IDLE: Duration = Duration::from_secs(1);
+
     /// Slots of a server that has not told them yet.
     const SLOTS_DEFAULT: u32 = 16;
 
@@ -197,8 +201,11 @@
             0 => Self::SLOTS_DEFAULT,
             slots => slots,
         };
-        let age = self.reported_at.age(now);
-        let others = match age <= Self::REPORT_AGE_MAX {
+        let age_max = match self.inflight() {
+            0 => Self::REPORT_AGE_IDLE,
+            _ => Self::REPORT_AGE_MAX,
+        };
+        let others = match self.reported_at.age(now) <= age_max {
             true => self.others.load(Ordering::Relaxed),
             false => 0,
         };
--- a/crates/domain/tests/backend_server.rs
+++ b/crates/domain/tests/backend_server.rs
@@ -167,12 +167,27 @@
     }
 }
 
+/// Reports tell changes on open streams: with one open an unchanged report
+/// counts for as long as it may go untold, without one it is soon old.
+#[rstest]
+#[case::stream_open(true, BeatPace::LOAD_REFRESH, Duration::from_secs(1))]
+#[case::no_stream(false, Duration::from_secs(1), Duration::from_millis(10))]
 #[tokio::test(start_paused = true)]
-async fn reports_of_others_count_until_they_are_old() {
+async fn reports_of_others_count_until_they_are_old(
+    #[case] is_open: bool,
+    #[case] in_force: Duration,
+    #[case] beyond: Duration,
+) {
     let set = set(0..2, "entry-1", Instant::now());
     let now = Instant::now();
+    let open: Vec<_> = set
+        .nodes()
+        .iter()
+        .filter(|_| is_open)
+        .map(ServerNode::begin)
+        .collect();
     for (at, node) in set.nodes().iter().enumerate() {
-        let held = if at == 0 { 8 } else { 0 };
+        let held = if at == 0 { 8 } else { open.len() as u32 / 2 };
         node.note_report(LoadReport { held, slots: 8 }, now);
     }
     let mut rng = SmallRng::seed_from_u64(7);
@@ -182,10 +197,9 @@
         chosen.filter(|node| node.spec().name == busy).count()
     };
     assert_eq!(count(now), 0, "two draws see both servers");
-    // As long as a load that does not change may go untold.
-    tokio::time::advance(BeatPace::LOAD_REFRESH).await;
+    tokio::time::advance(in_force).await;
     assert_eq!(count(Instant::now()), 0, "a report in force is forgotten");
-    tokio::time::advance(Duration::from_secs(1)).await;
+    tokio::time::advance(beyond).await;
     assert!(count(Instant::now()) > 0, "an old report counts for ever");
 }
 
