--- a/crates/settings/src/agent_settings.rs
+++ b/crates/settings/src/agent_settings.rs
@@ -119,7 +119,7 @@
                 1_000..=600_000,
                 Duration::from_secs(20),
             ),
-            window: u32::try_from(fields.number("window_tokens", 16..=100_000, 128))
+            window: u32::try_from(fields.number("window_tokens", 16..=100_000, 512))
                 .unwrap_or(u32::MAX),
             service_run_max: fields.millis(
                 "service_run_max_ms",
