The project's own store protocol moves to crates/backing

Cause: 'platform' named our stand-in store's protocol; the users' platform needs the word, and one word must mean one thing.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -8,12 +8,12 @@
     time::Duration,
 };
 
+use backing::TableStore;
 use domain::{
     backend_server::{LoadReport, SlotGate},
     generation_stream::LogBudget,
     service_call::CallOwner,
 };
-use platform::TableStore;
 use settings::{AgentSettings, LoadPolicy};
 use tokio::{sync::mpsc, time::Instant};
 use wire::agent_control::NewsMessage;
--- a/crates/agent/src/call_rows.rs
+++ b/crates/agent/src/call_rows.rs
@@ -1,7 +1,7 @@
 //! Rows that hold and list the records of calls.
 
+use backing::{TableRow, WriteCondition};
 use domain::service_call::{CallOwner, CallRecord, CallState, is_removable};
-use platform::{TableRow, WriteCondition};
 use wire::service_call::{
     EndedMessage, OpenMessage, RecordMessage, call_row, ended_row, open_row, unknown_row,
 };
--- a/crates/agent/src/call_runner.rs
+++ b/crates/agent/src/call_runner.rs
@@ -11,6 +11,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use backing::{TableRow, WriteCondition};
 use domain::{
     BodyDigest,
     service_call::{
@@ -18,7 +19,6 @@
         KeyQuery, WallTime, decide_key, is_spent,
     },
 };
-use platform::{TableRow, WriteCondition};
 use tokio::time::Instant;
 use wire::service_call::{CallMessage, CallReply, RecordMessage, request_name};
 
--- a/crates/agent/src/call_settler.rs
+++ b/crates/agent/src/call_settler.rs
@@ -7,11 +7,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use backing::{StoreError, TableRow, TableStore, VmList, WriteCondition};
 use domain::service_call::{
     CallRecord, CallState, DispatchLimit, FenceRule, JournalReading, ServerVigil, settle,
 };
 use futures_util::future::join_all;
-use platform::{StoreError, TableRow, TableStore, VmList, WriteCondition};
 use settings::JournalOffer;
 use tokio::time::{Instant, MissedTickBehavior};
 use wire::service_call::call_row;
--- a/crates/agent/src/duty_holder.rs
+++ b/crates/agent/src/duty_holder.rs
@@ -9,6 +9,7 @@
 use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwapOption;
+use backing::{ClaimOutcome, LeaseRow, LeaseStore, StoreError, TableStore, VmList, list_interval};
 use domain::{
     FencingNumber, PoolName,
     backend_server::{ServerKind, ServerSpec},
@@ -16,7 +17,6 @@
     generation_stream::ModelPin,
 };
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use platform::{ClaimOutcome, LeaseRow, LeaseStore, StoreError, TableStore, VmList, list_interval};
 use tokio::{task::JoinHandle, time::Instant};
 use wire::{
     agent_control::AgentControlClient,
--- a/crates/agent/src/intent_log.rs
+++ b/crates/agent/src/intent_log.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use platform::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
+use backing::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use tokio::{
     sync::{mpsc, oneshot},
     time::Instant,
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -10,9 +10,9 @@
     AgentState, CallSettler, DutyHolder, NoteKeeper, OrderGate, serve_control, serve_streams,
     watch_server,
 };
+use backing::HttpPlatform;
 use domain::backend_server::ServerKind;
 use miette::{IntoDiagnostic, WrapErr};
-use platform::HttpPlatform;
 use settings::AgentSettings;
 use telemetry::{DaemonSpec, StopSignal, run_daemon};
 use tokio::time::Instant;
--- a/crates/agent/src/note_keeper.rs
+++ b/crates/agent/src/note_keeper.rs
@@ -7,12 +7,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
+use backing::{NotePeer, NoteStore, ObjectStore, StopStore, TableStore, known_entries};
 use domain::{
     NoteVersion, OrderVersion,
     release_note::{NoteLedger, NoteSources},
     vm_membership::{LeaveEvidence, StopKind},
 };
-use platform::{NotePeer, NoteStore, ObjectStore, StopStore, TableStore, known_entries};
 use rand::seq::IndexedRandom;
 use tokio::{sync::mpsc, time::Instant};
 use wire::agent_control::{NewsMessage, OrderNews, StopNews};
@@ -187,7 +187,7 @@
     }
 
     /// Some of the entries, others for each process that asks.
-    async fn read_entries(&self) -> Result<Vec<SocketAddr>, platform::StoreError> {
+    async fn read_entries(&self) -> Result<Vec<SocketAddr>, backing::StoreError> {
         if !self.sources.is_lonely() {
             return Ok(Vec::new());
         }
@@ -196,7 +196,7 @@
         Ok(chosen.copied().collect())
     }
 
-    async fn read_notes(&self) -> Result<(), platform::NoteStoreError> {
+    async fn read_notes(&self) -> Result<(), backing::NoteStoreError> {
         let notes = NoteStore::new(self.platform.clone());
         let head = notes.head().await?;
         let ledger = self.state.notes.ledger();
@@ -206,7 +206,7 @@
         Ok(())
     }
 
-    async fn read_stops(&self) -> Result<(), platform::StoreError> {
+    async fn read_stops(&self) -> Result<(), backing::StoreError> {
         let record = StopStore::new(self.platform.clone()).read().await?;
         let order = record.order_of(self.state.settings.name.as_str());
         let order = OrderNews {
--- a/crates/agent/src/order_gate.rs
+++ b/crates/agent/src/order_gate.rs
@@ -7,11 +7,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use backing::{LeaseStore, StoreError, TableStore};
 use domain::{
     FencingNumber,
     duty_lease::{FencingGate, FencingVerdict},
 };
-use platform::{LeaseStore, StoreError, TableStore};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, MissedTickBehavior},
--- a/crates/agent/src/orphan_calls.rs
+++ b/crates/agent/src/orphan_calls.rs
@@ -7,11 +7,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use backing::{StoreError, TableRow, TableStore, VmList};
 use domain::{
     ServerName,
     service_call::{CallOwner, DispatchLimit},
 };
-use platform::{StoreError, TableRow, TableStore, VmList};
 use tokio::time::Instant;
 use wire::service_call::{OpenMessage, open_rows, pool_open_rows};
 
--- a/crates/agent/src/record_sweeper.rs
+++ b/crates/agent/src/record_sweeper.rs
@@ -9,8 +9,8 @@
 //! finds none, even if the key has a new record at the same version. There is no
 //! cursor to lose; whoever comes next begins at the front.
 
+use backing::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use domain::service_call::{SweepPace, WallTime, is_outlived};
-use platform::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use tokio::time::Instant;
 use wire::service_call::{EndedMessage, call_row, ended_at, ended_rows};
 
--- a/crates/agent/tests/record_sweeper.rs
+++ b/crates/agent/tests/record_sweeper.rs
@@ -7,8 +7,8 @@
 };
 
 use agent::RecordSweeper;
+use backing::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use domain::service_call::{RECORD_LIFETIME, SweepPace, WallTime};
-use platform::{StoreError, TableRow, TableStore, TableWrite, TransactOutcome, WriteCondition};
 use rstest::rstest;
 use wire::service_call::{EndedMessage, call_row, ended_row};
 
--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -2,12 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use backing::{TableStore, VmList};
 use bytes::Bytes;
 use domain::vm_membership::{DrainPlan, DrainStep};
 use futures_util::future::BoxFuture;
 use http::{StatusCode, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use platform::{TableStore, VmList};
 use telemetry::StopSignal;
 use tokio::time::Instant;
 use volo::net::Address;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::{process::ExitCode, sync::Arc, time::Duration};
 
+use backing::HttpPlatform;
 use entry::{EntryState, refresh_snapshots, retire, serve_callers};
-use platform::HttpPlatform;
 use settings::EntrySettings;
 use telemetry::{DaemonSpec, StopSignal, run_daemon};
 
--- a/crates/entry/src/note_front.rs
+++ b/crates/entry/src/note_front.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use backing::{TableStore, VmList};
 use domain::NoteVersion;
-use platform::{TableStore, VmList};
 use volo_http::{
     response::Response,
     server::{
--- a/crates/entry/src/note_watch.rs
+++ b/crates/entry/src/note_watch.rs
@@ -6,8 +6,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
+use backing::NotePeer;
 use domain::release_note::NoteLedger;
-use platform::NotePeer;
 
 use crate::EntryState;
 
--- a/crates/entry/src/refresh_task.rs
+++ b/crates/entry/src/refresh_task.rs
@@ -7,11 +7,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use domain::backend_server::{ServerSet, ServerSpec};
-use platform::{
+use backing::{
     NoteHead, NotePeer, NoteStore, NoteStoreError, ObjectStore, StopStore, StoreError, TableStore,
     VmList, announce_entry, known_entries, list_interval, order_head, retire_entry,
 };
+use domain::backend_server::{ServerSet, ServerSpec};
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 use wire::{note::HEAD_KEY, vm::ORDER_HEAD_KEY};
--- a/crates/entry/src/server_membership.rs
+++ b/crates/entry/src/server_membership.rs
@@ -3,11 +3,11 @@
 use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwap;
+use backing::{StopRecord, VmEntry};
 use domain::{
     OrderVersion, ServerName,
     vm_membership::{LeaveEvidence, StopOrder},
 };
-use platform::{StopRecord, VmEntry};
 use tokio::time::Instant;
 use wire::agent_control::{NewsMessage, OrderNews, StopNews};
 
--- a/crates/entry/src/service_front.rs
+++ b/crates/entry/src/service_front.rs
@@ -5,12 +5,12 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use backing::{StoreError, TableStore};
 use domain::{
     WorkClass,
     service_call::{CallRecord, CallState, KEY_LIFETIME, WallTime},
 };
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use platform::{StoreError, TableStore};
 use volo_http::{body::Body, response::Response};
 use wire::{
     FIRST_USE_HEADER, KEY_HEADER,
--- a/crates/entry/src/tell_task.rs
+++ b/crates/entry/src/tell_task.rs
@@ -6,8 +6,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use backing::NotePeer;
 use domain::{NoteVersion, ServerName};
-use platform::NotePeer;
 use rand::seq::SliceRandom;
 use wire::agent_control::{AgentControlClient, TellReply};
 
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use backing::{HttpPlatform, NoteStore};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use domain::{NoteVersion, ServerName, vm_membership::StopKind};
-use platform::{HttpPlatform, NoteStore};
 
 use crate::{
     CommandResult, dump_command,
--- a/crates/operator/src/deployment_report.rs
+++ b/crates/operator/src/deployment_report.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
+use backing::VmEntry;
 use domain::release_note::NoteState;
-use platform::VmEntry;
 use serde_json::{Value, json};
 
 /// Silence of a server, in milliseconds, after which it is shown as stuck; its
--- a/crates/operator/src/note_command.rs
+++ b/crates/operator/src/note_command.rs
@@ -2,12 +2,12 @@
 
 use std::path::Path;
 
+use backing::{HttpPlatform, NoteHead, NoteStore, PublishOutcome};
 use domain::{
     BodyDigest, NoteId, NoteVersion,
     release_note::{AcceptedNote, NoteChange, NoteLedger, NoteState},
 };
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
-use platform::{HttpPlatform, NoteHead, NoteStore, PublishOutcome};
 use settings::{NoteFile, note_id, read_note};
 use telemetry::ExitStatus;
 use wire::note::{ChangeMessage, StateMessage};
--- a/crates/operator/src/requests_command.rs
+++ b/crates/operator/src/requests_command.rs
@@ -1,7 +1,7 @@
 //! `bamboocross requests`.
 
+use backing::TableStore;
 use miette::IntoDiagnostic;
-use platform::TableStore;
 use wire::service_call::{ListedRequest, RequestList, listed_request, unknown_rows};
 
 use crate::CommandResult;
--- a/crates/operator/src/spread_watch.rs
+++ b/crates/operator/src/spread_watch.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use backing::{HttpPlatform, VmList, known_entries};
 use domain::NoteVersion;
 use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, miette};
-use platform::{HttpPlatform, VmList, known_entries};
 use tokio::time::Instant;
 use wire::note::{NOTE_PATH, UpdateMessage};
 
--- a/crates/operator/src/status_command.rs
+++ b/crates/operator/src/status_command.rs
@@ -6,11 +6,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use backing::{NoteStore, ObjectStore, StoreError, TableRow, TableStore, VmList, known_entries};
 use domain::release_note::NoteState;
 use exchange::{ExchangeCall, HttpExchange};
 use futures_util::{StreamExt, stream};
 use miette::{IntoDiagnostic, WrapErr};
-use platform::{NoteStore, ObjectStore, StoreError, TableRow, TableStore, VmList, known_entries};
 use serde_json::Value;
 use wire::service_call::{OpenMessage, all_open_rows, listed_request, open_server, unknown_rows};
 
--- a/crates/operator/src/vm_command.rs
+++ b/crates/operator/src/vm_command.rs
@@ -3,13 +3,13 @@
 //! A stop is recorded first and told to the agent then. When the agent cannot
 //! be reached, the entries pass the record on to it.
 
+use backing::{HttpPlatform, NoteStore, StopOutcome, StopRecord, StopStore, VmEntry, VmList};
 use domain::{
     ServerName,
     vm_membership::{PoolMember, StopDecision, StopKind, StopOrder, StopWish},
 };
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use miette::{IntoDiagnostic, miette};
-use platform::{HttpPlatform, NoteStore, StopOutcome, StopRecord, StopStore, VmEntry, VmList};
 use telemetry::ExitStatus;
 use wire::agent_control::{AgentControlClient, OrderNews, ServerReport, StopNews};
 
