--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -28,6 +28,8 @@
         name: "bamboocross-agent",
         about: "Stands beside a backend server and is the only way to it",
         worker_threads: WORKER_THREADS,
+        settings_variable: None,
+        log_target: telemetry::LogTarget::StandardError,
     };
     run_daemon(spec, serve)
 }
--- /dev/null
+++ b/crates/domain/src/entry_drain.rs
@@ -0,0 +1,57 @@
+//! The end of an entry's life after it was told to stop.
+//!
+//! The balancer needs some seconds to see that an entry is not ready, and
+//! callers go on using open connections. So the entry serves on for a while,
+//! then refuses what is new, and near the end of the grace time breaks off the
+//! streams that are still open, which their callers resume elsewhere.
+
+use std::time::Duration;
+
+/// Time for which new requests are served after the order to stop: two of the
+/// balancer's questions, a second apart, and the time they take.
+const SERVE_TIME: Duration = Duration::from_millis(3_000);
+/// Part of the grace time after which open streams are broken off, in percent.
+/// What is at work in the last sixth of it is nobody's loss.
+const CUT_PERCENT: u32 = 88;
+
+/// Where an entry is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainPhase {
+    /// Serves.
+    Serving,
+    /// Not ready, but serves what comes.
+    Leaving,
+    /// Refuses what is new.
+    Closing,
+    /// Breaks off what is open.
+    Cutting,
+}
+
+/// Times of a drain.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainTimes {
+    /// Time from the order to stop to the kill.
+    pub grace: Duration,
+}
+
+impl DrainTimes {
+    /// Phase at a time after the order; none if there was no order.
+    pub fn phase(&self, since_order: Option<Duration>) -> DrainPhase {
+        match since_order {
+            None => DrainPhase::Serving,
+            Some(since) if since < self.serve_time() => DrainPhase::Leaving,
+            Some(since) if since < self.cut_time() => DrainPhase::Closing,
+            Some(_) => DrainPhase::Cutting,
+        }
+    }
+
+    /// Time for which new requests are served.
+    pub fn serve_time(&self) -> Duration {
+        SERVE_TIME.min(self.grace * 3 / 8)
+    }
+
+    /// Time after which open streams are broken off.
+    pub fn cut_time(&self) -> Duration {
+        self.grace * CUT_PERCENT / 100
+    }
+}
--- a/crates/domain/src/identity.rs
+++ b/crates/domain/src/identity.rs
@@ -59,6 +59,8 @@
     ServiceName;
     /// Idempotency key chosen by the caller, scoped by team.
     RequestKey;
+    /// Identity of one attempt of a caller, chosen by the caller.
+    RequestId;
     /// Identity of a release note.
     NoteId;
 }
--- /dev/null
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -0,0 +1,154 @@
+//! The choice by estimated cost in milliseconds.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::TokenCounts;
+use crate::{DomainName, server_registry::ServerSlot};
+
+/// Prompt tokens that a model server reads in a millisecond, from the users'
+/// sheets (8 on all of them).
+const PROMPT_TOKENS_PER_MS: u64 = 8;
+/// Delay that one more running request means to the others, in milliseconds.
+/// A step takes some 0.02 ms more for each; over 800 steps that is 16 ms.
+const RUN_COST_MS: u64 = 16;
+/// Delay of a plain request behind each one running, in milliseconds: a third
+/// of the sheets' 15 ms of work, since six run at once.
+const CALL_COST_MS: u64 = 5;
+/// Cost of another failure domain for a stream: 22 kB at the sheets' price of
+/// bytes are 0.8 % of its worth, weighed as a delay.
+const STREAM_AWAY_MS: u64 = 400;
+/// Cost of another failure domain for a plain request: two hops more.
+const CALL_AWAY_MS: u64 = 12;
+/// Cost of a server that failed lately: above all delays, below "none".
+const SUSPECT_MS: u64 = 100_000;
+/// Cost of a failure domain of which half of the servers failed lately.
+const DOMAIN_SUSPECT_MS: u64 = 50_000;
+/// Cost of a server without memory for the request.
+const NO_ROOM_MS: u64 = 20_000;
+/// Age up to which a report counts; it is some 100 ms old when it arrives.
+const REPORT_AGE: Duration = Duration::from_millis(400);
+/// Share of a server's memory that placement fills, in percent; the rest is
+/// for other processes' requests and for outputs that grow.
+const KV_FILL_PERCENT: u64 = 85;
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct PickQuery<'a> {
+    /// Tokens of a request to a model server; none for a plain service.
+    pub tokens: Option<TokenCounts>,
+    /// Memory of a model server in tokens.
+    pub kv_total: u64,
+    /// Failure domain of this process.
+    pub own_domain: &'a DomainName,
+    /// Servers that have had the request.
+    pub tried: &'a [SocketAddr],
+    /// The moment.
+    pub now: Instant,
+}
+
+/// The server for a request.
+pub fn pick_server<'a>(
+    servers: &'a [Arc<ServerSlot>],
+    query: &PickQuery<'_>,
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<ServerSlot>> {
+    pick_by(servers, query, rng, |slot| {
+        let away = slot.record().domain != *query.own_domain;
+        work_cost(slot, query) + if away { away_cost(query) } else { 0 }
+    })
+}
+
+/// The server that keeps a copy of the memory of a run at `primary`: in
+/// another failure domain, so that both are not lost at once.
+pub fn pick_backup<'a>(
+    servers: &'a [Arc<ServerSlot>],
+    query: &PickQuery<'_>,
+    primary: &ServerSlot,
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<ServerSlot>> {
+    let picked = pick_by(servers, query, rng, |slot| {
+        let same = slot.record().domain == primary.record().domain;
+        // Memory decides: a copy reads no prompt.
+        slot.kv_tokens() / PROMPT_TOKENS_PER_MS
+            + u64::from(slot.running()) * RUN_COST_MS
+            + if same { NO_ROOM_MS } else { 0 }
+    })?;
+    (picked.record().address != primary.record().address).then_some(picked)
+}
+
+fn pick_by<'a>(
+    servers: &'a [Arc<ServerSlot>],
+    query: &PickQuery<'_>,
+    rng: &mut impl Rng,
+    cost: impl Fn(&ServerSlot) -> u64,
+) -> Option<&'a Arc<ServerSlot>> {
+    servers
+        .iter()
+        .filter(|slot| !slot.is_misdirected())
+        .filter(|slot| !query.tried.contains(&slot.record().address))
+        .min_by_key(|slot| {
+            let suspicion = suspicion(servers, slot, query.now);
+            // Chance decides between equals, so that processes do not herd.
+            (
+                cost(slot) + room_cost(slot, query) + suspicion,
+                rng.random::<u32>(),
+            )
+        })
+}
+
+fn work_cost(slot: &ServerSlot, query: &PickQuery<'_>) -> u64 {
+    let own = u64::from(slot.running());
+    let report = slot
+        .report(query.now)
+        .filter(|(_, age)| *age < REPORT_AGE)
+        .map(|(report, _)| report);
+    let others = report.map_or(0, |report| {
+        u64::from(report.running + report.waiting).saturating_sub(own)
+    });
+    if query.tokens.is_some() {
+        return slot.prompt_tokens() / PROMPT_TOKENS_PER_MS + (own + others) * RUN_COST_MS;
+    }
+    let pace = report.map_or(100, |report| u64::from(report.pace_percent.max(1)));
+    (own + others + 1) * CALL_COST_MS * pace / 100
+}
+
+fn away_cost(query: &PickQuery<'_>) -> u64 {
+    if query.tokens.is_some() {
+        STREAM_AWAY_MS
+    } else {
+        CALL_AWAY_MS
+    }
+}
+
+fn room_cost(slot: &ServerSlot, query: &PickQuery<'_>) -> u64 {
+    let Some(tokens) = query.tokens else {
+        return 0;
+    };
+    let room = query.kv_total * KV_FILL_PERCENT / 100;
+    if slot.kv_tokens() + tokens.total() > room {
+        NO_ROOM_MS
+    } else {
+        0
+    }
+}
+
+fn suspicion(servers: &[Arc<ServerSlot>], slot: &ServerSlot, now: Instant) -> u64 {
+    if slot.is_suspect(now) {
+        return SUSPECT_MS;
+    }
+    let domain = &slot.record().domain;
+    let peers = servers
+        .iter()
+        .filter(|peer| peer.record().domain == *domain);
+    let (all, suspect) = peers.fold((0_u32, 0_u32), |(all, suspect), peer| {
+        (all + 1, suspect + u32::from(peer.is_suspect(now)))
+    });
+    if suspect >= 2 && suspect * 2 >= all {
+        DOMAIN_SUSPECT_MS
+    } else {
+        0
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -8,10 +8,17 @@
 
 pub mod backend_server;
 pub mod class_counts;
+pub mod desired_state;
 pub mod duty_lease;
+pub mod entry_drain;
+pub mod event_relay;
 pub mod generation_stream;
 pub mod identity;
+pub mod kv_placement;
 pub mod release_note;
+pub mod retry_share;
+pub mod run_evidence;
+pub mod server_registry;
 pub mod service_call;
 pub mod team_budget;
 pub mod vm_membership;
@@ -19,6 +26,6 @@
 pub use class_counts::{ClassCounts, CountBounds, CountRefusal};
 pub use identity::{
     AdapterName, AttemptNumber, BodyDigest, DomainName, FencingNumber, GenerationId, ModelName,
-    ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, RequestKey, ServerName, ServiceName,
-    TeamName, TokenPosition, WorkClass,
+    ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, RequestId, RequestKey, ServerName,
+    ServiceName, TeamName, TokenPosition, WorkClass,
 };
--- /dev/null
+++ b/crates/domain/src/server_registry.rs
@@ -0,0 +1,13 @@
+//! Backend servers as they register themselves, and what is known of each.
+//!
+//! A registration names one lifetime of one server. A server that leaves the
+//! list is gone at once, unless the store has just been away: registrations
+//! lapse during an outage though the server lives, so those are kept until the
+//! server has had time to register again. Own evidence goes before the list: a
+//! server whose address another one holds is gone whatever the list says.
+
+mod registry_fold;
+mod server_slot;
+
+pub use registry_fold::{RegistryChange, ServerRecord, ServerRegistry, ServerState};
+pub use server_slot::{ServerLoad, ServerSlot, WorkGuard, WorkSize};
--- /dev/null
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -0,0 +1,137 @@
+//! The list of servers as the fold of listings and changes.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::ServerSlot;
+use crate::{DomainName, ServerName, ServiceName};
+
+/// Time after an outage of the store within which living servers are back.
+const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerState {
+    /// Takes requests.
+    Ready,
+    /// Leaves soon; gets nothing new.
+    Draining,
+}
+
+/// One registration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Lifetime that registered.
+    pub instance: ServerName,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Requests at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub state: ServerState,
+    /// Its start, in milliseconds of its own clock; tells lifetimes apart.
+    pub born_ms: u64,
+}
+
+/// One change of the list.
+#[derive(Clone, Debug)]
+pub enum RegistryChange {
+    /// A server registered, or changed what it says.
+    Present(ServerRecord),
+    /// The registration is gone, or cannot be read.
+    Absent(ServerName),
+}
+
+/// All servers, as requests see them; replaced whole by each change.
+#[derive(Clone, Debug, Default)]
+pub struct ServerRegistry {
+    services: HashMap<ServiceName, Vec<Arc<ServerSlot>>>,
+    slots: HashMap<ServerName, Arc<ServerSlot>>,
+    lapsed: HashMap<ServerName, Instant>,
+    outage_ended: Option<Instant>,
+}
+
+impl ServerRegistry {
+    /// Servers of a service.
+    pub fn servers(&self, service: &ServiceName) -> &[Arc<ServerSlot>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All servers.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<ServerSlot>> {
+        self.slots.values()
+    }
+
+    /// Note that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.outage_ended = Some(now);
+    }
+
+    /// Replace the list by a whole listing.
+    pub fn replace(&mut self, records: Vec<ServerRecord>, now: Instant) {
+        let missing: Vec<ServerName> = self
+            .slots
+            .keys()
+            .filter(|name| !records.iter().any(|record| record.instance == **name))
+            .cloned()
+            .collect();
+        let changes = records
+            .into_iter()
+            .map(RegistryChange::Present)
+            .chain(missing.into_iter().map(RegistryChange::Absent));
+        self.apply(changes, now);
+    }
+
+    /// Apply changes in their order; also when there are none, since servers
+    /// whose registration lapsed may be gone by now.
+    pub fn apply(&mut self, changes: impl Iterator<Item = RegistryChange>, now: Instant) {
+        for change in changes {
+            match change {
+                RegistryChange::Present(record) => self.put(record),
+                RegistryChange::Absent(name) => self.lapse(name, now),
+            }
+        }
+        let expired = |limit: &Instant| *limit <= now;
+        for (name, _) in self.lapsed.extract_if(|_, limit| expired(limit)) {
+            self.slots.remove(&name);
+        }
+        self.rebuild();
+    }
+
+    fn put(&mut self, record: ServerRecord) {
+        self.lapsed.remove(&record.instance);
+        let name = record.instance.clone();
+        let slot = match self.slots.get(&name) {
+            Some(known) if known.is_same_life(&record) => Arc::new(known.updated(record)),
+            _ => Arc::new(ServerSlot::new(record)),
+        };
+        self.slots.insert(name, slot);
+    }
+
+    fn lapse(&mut self, name: ServerName, now: Instant) {
+        if !self.slots.contains_key(&name) {
+            return;
+        }
+        let limit = self.outage_ended.map_or(now, |ended| ended + REAPPEAR_TIME);
+        self.lapsed.entry(name).or_insert(limit);
+    }
+
+    fn rebuild(&mut self) {
+        let mut services: HashMap<ServiceName, Vec<Arc<ServerSlot>>> = HashMap::new();
+        for slot in self.slots.values() {
+            if slot.record().state == ServerState::Ready {
+                let service = slot.record().service.clone();
+                services.entry(service).or_default().push(Arc::clone(slot));
+            }
+        }
+        for slots in services.values_mut() {
+            slots.sort_by(|a, b| a.record().instance.cmp(&b.record().instance));
+        }
+        self.services = services;
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -18,6 +18,8 @@
         name: "bamboocross-entry",
         about: "Takes callers' requests and carries them to backend servers",
         worker_threads: WORKER_THREADS,
+        settings_variable: None,
+        log_target: telemetry::LogTarget::StandardError,
     };
     run_daemon(spec, serve)
 }
--- /dev/null
+++ b/crates/front/src/admin_front.rs
@@ -0,0 +1,104 @@
+//! Readiness, metrics and state of an entry.
+
+use std::sync::Arc;
+
+use domain::server_registry::ServerSlot;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use platform::names::READY_PATH;
+use serde_json::{Value, json};
+use telemetry::dropped_lines;
+use tokio::time::Instant;
+
+use crate::{
+    front_state::FrontState,
+    http_server::{bind, serve_small},
+    reply::ReplyBody,
+};
+
+/// Listen for the balancer and for operators.
+pub async fn serve_admin(state: &Arc<FrontState>) -> miette::Result<()> {
+    let settings = state.settings.load_full();
+    let ready = bind(settings.ready).await?;
+    let admin = bind(settings.admin).await?;
+    let shared = Arc::clone(state);
+    tokio::spawn(serve_small(ready, move |request| {
+        answer_ready(&shared, request)
+    }));
+    let shared = Arc::clone(state);
+    tokio::spawn(serve_small(admin, move |request| {
+        answer_admin(&shared, request)
+    }));
+    Ok(())
+}
+
+fn answer_ready(state: &FrontState, request: &Request<Incoming>) -> Response<ReplyBody> {
+    if request.uri().path() != READY_PATH {
+        return answer(StatusCode::NOT_FOUND, "text/plain", String::new());
+    }
+    let status = if state.is_ready(Instant::now()) {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    answer(status, "text/plain", String::new())
+}
+
+fn answer_admin(state: &FrontState, request: &Request<Incoming>) -> Response<ReplyBody> {
+    match request.uri().path() {
+        "/metrics" => answer(StatusCode::OK, "text/plain", render_metrics(state)),
+        "/state" => answer(
+            StatusCode::OK,
+            "application/json",
+            dump_state(state).to_string(),
+        ),
+        _ => answer(StatusCode::NOT_FOUND, "text/plain", String::new()),
+    }
+}
+
+fn render_metrics(state: &FrontState) -> String {
+    let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
+    state.metrics.dropped_lines.set(dropped);
+    state.metrics.set.render()
+}
+
+fn dump_state(state: &FrontState) -> Value {
+    let now = Instant::now();
+    let desired = state.desired.load();
+    let registry = state.registry.load();
+    let servers: Vec<Value> = registry.all().map(|slot| dump_server(slot, now)).collect();
+    json!({
+        "phase": format!("{:?}", state.phase(now)),
+        "ready": state.is_ready(now),
+        "state_version": desired.as_ref().map(|desired| desired.version().number),
+        "routes": desired.as_ref().map(|desired| desired.route_count()),
+        "state_may_deny": state.freshness().may_deny(now),
+        "servers": servers,
+    })
+}
+
+fn dump_server(slot: &ServerSlot, now: Instant) -> Value {
+    let record = slot.record();
+    json!({
+        "instance": record.instance.as_str(),
+        "service": record.service.as_str(),
+        "address": record.address.to_string(),
+        "domain": record.domain.as_str(),
+        "state": format!("{:?}", record.state),
+        "running": slot.running(),
+        "prompt_tokens": slot.prompt_tokens(),
+        "kv_tokens": slot.kv_tokens(),
+        "suspect": slot.is_suspect(now),
+        "misdirected": slot.is_misdirected(),
+    })
+}
+
+fn answer(status: StatusCode, media_type: &'static str, text: String) -> Response<ReplyBody> {
+    let mut reply = Response::new(ReplyBody::Whole(Full::from(text)));
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+    reply
+}
--- /dev/null
+++ b/crates/front/src/call_task.rs
@@ -0,0 +1,56 @@
+//! One request of a caller, checked and ready to be sent.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use domain::{
+    RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
+    event_relay::EventPosition, kv_placement::TokenCounts, server_registry::ServerSlot,
+};
+use http::{HeaderMap, Method, uri::PathAndQuery};
+use platform::worker_request::WorkerOrder;
+use tokio::time::Instant;
+
+/// A request with its route.
+#[derive(Debug)]
+pub(crate) struct CallTask {
+    pub(crate) id: RequestId,
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    /// Headers that any server may get.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<RouteSpec>,
+    pub(crate) service: ServiceName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) tokens: Option<TokenCounts>,
+    /// Position after which the caller wants the stream.
+    pub(crate) position: Option<EventPosition>,
+    pub(crate) received: Instant,
+    /// When the caller's patience or the route's time ends.
+    pub(crate) deadline: Instant,
+}
+
+impl CallTask {
+    /// Time left.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// Plain order to a server: who is meant, for whom, and for how long.
+    pub(crate) fn order<'a>(&'a self, slot: &'a ServerSlot, now: Instant) -> WorkerOrder<'a> {
+        WorkerOrder {
+            instance: instance(slot),
+            team: self.team.as_ref(),
+            left: self.left(now),
+            priority: None,
+            position: None,
+            backup: None,
+            source: None,
+        }
+    }
+}
+
+fn instance(slot: &ServerSlot) -> &ServerName {
+    &slot.record().instance
+}
--- /dev/null
+++ b/crates/front/src/front_state.rs
@@ -0,0 +1,111 @@
+//! What all tasks of an entry share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use domain::{
+    ServiceName,
+    desired_state::{DesiredState, StateFreshness},
+    entry_drain::{DrainPhase, DrainTimes},
+    retry_share::RetryShare,
+    server_registry::ServerRegistry,
+};
+use settings::FrontSettings;
+use tokio::time::Instant;
+
+use crate::{drain_clock::DrainClock, front_metrics::FrontMetrics, link_pool::LinkPool};
+
+/// State of an entry.
+pub struct FrontState {
+    /// Settings in force.
+    pub settings: ArcSwap<FrontSettings>,
+    pub(crate) desired: ArcSwapOption<DesiredState>,
+    pub(crate) registry: ArcSwap<ServerRegistry>,
+    pub(crate) links: LinkPool,
+    pub(crate) metrics: FrontMetrics,
+    pub(crate) drain: DrainClock,
+    pub(crate) connections: AtomicUsize,
+    listed: AtomicBool,
+    start: Instant,
+    confirmed_ms: AtomicU64,
+    shares: papaya::HashMap<ServiceName, Arc<RetryShare>>,
+}
+
+impl FrontState {
+    /// State at the start, which knows nothing yet.
+    pub fn new(settings: FrontSettings) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            desired: ArcSwapOption::empty(),
+            registry: ArcSwap::default(),
+            links: LinkPool::default(),
+            metrics: FrontMetrics::new(),
+            drain: DrainClock::new(),
+            connections: AtomicUsize::new(0),
+            listed: AtomicBool::new(false),
+            start: Instant::now(),
+            confirmed_ms: AtomicU64::new(0),
+            shares: papaya::HashMap::new(),
+        }
+    }
+
+    /// Note that the servers have been listed once.
+    pub(crate) fn note_listed(&self) {
+        self.listed.store(true, Relaxed);
+    }
+
+    /// Note that the store had nothing newer than the desired state known when
+    /// it was asked at `asked`.
+    pub(crate) fn note_confirmed(&self, asked: Instant) {
+        let millis = asked.saturating_duration_since(self.start).as_millis();
+        // 0 stands for "never".
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX).max(1);
+        self.confirmed_ms.fetch_max(millis, Relaxed);
+    }
+
+    /// How sure it is that the desired state known is the newest.
+    pub(crate) fn freshness(&self) -> StateFreshness {
+        let millis = self.confirmed_ms.load(Relaxed);
+        StateFreshness {
+            confirmed: (millis > 0).then(|| self.start + std::time::Duration::from_millis(millis)),
+            apply_limit: self.settings.load().apply_limit,
+        }
+    }
+
+    /// Whether the entry can serve.
+    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+        self.listed.load(Relaxed)
+            && self.desired.load().is_some()
+            && self.phase(now) == DrainPhase::Serving
+    }
+
+    /// Times of a drain.
+    pub(crate) fn drain_times(&self) -> DrainTimes {
+        DrainTimes {
+            grace: self.settings.load().grace,
+        }
+    }
+
+    /// Phase of the entry's life.
+    pub(crate) fn phase(&self, now: Instant) -> DrainPhase {
+        self.drain.phase(self.drain_times(), now)
+    }
+
+    /// Share of a service's retry budget.
+    pub(crate) fn retry_share(&self, service: &ServiceName) -> Arc<RetryShare> {
+        let shares = self.shares.pin();
+        let share = shares.get_or_insert_with(service.clone(), || {
+            let bounds = self.settings.load().retry;
+            Arc::new(RetryShare::new(
+                bounds.ratio,
+                bounds.slack,
+                bounds.window,
+                Instant::now(),
+            ))
+        });
+        Arc::clone(share)
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry on the users' platform.
+//!
+//! Callers' requests come in over HTTP and go straight to the backend servers
+//! that registered in the platform's store. The rules are `domain`'s, the names
+//! `platform`'s; here are the sockets and tasks that join them. Requests read
+//! snapshots of the desired state and of the servers, which one task each
+//! replaces whole.
+
+mod admin_front;
+mod backend_link;
+mod call_run;
+mod call_task;
+mod caller_front;
+mod drain_clock;
+mod front_metrics;
+mod front_state;
+mod http_server;
+mod link_pool;
+mod reply;
+mod settings_watch;
+mod store_client;
+mod store_watch;
+mod stream_run;
+mod worker_exchange;
+
+pub use admin_front::serve_admin;
+pub use caller_front::serve_callers;
+pub use front_state::FrontState;
+pub use settings_watch::watch_settings;
+pub use store_watch::watch_store;
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,37 @@
+//! `bamboocross-front`, the process that callers connect to on the users'
+//! platform.
+
+use std::{num::NonZeroUsize, process::ExitCode, sync::Arc};
+
+use front::{FrontState, serve_admin, serve_callers, watch_settings, watch_store};
+use settings::FrontSettings;
+use telemetry::{DaemonSpec, LogTarget, StopSignal, run_daemon};
+
+fn main() -> ExitCode {
+    let threads = std::thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    let spec = DaemonSpec {
+        name: "bamboocross-front",
+        about: "Takes callers' requests and carries them to backend servers",
+        worker_threads: threads,
+        settings_variable: Some(platform::names::SETTINGS_VARIABLE),
+        log_target: LogTarget::BoundedOutput,
+    };
+    run_daemon(spec, serve)
+}
+
+async fn serve(settings: FrontSettings, stop: StopSignal) -> miette::Result<()> {
+    let state = Arc::new(FrontState::new(settings));
+    let settings = state.settings.load_full();
+    log::info!(
+        node = settings.name.as_str(),
+        domain = settings.domain.as_str(),
+        listen:% = settings.listen;
+        "start"
+    );
+    watch_store(&state);
+    watch_settings(&state)?;
+    serve_admin(&state).await?;
+    serve_callers(Arc::clone(&state), stop).await?;
+    log::info!(node = settings.name.as_str(); "stop");
+    Ok(())
+}
--- /dev/null
+++ b/crates/front/src/store_client.rs
@@ -0,0 +1,142 @@
+//! Calls to the platform's store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use platform::store_call::{RowPage, RowVersion, feed_path, rows_path};
+use tokio::time::{Instant, timeout_at};
+
+use crate::backend_link::BackendLink;
+
+/// Time for an answer beyond the time that the store was asked to wait. The
+/// store takes some milliseconds; a slow one some hundred.
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+/// Largest answer, in bytes; the store sends 1 MB at most, and its base64.
+const ANSWER_MAX: usize = 4 << 20;
+
+/// Why a call gave no rows.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum StoreFailure {
+    /// No connection, no answer, or one that cannot be read.
+    #[display("unreachable")]
+    Unreachable,
+    /// The store refuses for now.
+    #[display("refused")]
+    Refused,
+    /// The history asked for is gone.
+    #[display("history_gone")]
+    HistoryGone,
+}
+
+/// Client for one watch; it keeps one connection.
+#[derive(Debug, Default)]
+pub(crate) struct StoreClient {
+    link: Option<(SocketAddr, BackendLink)>,
+}
+
+impl StoreClient {
+    /// All rows of a table.
+    pub(crate) async fn list(
+        &mut self,
+        store: SocketAddr,
+        table: &str,
+    ) -> Result<RowPage, StoreFailure> {
+        let mut whole: Option<RowPage> = None;
+        loop {
+            let from = whole
+                .as_ref()
+                .and_then(|page| page.rows.last())
+                .map(|row| row.key.clone());
+            let path = rows_path(table, from.as_deref());
+            let mut page = self.call(store, &path, ANSWER_TIME).await?;
+            if let Some(before) = whole {
+                // Changes after the first page come with the feed from there.
+                page.version = before.version;
+                page.unreadable += before.unreadable;
+                page.rows.splice(0..0, before.rows);
+            }
+            if !page.has_more || page.rows.is_empty() {
+                return Ok(page);
+            }
+            whole = Some(page);
+        }
+    }
+
+    /// Rows that changed after a version; waits for the first one.
+    pub(crate) async fn feed(
+        &mut self,
+        store: SocketAddr,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<RowPage, StoreFailure> {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let path = feed_path(table, since, wait_ms);
+        self.call(store, &path, wait + ANSWER_TIME).await
+    }
+
+    async fn call(
+        &mut self,
+        store: SocketAddr,
+        path: &str,
+        time: Duration,
+    ) -> Result<RowPage, StoreFailure> {
+        let limit = Instant::now() + time;
+        let called = timeout_at(limit, self.exchange(store, path)).await;
+        // A connection on which an answer is missing delivers nothing further.
+        let (link, answered) = called.unwrap_or(Err(StoreFailure::Unreachable))?;
+        self.link = Some((store, link));
+        let (status, body) = answered;
+        match status {
+            StatusCode::OK => RowPage::decode(&body).map_err(|error| {
+                log::warn!(error:%; "answer of the store cannot be read");
+                StoreFailure::Unreachable
+            }),
+            StatusCode::GONE => Err(StoreFailure::HistoryGone),
+            status => {
+                log::debug!(status = status.as_u16(); "store refused");
+                Err(StoreFailure::Refused)
+            }
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        store: SocketAddr,
+        path: &str,
+    ) -> Result<(BackendLink, (StatusCode, Bytes)), StoreFailure> {
+        let kept = self
+            .link
+            .take()
+            .filter(|(address, link)| *address == store && link.sender.is_ready());
+        let mut link = match kept {
+            Some((_, link)) => link,
+            None => BackendLink::open(store)
+                .await
+                .map_err(|_| StoreFailure::Unreachable)?,
+        };
+        let request = request(store, path)?;
+        let response = link
+            .sender
+            .send_request(request)
+            .await
+            .map_err(|_| StoreFailure::Unreachable)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_MAX)
+            .collect()
+            .await
+            .map_err(|_| StoreFailure::Unreachable)?;
+        Ok((link, (status, body.to_bytes())))
+    }
+}
+
+fn request(store: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, StoreFailure> {
+    let host = HeaderValue::from_str(&store.to_string()).map_err(|_| StoreFailure::Unreachable)?;
+    Request::get(path)
+        .header(header::HOST, host)
+        .body(Full::default())
+        .map_err(|_| StoreFailure::Unreachable)
+}
--- /dev/null
+++ b/crates/front/src/store_watch.rs
@@ -0,0 +1,226 @@
+//! The two watches of the store: desired state and servers.
+//!
+//! Each lists its table once and then follows its feed. When the store is out
+//! of reach both go on with what is known; when the history is gone they list
+//! anew.
+
+use std::{sync::Arc, time::Duration};
+
+use domain::server_registry::{RegistryChange, ServerRegistry};
+use platform::{
+    desired_state_row::decode_state,
+    server_row::decode_server,
+    store_call::{DESIRED_STATE_KEY, OPERATOR_TABLE, RowPage, RowVersion, SERVER_TABLE, StoreRow},
+};
+use rand::Rng;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::{
+    front_state::FrontState,
+    store_client::{StoreClient, StoreFailure},
+};
+
+/// Time that the store may hold a question for a desired state. A connection
+/// that fell silent is noticed after it, within the time for a version to be
+/// in force.
+const STATE_WAIT: Duration = Duration::from_millis(1_200);
+/// Time that the store may hold a question for servers.
+const SERVER_WAIT: Duration = Duration::from_millis(900);
+/// Time between two questions for servers: their registrations change all the
+/// time, and one that leaves is to be known within 2 s.
+const SERVER_PERIOD: Duration = Duration::from_millis(900);
+/// Pause after the first failed call, and the longest one; each is spread.
+const PAUSE_MIN: Duration = Duration::from_millis(60);
+const PAUSE_MAX: Duration = Duration::from_millis(600);
+
+/// Start both watches.
+pub fn watch_store(state: &Arc<FrontState>) {
+    tokio::spawn(watch(Arc::clone(state), StateTable));
+    tokio::spawn(watch(Arc::clone(state), ServerTable));
+}
+
+/// One table and what its rows change.
+trait WatchedTable: Send + Sync + 'static {
+    const NAME: &'static str;
+    const WAIT: Duration;
+    const PERIOD: Duration;
+
+    /// Take in a whole listing.
+    fn listed(&self, state: &FrontState, page: RowPage);
+    /// Take in changes.
+    fn changed(&self, state: &FrontState, page: RowPage);
+    /// The store answered a question asked at that moment.
+    fn confirmed(&self, state: &FrontState, asked: Instant);
+    /// The store answers again.
+    fn returned(&self, state: &FrontState);
+}
+
+async fn watch<T: WatchedTable>(state: Arc<FrontState>, table: T) {
+    let mut client = StoreClient::default();
+    let mut since: Option<RowVersion> = None;
+    let mut failures = 0_u32;
+    loop {
+        let asked = Instant::now();
+        let store = state.settings.load().store;
+        let answer = match since {
+            None => client.list(store, T::NAME).await,
+            Some(since) => client.feed(store, T::NAME, since, T::WAIT).await,
+        };
+        count(&state, &answer);
+        match answer {
+            Ok(page) => {
+                if failures > 0 {
+                    log::info!(table = T::NAME, failures = failures; "store answers again");
+                    table.returned(&state);
+                    failures = 0;
+                }
+                let first = since.replace(page.version).is_none();
+                if page.unreadable > 0 {
+                    log::warn!(table = T::NAME, rows = page.unreadable; "rows cannot be read");
+                }
+                if first {
+                    table.listed(&state, page);
+                } else {
+                    table.changed(&state, page);
+                }
+                table.confirmed(&state, asked);
+                sleep_until(asked + T::PERIOD).await;
+            }
+            Err(StoreFailure::HistoryGone) => {
+                log::info!(table = T::NAME; "history gone, listing anew");
+                since = None;
+            }
+            Err(failure) => {
+                if failures == 0 {
+                    log::warn!(table = T::NAME, reason:% = failure; "store lost");
+                }
+                failures += 1;
+                sleep(pause(failures)).await;
+            }
+        }
+    }
+}
+
+fn count(state: &FrontState, answer: &Result<RowPage, StoreFailure>) {
+    let outcome = match answer {
+        Ok(_) => "ok".to_owned(),
+        Err(failure) => failure.to_string(),
+    };
+    state
+        .metrics
+        .store_calls
+        .with_label_values(&[&outcome])
+        .inc();
+}
+
+fn pause(failures: u32) -> Duration {
+    let longest = PAUSE_MAX.min(PAUSE_MIN * (1 << failures.min(5)));
+    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+struct StateTable;
+
+impl WatchedTable for StateTable {
+    const NAME: &'static str = OPERATOR_TABLE;
+    const WAIT: Duration = STATE_WAIT;
+    const PERIOD: Duration = Duration::ZERO;
+
+    fn listed(&self, state: &FrontState, page: RowPage) {
+        self.changed(state, page);
+    }
+
+    fn changed(&self, state: &FrontState, page: RowPage) {
+        for row in page.rows {
+            if row.key == DESIRED_STATE_KEY {
+                take_state(state, &row);
+            }
+        }
+    }
+
+    fn confirmed(&self, state: &FrontState, asked: Instant) {
+        state.note_confirmed(asked);
+    }
+
+    fn returned(&self, _state: &FrontState) {}
+}
+
+fn take_state(state: &FrontState, row: &StoreRow) {
+    let Some(value) = &row.value else {
+        log::warn!("desired state removed, the last one stays in force");
+        return;
+    };
+    let desired = match decode_state(value, row.version) {
+        Ok(desired) => desired,
+        Err(error) => {
+            log::error!(error:%; "desired state cannot be read");
+            return;
+        }
+    };
+    if !desired.supersedes(state.desired.load().as_deref()) {
+        return;
+    }
+    let version = desired.version();
+    log::info!(
+        state_version = version.number,
+        row_version = version.row,
+        routes = desired.route_count();
+        "desired state in force"
+    );
+    let number = i64::try_from(version.number).unwrap_or(i64::MAX);
+    state.metrics.state_version.set(number);
+    state.desired.store(Some(Arc::new(desired)));
+}
+
+struct ServerTable;
+
+impl WatchedTable for ServerTable {
+    const NAME: &'static str = SERVER_TABLE;
+    const WAIT: Duration = SERVER_WAIT;
+    const PERIOD: Duration = SERVER_PERIOD;
+
+    fn listed(&self, state: &FrontState, page: RowPage) {
+        let records = page.rows.into_iter().filter_map(|row| match change(row) {
+            RegistryChange::Present(record) => Some(record),
+            RegistryChange::Absent(_) => None,
+        });
+        let records = records.collect();
+        update(state, |registry, now| registry.replace(records, now));
+        state.note_listed();
+    }
+
+    fn changed(&self, state: &FrontState, page: RowPage) {
+        let changes = page.rows.into_iter().map(change);
+        update(state, |registry, now| registry.apply(changes, now));
+    }
+
+    fn confirmed(&self, _state: &FrontState, _asked: Instant) {}
+
+    fn returned(&self, state: &FrontState) {
+        update(state, |registry, now| registry.store_returned(now));
+    }
+}
+
+fn change(row: StoreRow) -> RegistryChange {
+    let name = row.key.as_str();
+    let Some(value) = row.value else {
+        return RegistryChange::Absent(name.into());
+    };
+    match decode_server(name, &value) {
+        Ok(record) => RegistryChange::Present(record),
+        Err(error) => {
+            log::warn!(server = name, error:%; "registration cannot be read");
+            RegistryChange::Absent(name.into())
+        }
+    }
+}
+
+/// Only the watch of servers writes the registry, so nothing is lost between
+/// reading and replacing it.
+fn update(state: &FrontState, change: impl FnOnce(&mut ServerRegistry, Instant)) {
+    let mut registry = ServerRegistry::clone(&state.registry.load());
+    change(&mut registry, Instant::now());
+    state.links.retain(&registry);
+    let count = i64::try_from(registry.all().count()).unwrap_or(i64::MAX);
+    state.metrics.servers.set(count);
+    state.registry.store(Arc::new(registry));
+}
--- /dev/null
+++ b/crates/front/src/worker_exchange.rs
@@ -0,0 +1,227 @@
+//! One send of a request to one backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::{run_evidence::SendEnd, server_registry::ServerSlot};
+use http::{Request, Response, Uri, response::Parts};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use platform::{
+    worker_answer::{closes, decode_head, decode_load, idle_time},
+    worker_request::WorkerOrder,
+};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    backend_link::BackendLink, call_task::CallTask, front_state::FrontState, link_pool::LinkTrust,
+};
+
+/// Largest answer that is held whole, in bytes; answers of plain services are
+/// some kilobytes.
+const ANSWER_MAX: usize = 8 << 20;
+/// Time for which a server that failed is avoided at first. A crash of today's
+/// sites lasts 1.2 s; three failures in a row reach beyond it.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// The genuine head of an answer, with its body to come.
+pub(crate) struct WorkerAnswer {
+    pub(crate) parts: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) server_error: bool,
+    pub(crate) success: bool,
+    link: BackendLink,
+}
+
+/// A whole answer.
+pub(crate) struct WholeAnswer {
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) server_error: bool,
+}
+
+/// Send a request and wait for the head of its answer until `limit`.
+pub(crate) async fn send(
+    state: &FrontState,
+    slot: &ServerSlot,
+    task: &CallTask,
+    order: &WorkerOrder<'_>,
+    limit: Instant,
+) -> Result<WorkerAnswer, SendEnd> {
+    let sent = exchange(state, slot, task, order, limit).await;
+    note_end(slot, task, &sent);
+    sent
+}
+
+fn note_end(slot: &ServerSlot, task: &CallTask, sent: &Result<WorkerAnswer, SendEnd>) {
+    let now = Instant::now();
+    match sent {
+        Ok(_) => slot.note_life(now),
+        // The server is there, only full.
+        Err(SendEnd::Rejected) => {}
+        Err(end) => {
+            slot.note_failure(now, FAILURE_PAUSE);
+            log::info!(
+                request = task.id.as_str(),
+                server = slot.record().instance.as_str(),
+                address:% = slot.record().address,
+                outcome:? = end;
+                "send failed"
+            );
+        }
+    }
+}
+
+async fn exchange(
+    state: &FrontState,
+    slot: &ServerSlot,
+    task: &CallTask,
+    order: &WorkerOrder<'_>,
+    limit: Instant,
+) -> Result<WorkerAnswer, SendEnd> {
+    let trust = if task.route.kind.is_idempotent() {
+        LinkTrust::Open
+    } else {
+        LinkTrust::Proven
+    };
+    let mut request = encode(task, order);
+    if let Some(mut link) = state.links.take(slot, trust, Instant::now()) {
+        match attempt(&mut link, request, limit).await? {
+            Attempt::Answered(response) => return judge(slot, task, response, link),
+            Attempt::HandedBack(unsent) => request = unsent,
+        }
+    }
+    let opened = timeout_at(limit, BackendLink::open(slot.record().address)).await;
+    let Ok(Ok(mut link)) = opened else {
+        return Err(SendEnd::NotConnected);
+    };
+    state.metrics.new_links.inc();
+    match attempt(&mut link, request, limit).await? {
+        Attempt::Answered(response) => judge(slot, task, response, link),
+        Attempt::HandedBack(_) => Err(SendEnd::HandedBack),
+    }
+}
+
+enum Attempt {
+    Answered(Response<Incoming>),
+    HandedBack(Request<Full<Bytes>>),
+}
+
+async fn attempt(
+    link: &mut BackendLink,
+    request: Request<Full<Bytes>>,
+    limit: Instant,
+) -> Result<Attempt, SendEnd> {
+    match timeout_at(limit, link.sender.try_send_request(request)).await {
+        Err(_) => Err(SendEnd::Silent),
+        Ok(Ok(response)) => Ok(Attempt::Answered(response)),
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(unsent) => Ok(Attempt::HandedBack(unsent)),
+            None => {
+                let error = error.error();
+                log::debug!(error:%; "exchange broke");
+                Err(SendEnd::Broken)
+            }
+        },
+    }
+}
+
+fn encode(task: &CallTask, order: &WorkerOrder<'_>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(task.body.clone()));
+    *request.method_mut() = task.method.clone();
+    *request.uri_mut() = Uri::from(task.path.clone());
+    *request.headers_mut() = task.headers.clone();
+    order.encode(request.headers_mut());
+    request
+}
+
+fn judge(
+    slot: &ServerSlot,
+    task: &CallTask,
+    response: Response<Incoming>,
+    link: BackendLink,
+) -> Result<WorkerAnswer, SendEnd> {
+    let (parts, body) = response.into_parts();
+    let head = decode_head(parts.status, &parts.headers, &task.id);
+    if head.is_rejection() {
+        if head.misdirected {
+            slot.note_misdirected();
+        }
+        return Err(SendEnd::Rejected);
+    }
+    if !head.is_genuine() {
+        log::warn!(
+            request = task.id.as_str(),
+            server = slot.record().instance.as_str(),
+            status = parts.status.as_u16(),
+            head:? = head;
+            "answer is not the server's to this request"
+        );
+        return Err(SendEnd::Broken);
+    }
+    if let Some(report) = decode_load(&parts.headers) {
+        slot.note_report(report, Instant::now());
+    }
+    Ok(WorkerAnswer {
+        parts,
+        body,
+        server_error: head.server_error,
+        success: head.success,
+        link,
+    })
+}
+
+impl WorkerAnswer {
+    /// Read the whole body; the connection is kept if it may be.
+    pub(crate) async fn read_whole(
+        self,
+        state: &FrontState,
+        slot: &ServerSlot,
+        limit: Instant,
+    ) -> Result<WholeAnswer, SendEnd> {
+        let collected = timeout_at(limit, Limited::new(self.body, ANSWER_MAX).collect()).await;
+        let body = match collected {
+            Err(_) => return Err(SendEnd::Silent),
+            Ok(Err(error)) => {
+                log::info!(
+                    server = slot.record().instance.as_str(),
+                    error:%;
+                    "answer broke off"
+                );
+                return Err(SendEnd::Broken);
+            }
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        keep_link(state, slot, &self.parts, self.link);
+        if !self.server_error {
+            slot.note_answer(Instant::now());
+        }
+        Ok(WholeAnswer {
+            parts: self.parts,
+            body,
+            server_error: self.server_error,
+        })
+    }
+
+    /// The body and what is needed to keep the connection after it.
+    pub(crate) fn split(self) -> (Parts, Incoming, BackendLink) {
+        (self.parts, self.body, self.link)
+    }
+}
+
+/// Keep a connection whose answer was read to its end.
+pub(crate) fn keep_link(
+    state: &FrontState,
+    slot: &ServerSlot,
+    parts: &Parts,
+    mut link: BackendLink,
+) {
+    if closes(&parts.headers) {
+        return;
+    }
+    if let Some(idle) = idle_time(&parts.headers) {
+        link.idle_limit = idle;
+    }
+    link.idle_since = Instant::now();
+    state.links.put(slot, link);
+}
--- a/crates/settings/src/field_reader.rs
+++ b/crates/settings/src/field_reader.rs
@@ -224,6 +224,24 @@
             .unwrap_or(start)
     }
 
+    /// Number from 0, with or without a fraction, or `default` when the field
+    /// is absent.
+    pub(crate) fn decimal(&self, name: &'static str, default: f64) -> f64 {
+        let Some(value) = self.optional(name) else {
+            return default;
+        };
+        let number = match value {
+            Value::NumberLit(number) => number.value.parse::<f64>().ok(),
+            _ => None,
+        };
+        number
+            .filter(|number| number.is_finite() && *number >= 0.0)
+            .unwrap_or_else(|| {
+                self.finding(name, format!("`{name}` must be a number, 0 or more"));
+                default
+            })
+    }
+
     /// Milliseconds in a range, or `default` when the field is absent.
     pub(crate) fn millis(
         &self,
--- /dev/null
+++ b/crates/settings/src/front_settings.rs
@@ -0,0 +1,74 @@
+//! Settings of an entry on the users' platform.
+
+use std::{net::SocketAddr, time::Duration};
+
+use domain::DomainName;
+
+use crate::{
+    DaemonSettings, FindingReport, PortProbe,
+    field_reader::{FieldReader, read_file},
+};
+
+/// Bounds of the retry budget that all entries share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond, of all entries together.
+    pub slack: f64,
+    /// Time over which both are counted.
+    pub window: Duration,
+}
+
+/// What an entry is told at its start and whenever the file changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FrontSettings {
+    /// Name of the process, unique in the deployment.
+    pub name: String,
+    /// Failure domain of its VM.
+    pub domain: DomainName,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the process is ready.
+    pub ready: SocketAddr,
+    /// Where metrics and state are served.
+    pub admin: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time in which an accepted desired state is to be in force.
+    pub apply_limit: Duration,
+    /// Time from the order to stop to the kill.
+    pub grace: Duration,
+    /// Bounds of the retry budget.
+    pub retry: RetryBounds,
+}
+
+impl DaemonSettings for FrontSettings {
+    fn read(name: &str, text: &str, ports: &impl PortProbe) -> Result<Self, FindingReport> {
+        read_file(name, text, |fields| Self::from_fields(fields, ports))
+    }
+}
+
+impl FrontSettings {
+    fn from_fields(fields: &FieldReader<'_>, ports: &impl PortProbe) -> Self {
+        Self {
+            name: fields.text("name"),
+            domain: DomainName::from(fields.text("failure_domain")),
+            listen: fields.listener("listen", ports),
+            ready: fields.listener("ready", ports),
+            admin: fields.listener("admin", ports),
+            store: fields.address("store"),
+            apply_limit: fields.millis("apply_ms", 1..=600_000, Duration::from_millis(2_000)),
+            grace: read_seconds(fields, "grace_seconds", 8.0),
+            retry: RetryBounds {
+                ratio: fields.decimal("retry_ratio", 0.2),
+                slack: fields.decimal("retry_slack", 10.0),
+                window: read_seconds(fields, "retry_window_seconds", 10.0),
+            },
+        }
+    }
+}
+
+fn read_seconds(fields: &FieldReader<'_>, name: &'static str, default: f64) -> Duration {
+    Duration::try_from_secs_f64(fields.decimal(name, default)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/telemetry/src/bounded_writer.rs
@@ -0,0 +1,88 @@
+//! Log lines through a bounded queue.
+//!
+//! A reader that stops reading must not stop requests. Lines wait in a queue of
+//! fixed length; one that finds it full is dropped and counted, and the count
+//! is written as soon as lines are taken again. One thread writes, many lines
+//! at a time, so that a busy process is not woken for each.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering::Relaxed},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    time::Duration,
+};
+
+use flexi_logger::{DeferredNow, writers::LogWriter};
+use log::Record;
+
+use crate::log_setup::write_line;
+
+/// Lines that wait; some 200 bytes each, so 0.4 MB at most.
+const QUEUE_LINES: usize = 2_048;
+/// Time that lines are gathered before one write.
+const GATHER_TIME: Duration = Duration::from_millis(50);
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the start of the process.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Relaxed)
+}
+
+/// Writer that never waits for its reader.
+#[derive(Debug)]
+pub struct BoundedWriter {
+    lines: SyncSender<Vec<u8>>,
+}
+
+impl BoundedWriter {
+    /// Start the thread that writes to `out`.
+    pub fn start(out: impl Write + Send + 'static) -> Self {
+        let (lines, receiver) = sync_channel(QUEUE_LINES);
+        std::thread::spawn(move || write_batches(&receiver, out));
+        Self { lines }
+    }
+
+    /// Queue a line, or drop and count it.
+    pub fn offer(&self, line: Vec<u8>) {
+        if self.lines.try_send(line).is_err() {
+            DROPPED.fetch_add(1, Relaxed);
+        }
+    }
+}
+
+fn write_batches(lines: &Receiver<Vec<u8>>, mut out: impl Write) {
+    let mut told = 0;
+    let mut batch = Vec::new();
+    while let Ok(line) = lines.recv() {
+        batch.clear();
+        batch.extend_from_slice(&line);
+        std::thread::sleep(GATHER_TIME);
+        lines.try_iter().for_each(|line| batch.extend(line));
+        let dropped = dropped_lines();
+        if dropped > told {
+            told = dropped;
+            batch.extend(format!("dropped_lines={dropped}\n").into_bytes());
+        }
+        // There is nowhere to tell of a standard output that fails.
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            DROPPED.fetch_add(1, Relaxed);
+        }
+    }
+}
+
+impl LogWriter for BoundedWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(192);
+        write_line(&mut line, now, record)?;
+        line.push(b'\n');
+        self.offer(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/telemetry/src/daemon_command.rs
+++ b/crates/telemetry/src/daemon_command.rs
@@ -4,6 +4,8 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
+use crate::DaemonSpec;
+
 /// Exit codes of the programs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitStatus {
@@ -46,19 +48,22 @@
 }
 
 /// Read the command line of a daemon.
-pub fn daemon_args(name: &'static str, about: &'static str) -> DaemonArgs {
-    let matches = Command::new(name)
-        .about(about)
+pub fn daemon_args(spec: &DaemonSpec) -> DaemonArgs {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("JSON settings file")
+        .value_parser(value_parser!(PathBuf))
+        .required(true);
+    let settings = match spec.settings_variable {
+        Some(variable) => settings.env(variable),
+        None => settings,
+    };
+    let matches = Command::new(spec.name)
+        .about(spec.about)
         .version(env!("CARGO_PKG_VERSION"))
         .after_help(EXIT_HELP)
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .help("JSON settings file")
-                .value_parser(value_parser!(PathBuf))
-                .required(true),
-        )
+        .arg(settings)
         .arg(
             Arg::new("check")
                 .long("check")
@@ -69,7 +74,7 @@
             Arg::new("log")
                 .long("log")
                 .value_name("FILTER")
-                .help("Filter of the logs on standard error, such as info or entry=debug")
+                .help("Filter of the logs, such as info or entry=debug")
                 .default_value("info"),
         )
         .get_matches();
--- a/crates/telemetry/src/daemon_run.rs
+++ b/crates/telemetry/src/daemon_run.rs
@@ -6,7 +6,8 @@
 use settings::{BindProbe, DaemonSettings};
 
 use crate::{
-    DaemonArgs, ExitStatus, StopSignal, daemon_command::daemon_args, report_and_exit, start_logs,
+    DaemonArgs, ExitStatus, LogTarget, StopSignal, daemon_command::daemon_args, report_and_exit,
+    start_logs,
 };
 
 /// Time that background work has to end once the daemon has drained.
@@ -21,6 +22,10 @@
     pub about: &'static str,
     /// Threads that serve requests.
     pub worker_threads: usize,
+    /// Environment variable that may hold the path of the settings.
+    pub settings_variable: Option<&'static str>,
+    /// Where log lines go.
+    pub log_target: LogTarget,
 }
 
 /// Read the settings of a daemon and serve until it has drained.
@@ -29,7 +34,7 @@
     S: DaemonSettings,
     F: Future<Output = miette::Result<()>>,
 {
-    let args = daemon_args(spec.name, spec.about);
+    let args = daemon_args(&spec);
     let settings = match read_settings::<S>(&args) {
         Ok(settings) => settings,
         Err(report) => return report_and_exit(report, ExitStatus::Findings),
@@ -61,7 +66,7 @@
 where
     F: Future<Output = miette::Result<()>>,
 {
-    let _logs = start_logs(&args.log).into_diagnostic()?;
+    let _logs = start_logs(&args.log, spec.log_target).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(spec.worker_threads)
         .enable_all()
--- a/crates/telemetry/src/log_setup.rs
+++ b/crates/telemetry/src/log_setup.rs
@@ -1,4 +1,4 @@
-//! Logs as lines of `key=value` on standard error.
+//! Logs as lines of `key=value`.
 
 use std::io::Write;
 
@@ -8,12 +8,27 @@
     kv::{Error, Key, Value, VisitSource},
 };
 
+use crate::BoundedWriter;
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogTarget {
+    /// Standard error, written by the thread that logs.
+    StandardError,
+    /// Standard output, through a bounded queue that drops what does not fit.
+    BoundedOutput,
+}
+
 /// Start logging with a filter; logging ends when the handle is dropped.
-pub fn start_logs(filter: &str) -> Result<LoggerHandle, FlexiLoggerError> {
-    Logger::with(LogSpecification::parse(filter)?)
-        .log_to_stderr()
-        .format(write_line)
-        .start()
+pub fn start_logs(filter: &str, target: LogTarget) -> Result<LoggerHandle, FlexiLoggerError> {
+    let logger = Logger::with(LogSpecification::parse(filter)?).format(write_line);
+    match target {
+        LogTarget::StandardError => logger.log_to_stderr().start(),
+        LogTarget::BoundedOutput => {
+            let writer = BoundedWriter::start(std::io::stdout());
+            logger.log_to_writer(Box::new(writer)).start()
+        }
+    }
 }
 
 struct PairWriter<'a> {
@@ -27,7 +42,7 @@
     }
 }
 
-fn write_line(
+pub(crate) fn write_line(
     out: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
