--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -28,7 +28,7 @@
     share.note_request();
     let mut budget = SendBudget::new(task.route.attempts);
     let mut tried = Vec::new();
-    let reply = loop {
+    loop {
         let now = Instant::now();
         if task.left(now).is_zero() {
             break own(state, task, ReplyReason::Timeout);
@@ -72,8 +72,7 @@
             _ if task.left(Instant::now()).is_zero() => own(state, task, ReplyReason::Timeout),
             _ => own(state, task, ReplyReason::OutcomeUnknown),
         };
-    };
-    reply
+    }
 }
 
 /// Metric label of a send's end.
