Copies of a run count only once it began; silence is judged by what a copy saves

Cause: a send that no server took still named its backup as a copy, so the next send asked for memory that never was and was rejected; 350 ms of silence is within the events of a server that reads a prompt; rejected and unconnected sends used up a stream's four tries.

--- a/crates/domain/src/run_evidence.rs
+++ b/crates/domain/src/run_evidence.rs
@@ -79,6 +79,11 @@
 }
 
 impl SendEnd {
+    /// Whether a server saw the request.
+    pub fn arrived(self) -> bool {
+        !matches!(self, Self::NotConnected | Self::HandedBack)
+    }
+
     /// What it proves.
     pub fn proof(self) -> RunProof {
         match self {
--- a/crates/domain/src/run_evidence/next_step.rs
+++ b/crates/domain/src/run_evidence/next_step.rs
@@ -3,9 +3,11 @@
 use super::{RunProof, SendEnd};
 use crate::desired_state::RouteKind;
 
-/// Sends of one request that no server ran, at most. Each costs a connection
-/// or a round trip; four reach every failure domain of the users once.
-const REJECTED_MAX: u32 = 4;
+/// Rejections of one plain request: four reach every failure domain of the
+/// users once, and each costs a round trip.
+const CALL_REJECTED_MAX: u32 = 4;
+/// Rejections of one stream, which has seconds in place of milliseconds.
+const STREAM_REJECTED_MAX: u32 = 12;
 
 /// What is left for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,8 +16,10 @@
     pub runs_max: u32,
     /// Sends that may have run.
     pub runs: u32,
-    /// Sends that surely did not.
+    /// Sends that a server surely did not run.
     pub rejected: u32,
+    /// Rejections after which no other server is asked.
+    pub rejected_max: u32,
 }
 
 /// What to do next.
@@ -33,19 +37,25 @@
 
 impl SendBudget {
     /// Nothing sent yet.
-    pub fn new(runs_max: u32) -> Self {
+    pub fn new(runs_max: u32, kind: RouteKind) -> Self {
         Self {
             runs_max: runs_max.max(1),
             runs: 0,
             rejected: 0,
+            rejected_max: if kind.is_stream() {
+                STREAM_REJECTED_MAX
+            } else {
+                CALL_REJECTED_MAX
+            },
         }
     }
 
-    /// Count the end of a send.
+    /// Count the end of a send; one that reached no server counts for nothing.
     pub fn count(&mut self, end: SendEnd) {
-        match end.proof() {
-            RunProof::NotRun => self.rejected += 1,
-            RunProof::Ran | RunProof::Unknown => self.runs += 1,
+        match end {
+            SendEnd::NotConnected => {}
+            SendEnd::HandedBack | SendEnd::Rejected => self.rejected += 1,
+            SendEnd::Answered { .. } | SendEnd::Broken | SendEnd::Silent => self.runs += 1,
         }
     }
 
@@ -57,7 +67,7 @@
 
 /// Decide after a send whose end has been counted.
 pub fn next_step(kind: RouteKind, end: SendEnd, budget: &SendBudget) -> NextStep {
-    let again = budget.has_runs_left() && budget.rejected < REJECTED_MAX;
+    let again = budget.has_runs_left() && budget.rejected < budget.rejected_max;
     match end.proof() {
         RunProof::Ran => match end {
             SendEnd::Answered { server_error: true } if kind.is_idempotent() && again => {
--- a/crates/front/src/backend_link.rs
+++ b/crates/front/src/backend_link.rs
@@ -16,9 +16,9 @@
     time::{Instant, timeout},
 };
 
-/// Time for a connection to come about: some hundred round trips of today's
+/// Time for a connection to come about: some forty round trips of today's
 /// sites; a lost opening packet is sent again only after seconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Silence after which the kernel asks a peer, and the pause before it asks
 /// again: the least that sockets take.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -26,7 +26,7 @@
 pub(crate) async fn run_call(state: &FrontState, task: &CallTask) -> CallerReply {
     let share = state.retry_share(&task.service);
     share.note_request();
-    let mut budget = SendBudget::new(task.route.attempts);
+    let mut budget = SendBudget::new(task.route.attempts, task.route.kind);
     let mut tried = Vec::new();
     loop {
         let now = Instant::now();
@@ -51,7 +51,7 @@
         budget.count(end);
         tried.push(slot.record().address);
         let step = next_step(task.route.kind, end, &budget);
-        if step == NextStep::TryAgain && share.spend(Instant::now()) {
+        if step == NextStep::TryAgain && (!end.arrived() || share.spend(Instant::now())) {
             continue;
         }
         break match (step, sent) {
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -13,7 +13,7 @@
     event_relay::{EventLedger, EventVerdict},
     kv_placement::{PickQuery, TokenCounts, pick_backup, pick_server},
     retry_share::RetryShare,
-    run_evidence::{NextStep, SendBudget, SendEnd, next_step},
+    run_evidence::{NextStep, RunProof, SendBudget, SendEnd, next_step},
     server_registry::{ServerSlot, WorkGuard, WorkSize},
 };
 use http_body_util::BodyExt;
@@ -34,12 +34,14 @@
 
 /// Pieces that wait for the caller; one holds what the server sent at once.
 const PIECES_MAX: usize = 16;
-/// Silence of a server between events after which a stream goes on elsewhere.
-/// Events come every 30 to 200 ms at today's sites and a pause of 700 ms is
-/// late, which leaves 300 ms to go on.
-const SILENCE_MAX: Duration = Duration::from_millis(350);
-/// Silence of one stream where the server answers others.
-const LONE_SILENCE_MAX: Duration = Duration::from_millis(1_400);
+/// Silence of a server between events after which a stream goes on from its
+/// copy. Events come every 30 to 250 ms at today's sites and a pause of 700 ms
+/// is late, which leaves 250 ms to go on.
+const SILENCE_MAX: Duration = Duration::from_millis(450);
+/// Silence after which a stream without a copy, or whose server answers
+/// others, goes on elsewhere: the prompt is read anew, which costs more than
+/// a late event.
+const LONE_SILENCE_MAX: Duration = Duration::from_millis(1_600);
 /// Pause before servers are looked for again when there are none.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 /// Tokens of a request that does not tell, a usual prompt of today's sites.
@@ -109,7 +111,7 @@
         Self {
             share,
             ledger: EventLedger::new(task.position),
-            budget: SendBudget::new(task.route.attempts),
+            budget: SendBudget::new(task.route.attempts, task.route.kind),
             state,
             task,
             head: Some(head),
@@ -173,7 +175,8 @@
             self.budget.count(end);
             self.last_failed.push(slot.record().address);
             let step = next_step(self.task.route.kind, end, &self.budget);
-            let again = step == NextStep::TryAgain && self.share.spend(Instant::now());
+            let again =
+                step == NextStep::TryAgain && (!end.arrived() || self.share.spend(Instant::now()));
             log::info!(
                 request = self.task.id.as_str(),
                 server = slot.record().instance.as_str(),
@@ -334,18 +337,17 @@
             "stream sent"
         );
         let sent = send(&self.state, slot, &task, &order, task.deadline).await;
-        // The copy is used or gone; another one grows with this run.
-        self.copy = holder.map(|holder| KvCopy {
+        let may_run = match &sent {
+            Ok(_) => true,
+            Err(end) => end.proof() == RunProof::Unknown,
+        };
+        // The copy is used or gone; another one grows only with a run.
+        self.copy = holder.filter(|_| may_run).map(|holder| KvCopy {
             address: holder.record().address,
             run: task.id.clone(),
         });
         match sent {
-            Err(end) => {
-                if end == SendEnd::Rejected {
-                    self.copy = None;
-                }
-                AttemptEnd::Ended(end)
-            }
+            Err(end) => AttemptEnd::Ended(end),
             Ok(answer) if answer.success => self.relay(slot, answer, &mut work).await,
             Ok(answer) => self.failed_answer(slot, answer).await,
         }
@@ -460,7 +462,9 @@
 
     fn is_lost(&self, slot: &ServerSlot, asked: Instant) -> bool {
         let now = Instant::now();
-        slot.silence(now) >= SILENCE_MAX || now.duration_since(asked) >= LONE_SILENCE_MAX
+        let copied = self.copy.is_some();
+        (copied && slot.silence(now) >= SILENCE_MAX)
+            || now.duration_since(asked) >= LONE_SILENCE_MAX
     }
 
     /// Events of these bytes that the caller lacks; none if one is missing.
