--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -13,7 +13,7 @@
     event_relay::{EventLedger, EventVerdict, StreamPatience},
     kv_placement::{PickQuery, TokenCounts, pick_backup, pick_server},
     retry_share::RetryShare,
-    run_evidence::{NextStep, RunProof, SendBudget, SendEnd, next_step},
+    run_evidence::{NextStep, SendBudget, SendEnd, next_step},
     server_registry::{ServerSlot, WorkGuard, WorkSize},
 };
 use http_body_util::BodyExt;
@@ -341,18 +341,15 @@
                 Err(SendEnd::Silent)
             }
         };
-        let may_run = match &sent {
-            Ok(_) => true,
-            Err(end) => end.proof() == RunProof::Unknown,
-        };
-        // The copy is used or gone; another one grows only with a run.
-        self.copy = holder.filter(|_| may_run).map(|holder| KvCopy {
-            address: holder.record().address,
-            run: task.id.clone(),
-        });
         match sent {
             Err(end) => AttemptEnd::Ended(end),
-            Ok(answer) if answer.success => self.relay(slot, answer, &mut work).await,
+            Ok(answer) if answer.success => {
+                let copy = holder.map(|holder| KvCopy {
+                    address: holder.record().address,
+                    run: task.id.clone(),
+                });
+                self.relay(slot, answer, &mut work, copy).await
+            }
             Ok(answer) => self.failed_answer(slot, answer).await,
         }
     }
@@ -389,7 +386,9 @@
         slot: &ServerSlot,
         answer: WorkerAnswer,
         work: &mut WorkGuard,
+        copy: Option<KvCopy>,
     ) -> AttemptEnd {
+        let mut copy = copy;
         let (parts, mut body, link) = answer.split();
         if let Some(head) = self.head.take() {
             let parts = Box::new(parts.clone());
@@ -418,6 +417,8 @@
             if !begun {
                 begun = true;
                 work.prompt_read();
+                // There is no copy before the prompt is read.
+                self.copy = copy.take();
             }
             self.note_piece();
             if self.pieces.send(StreamPiece::Events(events)).await.is_err() {
