Copies of memory are kept through the loss of their holder

Copies are made anew by moves and given up at the end of the run. A server that answers 421 tells which lifetime holds its address; it is used until the list tells, while the address cannot have been given away.

--- a/crates/domain/src/kv_placement.rs
+++ b/crates/domain/src/kv_placement.rs
@@ -7,8 +7,10 @@
 //! domains cost, so the own one is preferred by a margin. Servers that failed
 //! lately, and failure domains where several did, come last.
 
+mod copy_plan;
 mod server_pick;
 
+pub use copy_plan::{CopyPlan, CopyStep};
 pub use server_pick::{PickQuery, pick_backup, pick_server};
 
 /// Tokens of a request.
--- a/crates/domain/src/server_registry/registry_fold.rs
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -10,6 +10,9 @@
 /// Time after an outage of the store within which living servers are back.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
 
+/// Start of a lifetime that has not registered yet.
+pub(super) const BORN_UNKNOWN: u64 = 0;
+
 /// What a server says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -67,33 +70,39 @@
         self.slots.values()
     }
 
+    /// Whether a lifetime is in the list, ready or not.
+    pub fn knows(&self, slot: &ServerSlot) -> bool {
+        self.slots
+            .get(&slot.record().instance)
+            .is_some_and(|known| known.is_same_life(slot.record()))
+    }
+
     /// Note that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Instant) {
         self.outage_ended = Some(now);
     }
 
     /// Replace the list by a whole listing.
-    pub fn replace(&mut self, records: Vec<ServerRecord>, now: Instant) {
-        let missing: Vec<ServerName> = self
+    pub fn replace(&mut self, records: &[ServerRecord], now: Instant) {
+        let missing = self
             .slots
             .keys()
             .filter(|name| !records.iter().any(|record| record.instance == **name))
-            .cloned()
+            .cloned();
+        let changes: Vec<RegistryChange> = missing
+            .map(RegistryChange::Absent)
+            .chain(records.iter().cloned().map(RegistryChange::Present))
             .collect();
-        let changes = records
-            .into_iter()
-            .map(RegistryChange::Present)
-            .chain(missing.into_iter().map(RegistryChange::Absent));
-        self.apply(changes, now);
+        self.apply(&changes, now);
     }
 
     /// Apply changes in their order; also when there are none, since servers
     /// whose registration lapsed may be gone by now.
-    pub fn apply(&mut self, changes: impl Iterator<Item = RegistryChange>, now: Instant) {
+    pub fn apply(&mut self, changes: &[RegistryChange], now: Instant) {
         for change in changes {
             match change {
-                RegistryChange::Present(record) => self.put(record),
-                RegistryChange::Absent(name) => self.lapse(name, now),
+                RegistryChange::Present(record) => self.put(record.clone()),
+                RegistryChange::Absent(name) => self.lapse(name.clone(), now),
             }
         }
         let expired = |limit: &Instant| *limit <= now;
@@ -103,8 +112,40 @@
         self.rebuild();
     }
 
+    /// Take in what a server said of itself when it turned down a request for
+    /// `old`: another lifetime holds the address. It is of the same service
+    /// only while the address cannot have been given away, so `old` must have
+    /// shown life within `reuse_time`. It stays until the list says otherwise.
+    pub fn adopt(
+        &mut self,
+        old: &ServerSlot,
+        instance: ServerName,
+        reuse_time: Duration,
+        now: Instant,
+    ) -> bool {
+        if old.silence(now) >= reuse_time || self.slots.contains_key(&instance) {
+            return false;
+        }
+        self.put(ServerRecord {
+            instance,
+            born_ms: BORN_UNKNOWN,
+            state: ServerState::Ready,
+            ..old.record().clone()
+        });
+        self.rebuild();
+        true
+    }
+
     fn put(&mut self, record: ServerRecord) {
         self.lapsed.remove(&record.instance);
+        // An address has one holder: a later lifetime ends the earlier ones.
+        let ended = |slot: &ServerSlot| {
+            let other = slot.record();
+            other.address == record.address
+                && other.instance != record.instance
+                && (record.born_ms == BORN_UNKNOWN || other.born_ms < record.born_ms)
+        };
+        self.slots.retain(|_, slot| !ended(slot));
         let name = record.instance.clone();
         let slot = match self.slots.get(&name) {
             Some(known) if known.is_same_life(&record) => Arc::new(known.updated(record)),
--- a/crates/domain/src/server_registry/server_slot.rs
+++ b/crates/domain/src/server_registry/server_slot.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use super::ServerRecord;
+use super::{ServerRecord, registry_fold::BORN_UNKNOWN};
 use crate::kv_placement::LoadReport;
 
 /// Counts that requests write; they outlive a change of the registration.
@@ -84,7 +84,7 @@
     pub(super) fn is_same_life(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address
             && self.record.service == record.service
-            && self.record.born_ms == record.born_ms
+            && (self.record.born_ms == record.born_ms || self.record.born_ms == BORN_UNKNOWN)
     }
 
     /// The registration.
@@ -122,7 +122,7 @@
 
     /// Note a sign of life.
     pub fn note_life(&self, now: Instant) {
-        self.load.life_sign.store(self.millis(now), Relaxed);
+        self.load.life_sign.store(self.millis(now).max(1), Relaxed);
         self.load.suspect_until.store(0, Relaxed);
     }
 
@@ -155,10 +155,13 @@
         self.load.suspect_until.load(Relaxed) > self.millis(now)
     }
 
-    /// Time since the last sign of life, on any connection of this process.
+    /// Time since the last sign of life, on any connection of this process;
+    /// without end if there was none.
     pub fn silence(&self, now: Instant) -> Duration {
-        let sign = self.load.life_sign.load(Relaxed);
-        Duration::from_millis(self.millis(now).saturating_sub(sign))
+        match self.load.life_sign.load(Relaxed) {
+            0 => Duration::MAX,
+            sign => Duration::from_millis(self.millis(now).saturating_sub(sign)),
+        }
     }
 
     /// Keep the load that the server reported.
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -10,12 +10,12 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use domain::{
-    ServiceName,
+    ServerName, ServiceName,
     desired_state::{DesiredState, StateFreshness},
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
     retry_share::RetryShare,
-    server_registry::ServerRegistry,
+    server_registry::{ServerRegistry, ServerSlot},
 };
 use settings::FrontSettings;
 use tokio::{sync::Notify, time::Instant};
@@ -107,6 +107,27 @@
         self.drain.phase(self.drain_times(), now)
     }
 
+    /// Take in the lifetime that holds a server's address now, if it must be
+    /// of the same service.
+    pub(crate) fn adopt(&self, old: &ServerSlot, instance: &ServerName) {
+        let reuse_time = self.settings.load().address_reuse;
+        let now = Instant::now();
+        let mut adopted = false;
+        self.registry.rcu(|registry| {
+            let mut registry = ServerRegistry::clone(registry);
+            adopted = registry.adopt(old, instance.clone(), reuse_time, now);
+            registry
+        });
+        if adopted {
+            log::info!(
+                server = instance.as_str(),
+                before = old.record().instance.as_str(),
+                silent_ms = old.silence(now).as_millis() as u64;
+                "server adopted from its own answer"
+            );
+        }
+    }
+
     /// Spend one retry of a service's budget if there is one.
     pub(crate) fn spend_retry(&self, share: &RetryShare) -> bool {
         let now = Instant::now();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_run;
 mod call_task;
 mod caller_front;
+mod copy_keeper;
 mod drain_clock;
 mod front_metrics;
 mod front_state;
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -8,7 +8,7 @@
 
 use domain::{
     entry_roster::EntryRoster,
-    server_registry::{RegistryChange, ServerRegistry},
+    server_registry::{RegistryChange, ServerRecord, ServerRegistry},
 };
 use platform::{
     desired_state_row::decode_state,
@@ -229,14 +229,14 @@
             RegistryChange::Present(record) => Some(record),
             RegistryChange::Absent(_) => None,
         });
-        let records = records.collect();
-        update(state, |registry, now| registry.replace(records, now));
+        let records: Vec<ServerRecord> = records.collect();
+        update(state, |registry, now| registry.replace(&records, now));
         state.note_listed();
     }
 
     fn changed(&self, state: &FrontState, page: RowPage) {
-        let changes = page.rows.into_iter().map(change);
-        update(state, |registry, now| registry.apply(changes, now));
+        let changes: Vec<RegistryChange> = page.rows.into_iter().map(change).collect();
+        update(state, |registry, now| registry.apply(&changes, now));
     }
 
     fn confirmed(&self, _state: &FrontState, _asked: Instant) {}
@@ -267,13 +267,17 @@
     }
 }
 
-/// Only the watch of servers writes the registry, so nothing is lost between
-/// reading and replacing it.
-fn update(state: &FrontState, change: impl FnOnce(&mut ServerRegistry, Instant)) {
-    let mut registry = ServerRegistry::clone(&state.registry.load());
-    change(&mut registry, Instant::now());
+/// Requests may adopt a server at the same time, so the change is made again
+/// on the newest registry until it is the one replaced.
+fn update(state: &FrontState, change: impl Fn(&mut ServerRegistry, Instant)) {
+    let now = Instant::now();
+    state.registry.rcu(|registry| {
+        let mut registry = ServerRegistry::clone(registry);
+        change(&mut registry, now);
+        registry
+    });
+    let registry = state.registry.load();
     state.links.retain(&registry);
     let count = i64::try_from(registry.all().count()).unwrap_or(i64::MAX);
     state.metrics.servers.set(count);
-    state.registry.store(Arc::new(registry));
 }
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -8,7 +8,6 @@
 
 use bytes::{Bytes, BytesMut};
 use domain::{
-    RequestId,
     desired_state::{EngineSpec, RouteKind},
     event_relay::{EventLedger, EventVerdict, StreamPatience},
     kv_placement::{PickQuery, TokenCounts, pick_backup, pick_server},
@@ -27,6 +26,7 @@
 use crate::{
     call_run::{own, refuse, send_name},
     call_task::CallTask,
+    copy_keeper::{CopyKeeper, KvCopy},
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, StreamPiece, stream_reply, whole_reply},
     worker_exchange::{WorkerAnswer, keep_link, send, until_lost},
@@ -67,12 +67,6 @@
     Whole(Box<CallerReply>),
 }
 
-/// Where a copy of the run's memory lies.
-struct KvCopy {
-    address: SocketAddr,
-    run: RequestId,
-}
-
 /// How one attempt ended.
 enum AttemptEnd {
     /// The caller has everything.
@@ -246,7 +240,7 @@
         if let Some(copy) = &self.copy {
             let holder = servers
                 .iter()
-                .find(|slot| slot.record().address == copy.address && !slot.is_suspect(now));
+                .find(|slot| slot.record().address == copy.holder && !slot.is_suspect(now));
             if let Some(holder) = holder {
                 return Some(Arc::clone(holder));
             }
@@ -282,6 +276,22 @@
             .clone()
     }
 
+    /// Whether a server still is what it was when it was chosen.
+    fn lives(&self, slot: &ServerSlot) -> bool {
+        let registry = self.state.registry.load();
+        !slot.is_misdirected() && registry.knows(slot)
+    }
+
+    /// A holder for the copy, with its room taken.
+    fn choose_holder(&self, primary: &ServerSlot) -> Option<(Arc<ServerSlot>, WorkGuard)> {
+        let holder = self.pick_copy_holder(primary)?;
+        let room = holder.begin(WorkSize {
+            kv_tokens: self.tokens().total(),
+            ..WorkSize::default()
+        });
+        Some((holder, room))
+    }
+
     fn pick_copy_holder(&self, primary: &ServerSlot) -> Option<Arc<ServerSlot>> {
         let backed_up = self.task.route.kind == RouteKind::ResumableStream
             && self.engine().is_some_and(|engine| engine.backups);
@@ -295,32 +305,26 @@
         pick_backup(servers, &query, primary, &mut rand::rng()).map(Arc::clone)
     }
 
-    async fn attempt(&mut self, slot: &ServerSlot) -> AttemptEnd {
+    async fn attempt(&mut self, slot: &Arc<ServerSlot>) -> AttemptEnd {
         let now = Instant::now();
         let task = Arc::clone(&self.task);
         let tokens = self.tokens();
         let copy = self
             .copy
             .take()
-            .filter(|copy| copy.address == slot.record().address);
-        let holder = self.pick_copy_holder(slot);
+            .filter(|copy| copy.holder == slot.record().address);
+        let holder = self.choose_holder(slot);
         let mut work = slot.begin(WorkSize {
             runs: 1,
             prompt_tokens: if copy.is_some() { 0 } else { tokens.prompt },
             kv_tokens: tokens.total(),
         });
-        let _copy_room = holder.as_ref().map(|holder| {
-            holder.begin(WorkSize {
-                kv_tokens: tokens.total(),
-                ..WorkSize::default()
-            })
-        });
         let mut order = task.order(slot, now);
         order.position = self.ledger.last();
-        order.backup = holder.as_ref().map(|holder| holder.record().address);
+        order.backup = holder.as_ref().map(|(holder, _)| holder.record().address);
         order.source = copy.as_ref().map(|copy| KvSource {
-            address: copy.address,
-            run: &copy.run,
+            address: copy.named_at,
+            name: &copy.name,
         });
         log::info!(
             request = task.id.as_str(),
@@ -344,11 +348,8 @@
         match sent {
             Err(end) => AttemptEnd::Ended(end),
             Ok(answer) if answer.success => {
-                let copy = holder.map(|holder| KvCopy {
-                    address: holder.record().address,
-                    run: task.id.clone(),
-                });
-                self.relay(slot, answer, &mut work, copy).await
+                let keeper = CopyKeeper::new(&task.id, slot, holder);
+                self.relay(slot, answer, &mut work, keeper).await
             }
             Ok(answer) => self.failed_answer(slot, answer).await,
         }
@@ -383,12 +384,11 @@
 
     async fn relay(
         &mut self,
-        slot: &ServerSlot,
+        slot: &Arc<ServerSlot>,
         answer: WorkerAnswer,
         work: &mut WorkGuard,
-        copy: Option<KvCopy>,
+        mut keeper: CopyKeeper,
     ) -> AttemptEnd {
-        let mut copy = copy;
         let (parts, mut body, link) = answer.split();
         if let Some(head) = self.head.take() {
             let parts = Box::new(parts.clone());
@@ -417,9 +417,11 @@
             if !begun {
                 begun = true;
                 work.prompt_read();
-                // There is no copy before the prompt is read.
-                self.copy = copy.take();
             }
+            // There is no copy before the prompt is read.
+            let chosen = || self.choose_holder(slot);
+            keeper.tend(|holder| self.lives(holder), chosen).await;
+            self.copy = keeper.copy().cloned();
             self.note_piece();
             if self.pieces.send(StreamPiece::Events(events)).await.is_err() {
                 return AttemptEnd::Ended(SendEnd::Broken);
@@ -428,6 +430,7 @@
         if cutter.has_partial() {
             return AttemptEnd::Ended(SendEnd::Broken);
         }
+        keeper.finish();
         keep_link(&self.state, slot, &parts, link);
         AttemptEnd::Complete
     }
--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/worker_exchange.rs
@@ -1,17 +1,21 @@
 //! One send of a request to one backend server.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use domain::{event_relay::StreamPatience, run_evidence::SendEnd, server_registry::ServerSlot};
-use http::{Request, Response, Uri, response::Parts};
+use domain::{
+    RequestId, event_relay::StreamPatience, run_evidence::SendEnd, server_registry::ServerSlot,
+};
+use http::{Method, Request, Response, Uri, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use miette::IntoDiagnostic;
 use platform::{
-    worker_answer::{closes, decode_head, decode_load, idle_time},
+    worker_answer::{closes, decode_head, decode_instance, decode_load, idle_time},
+    worker_call::{MOVE_PATH, decode_handle, move_body, release_path},
     worker_request::WorkerOrder,
 };
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
     backend_link::BackendLink, call_task::CallTask, front_state::FrontState, link_pool::LinkTrust,
@@ -20,6 +24,9 @@
 /// Largest answer that is held whole, in bytes; answers of plain services are
 /// some kilobytes.
 const ANSWER_MAX: usize = 8 << 20;
+/// Time for a copy of a run's memory: some 1.5 GB over 100 GB/s, and others
+/// before it.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which a server that failed is avoided at first. A crash of today's
 /// sites lasts 1.2 s; three failures in a row reach beyond it.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
@@ -148,6 +155,9 @@
         if head.misdirected {
             slot.note_misdirected();
             state.list_doubt.notify_one();
+            if let Some(instance) = decode_instance(&parts.headers) {
+                state.adopt(slot, &instance);
+            }
         }
         return Err(SendEnd::Rejected);
     }
@@ -211,6 +221,79 @@
     }
 }
 
+/// Copy the memory of a run to another server while the run goes on; gives the
+/// name of the copy.
+pub(crate) async fn move_memory(
+    slot: &ServerSlot,
+    run: &RequestId,
+    target: SocketAddr,
+) -> Option<String> {
+    let moved = timeout(MOVE_TIMEOUT, request_move(slot, run, target)).await;
+    let outcome = match &moved {
+        Ok(Ok(_)) => "moved",
+        Ok(Err(_)) => "refused",
+        Err(_) => "silent",
+    };
+    log::info!(
+        request = run.as_str(),
+        server = slot.record().instance.as_str(),
+        target:% = target,
+        outcome = outcome;
+        "memory copied"
+    );
+    moved.ok()?.ok()
+}
+
+async fn request_move(
+    slot: &ServerSlot,
+    run: &RequestId,
+    target: SocketAddr,
+) -> miette::Result<String> {
+    let body = move_body(run, target);
+    let body = call_server(slot, Method::POST, MOVE_PATH, body).await?;
+    decode_handle(&body).into_diagnostic()
+}
+
+/// Give up the copy of a move that nobody needs any more.
+pub(crate) async fn release_memory(slot: &ServerSlot, handle: &str) {
+    let path = release_path(handle);
+    let released = call_server(slot, Method::DELETE, &path, Vec::new());
+    match timeout(MOVE_TIMEOUT, released).await {
+        Ok(Ok(_)) => {}
+        // The server gives it up by itself after some seconds.
+        Ok(Err(error)) => log::debug!(error:%; "copy not released"),
+        Err(_) => log::debug!("copy not released in time"),
+    }
+}
+
+/// A call of our own to a server, on a connection of its own.
+async fn call_server(
+    slot: &ServerSlot,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> miette::Result<Bytes> {
+    let address = slot.record().address;
+    let mut link = BackendLink::open(address).await.into_diagnostic()?;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(body))
+        .into_diagnostic()?;
+    let response = link.sender.send_request(request).await.into_diagnostic()?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_MAX)
+        .collect()
+        .await;
+    let body = body.map_err(|error| miette::miette!("{error}"))?.to_bytes();
+    if !status.is_success() {
+        return Err(miette::miette!("status {status}"));
+    }
+    Ok(body)
+}
+
 /// Wait until a silent server is lost: its machine does not take a new
 /// connection any more, or the silence lasts too long. A connection that came
 /// about is kept for a later request.
--- a/crates/settings/src/front_settings.rs
+++ b/crates/settings/src/front_settings.rs
@@ -26,6 +26,8 @@
     pub store: SocketAddr,
     /// Time in which an accepted desired state is to be in force.
     pub apply_limit: Duration,
+    /// Time after a server's end in which its address is given to no other.
+    pub address_reuse: Duration,
     /// Time from the order to stop to the kill.
     pub grace: Duration,
     /// Bounds of the retry budget.
@@ -48,6 +50,7 @@
             admin: fields.listener("admin", ports),
             store: fields.address("store"),
             apply_limit: fields.millis("apply_ms", 1..=600_000, Duration::from_millis(2_000)),
+            address_reuse: read_seconds(fields, "address_reuse_seconds", 0.0),
             grace: read_seconds(fields, "grace_seconds", 8.0),
             retry: RetryBounds {
                 ratio: fields.decimal("retry_ratio", 0.2),
