--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -24,7 +24,7 @@
 
 /// Time after which an entry whose row did not change counts as gone: three
 /// of its announcements, one of which may be lost.
-const ROSTER_LIFETIME: Duration = Duration::from_secs(36);
+const ROSTER_LIFETIME: Duration = Duration::from_secs(60);
 
 /// State of an entry.
 pub struct FrontState {
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -26,17 +26,18 @@
     store_client::{StoreClient, StoreFailure},
 };
 
-/// Time that the store may hold a question for a desired state. A connection
-/// that fell silent is noticed after it, within the time for a version to be
-/// in force.
-const STATE_WAIT: Duration = Duration::from_millis(1_200);
+/// Time that the store may hold a question for a desired state: the time for a
+/// version to be in force at today's sites, after which a connection that fell
+/// silent is noticed.
+const STATE_WAIT: Duration = Duration::from_millis(2_000);
 /// Time that the store may hold a question for servers.
 const SERVER_WAIT: Duration = Duration::from_millis(900);
-/// Time between two questions for servers: their registrations change all the
-/// time, and one that leaves is to be known within 2 s.
-const SERVER_PERIOD: Duration = Duration::from_millis(900);
+/// Time between two questions for servers, in percent of the time in which one
+/// that leaves is to be known: registrations change all the time, so the store
+/// answers at once. What is left is for a slow answer.
+const SERVER_PERIOD_PERCENT: u32 = 55;
 /// Time between two announcements of this entry.
-const ANNOUNCE_PERIOD: Duration = Duration::from_secs(12);
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(20);
 /// Least time between two questions for servers when the list is in doubt.
 const DOUBT_PERIOD: Duration = Duration::from_millis(250);
 /// Pause after the first failed call, and the longest one; each is spread.
@@ -246,8 +247,9 @@
     }
 
     async fn pause(&self, state: &FrontState, asked: Instant) {
+        let period = state.settings.load().drain_limit * SERVER_PERIOD_PERCENT / 100;
         tokio::select! {
-            () = sleep_until(asked + SERVER_PERIOD) => {}
+            () = sleep_until(asked + period) => {}
             () = state.list_doubt.notified() => sleep_until(asked + DOUBT_PERIOD).await,
         }
     }
