--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -6,7 +6,10 @@
 use tokio::time::Instant;
 
 use super::TokenCounts;
-use crate::{DomainName, server_registry::ServerSlot};
+use crate::{
+    DomainName,
+    server_registry::{DomainServers, ServerSlot},
+};
 
 /// Prompt tokens that a model server reads in a millisecond, from the users'
 /// sheets (8 on all of them).
@@ -34,6 +37,12 @@
 /// for other processes' requests and for outputs that grow.
 const KV_FILL_PERCENT: u64 = 85;
 
+/// Servers of the own failure domain, and of each other one, that a choice
+/// looks at: all of today's sites, and of larger ones enough that the best of
+/// them is hardly worse than the best of all.
+const OWN_SAMPLE: usize = 24;
+const AWAY_SAMPLE: usize = 12;
+
 /// What a request needs of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct PickQuery<'a> {
@@ -51,12 +60,12 @@
 
 /// The server for a request.
 pub fn pick_server<'a>(
-    servers: &'a [Arc<ServerSlot>],
+    servers: &'a [DomainServers],
     query: &PickQuery<'_>,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
-    pick_by(servers, query, rng, |slot| {
-        let away = slot.record().domain != *query.own_domain;
+    pick_by(servers, query, rng, |domain, slot| {
+        let away = domain != query.own_domain;
         work_cost(slot, query) + if away { away_cost(query) } else { 0 }
     })
 }
@@ -64,13 +73,13 @@
 /// The server that keeps a copy of the memory of a run at `primary`: in
 /// another failure domain, so that both are not lost at once.
 pub fn pick_backup<'a>(
-    servers: &'a [Arc<ServerSlot>],
+    servers: &'a [DomainServers],
     query: &PickQuery<'_>,
     primary: &ServerSlot,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
-    let picked = pick_by(servers, query, rng, |slot| {
-        let same = slot.record().domain == primary.record().domain;
+    let picked = pick_by(servers, query, rng, |domain, slot| {
+        let same = *domain == primary.record().domain;
         // Memory decides: a copy reads no prompt.
         slot.kv_tokens() / PROMPT_TOKENS_PER_MS
             + u64::from(slot.running()) * RUN_COST_MS
@@ -80,23 +89,54 @@
 }
 
 fn pick_by<'a>(
-    servers: &'a [Arc<ServerSlot>],
+    servers: &'a [DomainServers],
     query: &PickQuery<'_>,
     rng: &mut impl Rng,
-    cost: impl Fn(&ServerSlot) -> u64,
+    cost: impl Fn(&DomainName, &ServerSlot) -> u64,
 ) -> Option<&'a Arc<ServerSlot>> {
-    servers
-        .iter()
-        .filter(|slot| !slot.is_misdirected())
-        .filter(|slot| !query.tried.contains(&slot.record().address))
-        .min_by_key(|slot| {
-            let suspicion = suspicion(servers, slot, query.now);
-            // Chance decides between equals, so that processes do not herd.
-            (
-                cost(slot) + room_cost(slot, query) + suspicion,
-                rng.random::<u32>(),
-            )
-        })
+    let mut best: Option<(u64, &Arc<ServerSlot>)> = None;
+    for own in servers {
+        let most = if own.domain == *query.own_domain {
+            OWN_SAMPLE
+        } else {
+            AWAY_SAMPLE
+        };
+        // The start is drawn, so that processes do not herd on the first of
+        // equals, and the window follows it round the list.
+        let start = rng.random_range(0..own.slots.len().max(1));
+        let window = || {
+            let (before, after) = own.slots.split_at(start);
+            after.iter().chain(before).take(most)
+        };
+        let doubt = domain_doubt(window(), query.now);
+        for slot in window() {
+            if slot.is_misdirected() || query.tried.contains(&slot.record().address) {
+                continue;
+            }
+            let suspicion = if slot.is_suspect(query.now) {
+                SUSPECT_MS
+            } else {
+                doubt
+            };
+            let total = cost(&own.domain, slot) + room_cost(slot, query) + suspicion;
+            if best.is_none_or(|(least, _)| total < least) {
+                best = Some((total, slot));
+            }
+        }
+    }
+    best.map(|(_, slot)| slot)
+}
+
+/// Cost of a failure domain in which half of the servers looked at failed.
+fn domain_doubt<'a>(slots: impl Iterator<Item = &'a Arc<ServerSlot>>, now: Instant) -> u64 {
+    let (all, suspect) = slots.fold((0_u32, 0_u32), |(all, suspect), slot| {
+        (all + 1, suspect + u32::from(slot.is_suspect(now)))
+    });
+    if suspect >= 2 && suspect * 2 >= all {
+        DOMAIN_SUSPECT_MS
+    } else {
+        0
+    }
 }
 
 fn work_cost(slot: &ServerSlot, query: &PickQuery<'_>) -> u64 {
@@ -134,21 +174,3 @@
         0
     }
 }
-
-fn suspicion(servers: &[Arc<ServerSlot>], slot: &ServerSlot, now: Instant) -> u64 {
-    if slot.is_suspect(now) {
-        return SUSPECT_MS;
-    }
-    let domain = &slot.record().domain;
-    let peers = servers
-        .iter()
-        .filter(|peer| peer.record().domain == *domain);
-    let (all, suspect) = peers.fold((0_u32, 0_u32), |(all, suspect), peer| {
-        (all + 1, suspect + u32::from(peer.is_suspect(now)))
-    });
-    if suspect >= 2 && suspect * 2 >= all {
-        DOMAIN_SUSPECT_MS
-    } else {
-        0
-    }
-}
--- a/crates/domain/src/server_registry/registry_fold.rs
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -1,6 +1,11 @@
 //! The list of servers as the fold of listings and changes.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
@@ -50,21 +55,62 @@
     Absent(ServerName),
 }
 
+/// Servers of one service in one failure domain.
+#[derive(Clone, Debug)]
+pub struct DomainServers {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Its servers.
+    pub slots: Vec<Arc<ServerSlot>>,
+}
+
 /// All servers, as requests see them; replaced whole by each change.
 #[derive(Clone, Debug, Default)]
 pub struct ServerRegistry {
-    services: HashMap<ServiceName, Vec<Arc<ServerSlot>>>,
+    services: HashMap<ServiceName, Vec<DomainServers>>,
     slots: HashMap<ServerName, Arc<ServerSlot>>,
+    holders: HashMap<SocketAddr, ServerName>,
     lapsed: HashMap<ServerName, Instant>,
     outage_ended: Option<Instant>,
 }
 
 impl ServerRegistry {
-    /// Servers of a service.
-    pub fn servers(&self, service: &ServiceName) -> &[Arc<ServerSlot>] {
+    /// Servers of a service that may get requests, by failure domain.
+    pub fn servers(&self, service: &ServiceName) -> &[DomainServers] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Number of servers in the list.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether there is no server in the list.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Whether a lifetime of that name is in the list.
+    pub fn contains(&self, instance: &ServerName) -> bool {
+        self.slots.contains_key(instance)
+    }
+
+    /// Whether changes would change anything: most registrations come again as
+    /// they were.
+    pub fn is_changed_by(&self, changes: &[RegistryChange], now: Instant) -> bool {
+        let new = |change: &RegistryChange| match change {
+            RegistryChange::Present(record) => {
+                self.lapsed.contains_key(&record.instance)
+                    || self
+                        .slots
+                        .get(&record.instance)
+                        .is_none_or(|slot| slot.record() != record)
+            }
+            RegistryChange::Absent(name) => self.slots.contains_key(name),
+        };
+        self.lapsed.values().any(|limit| *limit <= now) || changes.iter().any(new)
+    }
+
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Arc<ServerSlot>> {
         self.slots.values()
@@ -84,12 +130,10 @@
 
     /// Replace the list by a whole listing.
     pub fn replace(&mut self, records: &[ServerRecord], now: Instant) {
-        let missing = self
-            .slots
-            .keys()
-            .filter(|name| !records.iter().any(|record| record.instance == **name))
-            .cloned();
+        let listed: HashSet<&ServerName> = records.iter().map(|record| &record.instance).collect();
+        let missing = self.slots.keys().filter(|name| !listed.contains(name));
         let changes: Vec<RegistryChange> = missing
+            .cloned()
             .map(RegistryChange::Absent)
             .chain(records.iter().cloned().map(RegistryChange::Present))
             .collect();
@@ -107,7 +151,12 @@
         }
         let expired = |limit: &Instant| *limit <= now;
         for (name, _) in self.lapsed.extract_if(|_, limit| expired(limit)) {
-            self.slots.remove(&name);
+            if let Some(slot) = self.slots.remove(&name) {
+                let address = &slot.record().address;
+                if self.holders.get(address) == Some(&name) {
+                    self.holders.remove(address);
+                }
+            }
         }
         self.rebuild();
     }
@@ -139,13 +188,16 @@
     fn put(&mut self, record: ServerRecord) {
         self.lapsed.remove(&record.instance);
         // An address has one holder: a later lifetime ends the earlier ones.
-        let ended = |slot: &ServerSlot| {
-            let other = slot.record();
-            other.address == record.address
-                && other.instance != record.instance
-                && (record.born_ms == BORN_UNKNOWN || other.born_ms < record.born_ms)
-        };
-        self.slots.retain(|_, slot| !ended(slot));
+        if let Some(holder) = self.holders.insert(record.address, record.instance.clone())
+            && holder != record.instance
+            && let Some(other) = self.slots.get(&holder)
+        {
+            if record.born_ms != BORN_UNKNOWN && record.born_ms < other.record().born_ms {
+                self.holders.insert(record.address, holder);
+                return;
+            }
+            self.slots.remove(&holder);
+        }
         let name = record.instance.clone();
         let slot = match self.slots.get(&name) {
             Some(known) if known.is_same_life(&record) => Arc::new(known.updated(record)),
@@ -163,15 +215,23 @@
     }
 
     fn rebuild(&mut self) {
-        let mut services: HashMap<ServiceName, Vec<Arc<ServerSlot>>> = HashMap::new();
+        let mut services: HashMap<ServiceName, Vec<DomainServers>> = HashMap::new();
         for slot in self.slots.values() {
-            if slot.record().state == ServerState::Ready {
-                let service = slot.record().service.clone();
-                services.entry(service).or_default().push(Arc::clone(slot));
+            let record = slot.record();
+            if record.state != ServerState::Ready {
+                continue;
+            }
+            let domains = match services.get_mut(&record.service) {
+                Some(domains) => domains,
+                None => services.entry(record.service.clone()).or_default(),
+            };
+            match domains.iter_mut().find(|own| own.domain == record.domain) {
+                Some(own) => own.slots.push(Arc::clone(slot)),
+                None => domains.push(DomainServers {
+                    domain: record.domain.clone(),
+                    slots: vec![Arc::clone(slot)],
+                }),
             }
-        }
-        for slots in services.values_mut() {
-            slots.sort_by(|a, b| a.record().instance.cmp(&b.record().instance));
         }
         self.services = services;
     }
--- a/crates/front/src/link_pool.rs
+++ b/crates/front/src/link_pool.rs
@@ -70,8 +70,7 @@
 
     /// Close connections to servers that are gone.
     pub(crate) fn retain(&self, registry: &ServerRegistry) {
-        let known = |name: &ServerName| registry.all().any(|slot| slot.record().instance == *name);
-        self.idle.pin().retain(|name, _| known(name));
+        self.idle.pin().retain(|name, _| registry.contains(name));
     }
 }
 
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -237,7 +237,13 @@
 
     fn changed(&self, state: &FrontState, page: RowPage) {
         let changes: Vec<RegistryChange> = page.rows.into_iter().map(change).collect();
-        update(state, |registry, now| registry.apply(&changes, now));
+        if state
+            .registry
+            .load()
+            .is_changed_by(&changes, Instant::now())
+        {
+            update(state, |registry, now| registry.apply(&changes, now));
+        }
     }
 
     fn confirmed(&self, _state: &FrontState, _asked: Instant) {}
@@ -280,6 +286,6 @@
     });
     let registry = state.registry.load();
     state.links.retain(&registry);
-    let count = i64::try_from(registry.all().count()).unwrap_or(i64::MAX);
+    let count = i64::try_from(registry.len()).unwrap_or(i64::MAX);
     state.metrics.servers.set(count);
 }
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -240,6 +240,7 @@
         if let Some(copy) = &self.copy {
             let holder = servers
                 .iter()
+                .flat_map(|own| &own.slots)
                 .find(|slot| slot.record().address == copy.holder && !slot.is_suspect(now));
             if let Some(holder) = holder {
                 return Some(Arc::clone(holder));
