--- a/crates/domain/src/server_registry/server_slot.rs
+++ b/crates/domain/src/server_registry/server_slot.rs
@@ -80,11 +80,12 @@
         }
     }
 
-    /// Whether a registration is of the same lifetime.
+    /// Whether a registration is of the same lifetime, as far as it is known.
     pub(super) fn is_same_life(&self, record: &ServerRecord) -> bool {
+        let births = [self.record.born_ms, record.born_ms];
         self.record.address == record.address
             && self.record.service == record.service
-            && (self.record.born_ms == record.born_ms || self.record.born_ms == BORN_UNKNOWN)
+            && (births[0] == births[1] || births.contains(&BORN_UNKNOWN))
     }
 
     /// The registration.
--- /dev/null
+++ b/crates/domain/tests/desired_state.rs
@@ -0,0 +1,139 @@
+//! Which requests a desired state allows, and which version is in force.
+
+use std::time::Duration;
+
+use domain::{
+    ServiceName, TeamName,
+    desired_state::{
+        ApiKey, CallerLimits, DesiredState, RequestQuery, RequestVerdict, RouteKind, RouteSpec,
+        StateFreshness, StateVersion, TeamSpec, WeightedService,
+    },
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn route(host: &str, prefix: &str, public: bool) -> RouteSpec {
+    RouteSpec {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        latency_target: None,
+        gap_target: None,
+        priority: 3,
+        attempts: 2,
+        public,
+        targets: vec![WeightedService {
+            service: ServiceName::from("desk"),
+            weight: 1.0,
+        }],
+    }
+}
+
+fn state(row: u64) -> DesiredState {
+    let team = TeamSpec {
+        name: TeamName::from("north"),
+        keys: vec![ApiKey::from("k1")],
+        priority: Some(1),
+    };
+    DesiredState::new(
+        StateVersion { row, number: 7 },
+        vec![
+            route("a.example", "/x/", false),
+            route("a.example", "/x/deep/", false),
+            route("b.example", "/open/", true),
+        ],
+        Vec::new(),
+        Some(vec![team]),
+        CallerLimits::default(),
+    )
+}
+
+#[track_caller]
+fn check(host: &str, path: &str, key: Option<&str>, expected: &str) {
+    let verdict = state(1).judge(RequestQuery { host, path, key });
+    let found = match verdict {
+        RequestVerdict::Allowed {
+            route,
+            team,
+            priority,
+        } => {
+            format!("{} {team:?} {priority}", route.prefix)
+        }
+        RequestVerdict::NoRoute => "no route".to_owned(),
+        RequestVerdict::UnknownKey => "unknown key".to_owned(),
+    };
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    check(
+        "a.example",
+        "/x/1",
+        Some("k1"),
+        r#"/x/ Some(TeamName("north")) 1"#,
+    );
+    check(
+        "A.Example",
+        "/x/deep/1",
+        Some("k1"),
+        r#"/x/deep/ Some(TeamName("north")) 1"#,
+    );
+    check("b.example", "/x/1", Some("k1"), "no route");
+    check("a.example", "/x", Some("k1"), "no route");
+}
+
+#[test]
+fn team_comes_from_the_key_alone() {
+    check("a.example", "/x/1", None, "unknown key");
+    check("a.example", "/x/1", Some("k2"), "unknown key");
+    check("b.example", "/open/1", None, "/open/ None 3");
+}
+
+#[rstest]
+#[case(5, 4, true)]
+#[case(4, 4, false)]
+#[case(3, 4, false)]
+fn older_version_never_comes_back(#[case] row: u64, #[case] known: u64, #[case] taken: bool) {
+    assert_eq!(state(row).supersedes(Some(&state(known))), taken);
+}
+
+#[test]
+fn first_version_is_taken() {
+    assert!(state(1).supersedes(None));
+}
+
+#[rstest]
+#[case(&[3.0, 1.0], 0.0, "s0")]
+#[case(&[3.0, 1.0], 0.74, "s0")]
+#[case(&[3.0, 1.0], 0.76, "s1")]
+#[case(&[0.0, 0.0], 0.5, "s1")]
+fn split_follows_the_weights(#[case] weights: &[f64], #[case] draw: f64, #[case] expected: &str) {
+    let mut split = route("a.example", "/x/", false);
+    split.targets = weights
+        .iter()
+        .enumerate()
+        .map(|(index, &weight)| WeightedService {
+            service: ServiceName::from(format!("s{index}")),
+            weight,
+        })
+        .collect();
+    assert_eq!(
+        split.pick_target(draw).map(ServiceName::as_str),
+        Some(expected)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn denies_only_while_the_newest_version_is_surely_known() {
+    let now = Instant::now();
+    let fresh = |confirmed| StateFreshness {
+        confirmed,
+        apply_limit: Duration::from_secs(2),
+    };
+    assert!(!fresh(None).may_deny(now));
+    assert!(fresh(Some(now)).may_deny(now + Duration::from_secs(4)));
+    assert!(!fresh(Some(now)).may_deny(now + Duration::from_millis(4_001)));
+}
--- /dev/null
+++ b/crates/domain/tests/entry_life.rs
@@ -0,0 +1,97 @@
+//! Drain, retry budget and roster of entries.
+
+use std::time::Duration;
+
+use domain::{
+    entry_drain::{DrainPhase, DrainTimes},
+    entry_roster::EntryRoster,
+    retry_share::{RetryBounds, RetryShare},
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+#[rstest]
+#[case(None, DrainPhase::Serving)]
+#[case(Some(0), DrainPhase::Leaving)]
+#[case(Some(2_999), DrainPhase::Leaving)]
+#[case(Some(3_000), DrainPhase::Closing)]
+#[case(Some(7_039), DrainPhase::Closing)]
+#[case(Some(7_040), DrainPhase::Cutting)]
+fn phases_of_a_drain(#[case] since_ms: Option<u64>, #[case] expected: DrainPhase) {
+    let times = DrainTimes {
+        grace: Duration::from_secs(8),
+    };
+    assert_eq!(times.phase(since_ms.map(Duration::from_millis)), expected);
+}
+
+#[test]
+fn short_grace_leaves_time_to_finish() {
+    let times = DrainTimes {
+        grace: Duration::from_secs(2),
+    };
+    assert_eq!(times.serve_time(), Duration::from_millis(750));
+    assert!(times.cut_time() > times.serve_time());
+}
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.8,
+    slack: 150.0,
+    window: Duration::from_secs(10),
+};
+
+fn spent(share: &RetryShare, entries: usize, now: Instant) -> usize {
+    (0..10_000)
+        .take_while(|_| share.spend(entries, now))
+        .count()
+}
+
+/// Whatever each entry spends, all together stay below the budget.
+#[rstest]
+#[case(1)]
+#[case(4)]
+#[case(23)]
+#[case(100)]
+#[tokio::test(start_paused = true)]
+async fn entries_together_stay_below_the_budget(#[case] entries: usize) {
+    let now = Instant::now();
+    let requests = 20;
+    let total: usize = (0..entries)
+        .map(|_| {
+            let share = RetryShare::new(BOUNDS, now);
+            (0..requests).for_each(|_| share.note_request(now));
+            spent(&share, entries, now)
+        })
+        .sum();
+    let allowed = BOUNDS.ratio * (requests * entries) as f64 + BOUNDS.slack;
+    assert!((total as f64) < allowed, "{total} of {allowed}");
+    assert!((total as f64) > allowed * 0.4, "{total} of {allowed}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn spent_retries_come_back_after_the_window() {
+    let now = Instant::now();
+    let share = RetryShare::new(BOUNDS, now);
+    let first = spent(&share, 4, now);
+    assert!(first > 20);
+    assert_eq!(spent(&share, 4, now + Duration::from_secs(5)), 0);
+    assert_eq!(spent(&share, 4, now + Duration::from_secs(10)), first);
+}
+
+#[tokio::test(start_paused = true)]
+async fn roster_counts_rows_that_still_change() {
+    let life = Duration::from_secs(60);
+    let now = Instant::now();
+    let mut roster = EntryRoster::default();
+    assert_eq!(roster.count(life, now), 32, "nothing is known yet");
+    roster.replace([("e1", 1), ("e2", 2), ("e3", 3)].into_iter(), now);
+    assert_eq!(roster.count(life, now), 3);
+    let later = now + Duration::from_secs(40);
+    roster.replace([("e1", 9), ("e2", 2)].into_iter(), later);
+    assert_eq!(roster.count(life, later), 2);
+    let last = now + Duration::from_secs(61);
+    assert_eq!(
+        roster.count(life, last),
+        1,
+        "e2 does not announce itself any more"
+    );
+}
--- /dev/null
+++ b/crates/domain/tests/kv_placement.rs
@@ -0,0 +1,213 @@
+//! Which server gets a request, and where its copy lies.
+
+use std::{sync::Arc, time::Duration};
+
+use domain::{
+    DomainName, ServerName, ServiceName,
+    kv_placement::{
+        CopyPlan, CopyStep, LoadReport, PickQuery, TokenCounts, pick_backup, pick_server,
+    },
+    server_registry::{ServerRecord, ServerRegistry, ServerSlot, ServerState, WorkSize},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const KV_TOTAL: u64 = 88_000;
+const PROMPT: TokenCounts = TokenCounts {
+    prompt: 8_000,
+    output: 900,
+};
+
+/// Servers `a0`, `a1`, … of as many failure domains as there are counts.
+fn servers(counts: &[u16]) -> ServerRegistry {
+    let mut records = Vec::new();
+    for (domain, count) in (0_u8..).zip(counts) {
+        let name = char::from(b'a' + domain);
+        for index in 0..*count {
+            records.push(ServerRecord {
+                instance: ServerName::from(format!("{name}{index}")),
+                service: ServiceName::from("pool"),
+                address: ([10, 0, 0, domain], index).into(),
+                domain: DomainName::from(name.to_string()),
+                slots: 64,
+                state: ServerState::Ready,
+                born_ms: 1,
+            });
+        }
+    }
+    let mut registry = ServerRegistry::default();
+    registry.replace(&records, Instant::now());
+    registry
+}
+
+fn slot(registry: &ServerRegistry, name: &str) -> Arc<ServerSlot> {
+    let found = registry
+        .all()
+        .find(|slot| slot.record().instance.as_str() == name);
+    Arc::clone(found.expect("a server of that name"))
+}
+
+fn pick(registry: &ServerRegistry, tokens: Option<TokenCounts>, now: Instant) -> String {
+    let own_domain = DomainName::from("a");
+    let query = PickQuery {
+        tokens,
+        kv_total: KV_TOTAL,
+        own_domain: &own_domain,
+        tried: &[],
+        now,
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    pick_server(
+        registry.servers(&ServiceName::from("pool")),
+        &query,
+        &mut rng,
+    )
+    .map(|slot| slot.record().instance.to_string())
+    .unwrap_or_default()
+}
+
+fn reading(tokens: u64) -> WorkSize {
+    WorkSize {
+        runs: 1,
+        prompt_tokens: tokens,
+        kv_tokens: tokens,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn prompt_goes_where_the_least_is_still_to_be_read() {
+    let registry = servers(&[3]);
+    let _first = slot(&registry, "a0").begin(reading(8_000));
+    let _second = slot(&registry, "a2").begin(reading(2_000));
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a1");
+    let _third = slot(&registry, "a1").begin(reading(4_000));
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a2");
+}
+
+#[tokio::test(start_paused = true)]
+async fn own_domain_is_left_only_for_a_shorter_wait() {
+    let registry = servers(&[1, 1]);
+    let mut work = slot(&registry, "a0").begin(reading(3_000));
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a0");
+    let _more = slot(&registry, "a0").begin(reading(2_500));
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "b0");
+    work.prompt_read();
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a0");
+}
+
+#[tokio::test(start_paused = true)]
+async fn full_memory_counts_though_slots_are_free() {
+    let registry = servers(&[1, 1]);
+    let _copies = slot(&registry, "a0").begin(WorkSize {
+        kv_tokens: 70_000,
+        ..WorkSize::default()
+    });
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "b0");
+}
+
+/// A failure domain goes dark: its other servers are doubted with those that
+/// failed, and all come back.
+#[tokio::test(start_paused = true)]
+async fn domain_of_which_half_failed_is_left() {
+    let registry = servers(&[4, 4]);
+    let now = Instant::now();
+    let pause = Duration::from_millis(400);
+    slot(&registry, "a0").note_failure(now, pause);
+    assert!(pick(&registry, Some(PROMPT), now).starts_with('a'));
+    slot(&registry, "a1").note_failure(now, pause);
+    assert!(pick(&registry, Some(PROMPT), now).starts_with('b'));
+    assert!(pick(&registry, Some(PROMPT), now + pause).starts_with('a'));
+}
+
+#[tokio::test(start_paused = true)]
+async fn suspect_server_is_better_than_none() {
+    let registry = servers(&[1]);
+    let now = Instant::now();
+    slot(&registry, "a0").note_failure(now, Duration::from_secs(1));
+    assert_eq!(pick(&registry, Some(PROMPT), now), "a0");
+    slot(&registry, "a0").note_misdirected();
+    assert_eq!(pick(&registry, Some(PROMPT), now), "");
+}
+
+#[tokio::test(start_paused = true)]
+async fn fresh_report_of_a_slow_server_sends_a_call_elsewhere() {
+    let registry = servers(&[1, 1]);
+    let now = Instant::now();
+    assert_eq!(pick(&registry, None, now), "a0");
+    let report = LoadReport {
+        running: 6,
+        waiting: 4,
+        slots: 6,
+        pace_percent: 250,
+    };
+    slot(&registry, "a0").note_report(report, now);
+    assert_eq!(pick(&registry, None, now), "b0");
+    assert_eq!(pick(&registry, None, now + Duration::from_secs(1)), "a0");
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_do_not_herd_on_equals() {
+    let registry = servers(&[8]);
+    let own_domain = DomainName::from("a");
+    let query = PickQuery {
+        tokens: Some(PROMPT),
+        kv_total: KV_TOTAL,
+        own_domain: &own_domain,
+        tried: &[],
+        now: Instant::now(),
+    };
+    let pool = ServiceName::from("pool");
+    let mut picked: Vec<String> = (0..64)
+        .filter_map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            pick_server(registry.servers(&pool), &query, &mut rng)
+        })
+        .map(|slot| slot.record().instance.to_string())
+        .collect();
+    picked.sort_unstable();
+    picked.dedup();
+    assert!(picked.len() >= 6, "{picked:?}");
+}
+
+#[rstest]
+#[case(&[3, 3], Some('b'))]
+#[case(&[3], Some('a'))]
+#[case(&[1], None)]
+#[tokio::test(start_paused = true)]
+async fn copy_lies_in_another_failure_domain(
+    #[case] counts: &[u16],
+    #[case] expected: Option<char>,
+) {
+    let registry = servers(counts);
+    let primary = slot(&registry, "a0");
+    let own_domain = DomainName::from("a");
+    let query = PickQuery {
+        tokens: Some(PROMPT),
+        kv_total: KV_TOTAL,
+        own_domain: &own_domain,
+        tried: &[],
+        now: Instant::now(),
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let pool = ServiceName::from("pool");
+    let holder = pick_backup(registry.servers(&pool), &query, &primary, &mut rng);
+    let domain = holder.and_then(|holder| holder.record().domain.as_str().chars().next());
+    assert_eq!(domain, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_copy_is_made_anew_and_kept() {
+    let now = Instant::now();
+    assert_eq!(CopyPlan::BackedUp.step(true, now), CopyStep::Wait);
+    assert_eq!(CopyPlan::BackedUp.step(false, now), CopyStep::MoveAnew);
+    let moved = CopyPlan::Moved(now);
+    let before = now + Duration::from_millis(3_299);
+    let after = now + Duration::from_millis(3_300);
+    assert_eq!(moved.step(true, before), CopyStep::Wait);
+    assert_eq!(moved.step(true, after), CopyStep::MoveAgain);
+    assert_eq!(moved.step(false, before), CopyStep::MoveAnew);
+    let failed = CopyPlan::failed(now);
+    assert_eq!(failed.step(false, now), CopyStep::Wait);
+    assert_eq!(failed.step(false, after), CopyStep::MoveAnew);
+}
--- /dev/null
+++ b/crates/domain/tests/server_registry.rs
@@ -0,0 +1,192 @@
+//! Membership through leavings, restarts and outages of the store.
+
+use std::time::Duration;
+
+use domain::{
+    DomainName, ServerName, ServiceName,
+    kv_placement::LoadReport,
+    server_registry::{RegistryChange, ServerRecord, ServerRegistry, ServerState, WorkSize},
+};
+use tokio::time::Instant;
+
+fn record(instance: &str, port: u16, born_ms: u64) -> ServerRecord {
+    ServerRecord {
+        instance: ServerName::from(instance),
+        service: ServiceName::from("pool"),
+        address: ([10, 0, 0, 1], port).into(),
+        domain: DomainName::from("a"),
+        slots: 8,
+        state: ServerState::Ready,
+        born_ms,
+    }
+}
+
+fn present(record: ServerRecord) -> RegistryChange {
+    RegistryChange::Present(record)
+}
+
+fn absent(instance: &str) -> RegistryChange {
+    RegistryChange::Absent(ServerName::from(instance))
+}
+
+/// Names of the servers that may get requests.
+#[track_caller]
+fn check(registry: &ServerRegistry, expected: &[&str]) {
+    let mut names: Vec<&str> = registry
+        .servers(&ServiceName::from("pool"))
+        .iter()
+        .flat_map(|own| &own.slots)
+        .map(|slot| slot.record().instance.as_str())
+        .collect();
+    names.sort_unstable();
+    assert_eq!(names, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn draining_and_removed_servers_get_nothing_new() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(
+        &[record("i1", 1, 5), record("i2", 2, 5), record("i3", 3, 5)],
+        now,
+    );
+    check(&registry, &["i1", "i2", "i3"]);
+    let mut leaving = record("i1", 1, 5);
+    leaving.state = ServerState::Draining;
+    registry.apply(&[present(leaving), absent("i2")], now);
+    check(&registry, &["i3"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lapsed_server_is_kept_until_it_can_be_back() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    registry.store_returned(now);
+    registry.apply(&[absent("i1"), absent("i2")], now);
+    check(&registry, &["i1", "i2"]);
+    registry.apply(
+        &[present(record("i2", 2, 5))],
+        now + Duration::from_millis(1_999),
+    );
+    check(&registry, &["i1", "i2"]);
+    assert!(registry.is_changed_by(&[], now + Duration::from_secs(2)));
+    registry.apply(&[], now + Duration::from_secs(2));
+    check(&registry, &["i2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn missing_of_a_listing_is_gone_long_after_an_outage() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    registry.store_returned(now);
+    registry.replace(&[record("i2", 2, 5)], now + Duration::from_secs(3));
+    check(&registry, &["i2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn address_has_one_holder() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("old", 1, 5)], now);
+    registry.apply(&[present(record("new", 1, 9))], now);
+    check(&registry, &["new"]);
+    // A late registration of the earlier lifetime changes nothing.
+    registry.apply(&[present(record("old", 1, 5))], now);
+    check(&registry, &["new"]);
+    registry.apply(&[absent("old")], now);
+    check(&registry, &["new"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn restart_under_the_same_name_starts_anew() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    let slot = registry.all().next().cloned().expect("one server");
+    let _work = slot.begin(WorkSize {
+        runs: 1,
+        prompt_tokens: 100,
+        kv_tokens: 100,
+    });
+    let mut changed = record("i1", 1, 5);
+    changed.slots = 9;
+    registry.apply(&[present(changed)], now);
+    let same = registry.all().next().expect("one server");
+    assert_eq!((same.running(), same.record().slots), (1, 9));
+    registry.apply(&[present(record("i1", 1, 6))], now);
+    let anew = registry.all().next().expect("one server");
+    assert_eq!(anew.running(), 0);
+    assert!(!registry.knows(&slot));
+}
+
+#[tokio::test(start_paused = true)]
+async fn registration_that_comes_again_changes_nothing() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    assert!(!registry.is_changed_by(&[present(record("i1", 1, 5)), absent("i9")], now));
+    assert!(registry.is_changed_by(&[present(record("i1", 2, 5))], now));
+    assert!(registry.is_changed_by(&[absent("i1")], now));
+}
+
+/// The store is away while servers restart: their own 421 tells their names,
+/// and only a life sign younger than the reuse of addresses proves the service.
+#[tokio::test(start_paused = true)]
+async fn restarted_server_is_adopted_while_its_address_is_surely_its_own() {
+    let now = Instant::now();
+    let reuse = Duration::from_secs(2);
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("old", 1, 5)], now);
+    let old = registry.all().next().cloned().expect("one server");
+    let new = || ServerName::from("new");
+    assert!(!registry.adopt(&old, new(), reuse, now), "never heard of");
+    old.note_life(now + Duration::from_millis(10));
+    let late = now + Duration::from_millis(2_010);
+    assert!(
+        !registry.adopt(&old, new(), reuse, late),
+        "may be another's by now"
+    );
+    assert!(registry.adopt(&old, new(), reuse, now + Duration::from_secs(1)));
+    check(&registry, &["new"]);
+    // The registration brings the start of that lifetime; counts go on.
+    let slot = registry.all().next().cloned().expect("one server");
+    registry.apply(&[present(record("new", 1, 9))], late);
+    check(&registry, &["new"]);
+    assert!(registry.knows(&slot));
+}
+
+#[tokio::test(start_paused = true)]
+async fn failures_in_a_row_pause_longer_and_an_answer_ends_them() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    let slot = registry.all().next().expect("one server");
+    let base = Duration::from_millis(100);
+    slot.note_failure(now, base);
+    assert!(slot.is_suspect(now + Duration::from_millis(99)));
+    assert!(!slot.is_suspect(now + Duration::from_millis(100)));
+    slot.note_failure(now, base);
+    assert!(slot.is_suspect(now + Duration::from_millis(199)));
+    slot.note_answer(now);
+    assert!(!slot.is_suspect(now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn reports_are_kept_with_their_age() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    let slot = registry.all().next().expect("one server");
+    assert_eq!(slot.report(now), None);
+    let report = LoadReport {
+        running: 3,
+        waiting: 2,
+        slots: 8,
+        pace_percent: 250,
+    };
+    slot.note_report(report, now);
+    let age = Duration::from_millis(70);
+    assert_eq!(slot.report(now + age), Some((report, age)));
+}
