--- a/crates/domain/src/desired_state/route_spec.rs
+++ b/crates/domain/src/desired_state/route_spec.rs
@@ -109,6 +109,8 @@
 pub struct ServiceSpec {
     /// Name.
     pub name: ServiceName,
+    /// Path at which its servers answer for their health.
+    pub health_path: Box<str>,
     /// Model servers; none for a plain service.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/domain/src/entry_drain.rs
+++ b/crates/domain/src/entry_drain.rs
@@ -2,8 +2,10 @@
 //!
 //! The balancer needs some seconds to see that an entry is not ready, and
 //! callers go on using open connections. So the entry serves on for a while,
-//! then refuses what is new, and near the end of the grace time breaks off the
-//! streams that are still open, which their callers resume elsewhere.
+//! then takes in only what is done in time, and near the end of the grace time
+//! breaks off the streams that are still open, which their callers resume
+//! elsewhere. Where all entries are told to stop within seconds, callers still
+//! come, since there is no other to send them to.
 
 use std::time::Duration;
 
@@ -21,7 +23,7 @@
     Serving,
     /// Not ready, but serves what comes.
     Leaving,
-    /// Refuses what is new.
+    /// Takes in only what is done before open work is broken off.
     Closing,
     /// Breaks off what is open.
     Cutting,
@@ -45,6 +47,20 @@
         }
     }
 
+    /// Whether a request that takes up to `needed` may be taken in. A stream is
+    /// taken in while the entry is leaving, although it may be broken off: its
+    /// caller resumes it.
+    pub fn admits(&self, since_order: Option<Duration>, is_stream: bool, needed: Duration) -> bool {
+        match self.phase(since_order) {
+            DrainPhase::Serving | DrainPhase::Leaving => true,
+            DrainPhase::Closing if is_stream => false,
+            DrainPhase::Closing => {
+                since_order.is_some_and(|since| since + needed <= self.cut_time())
+            }
+            DrainPhase::Cutting => false,
+        }
+    }
+
     /// Time for which new requests are served.
     pub fn serve_time(&self) -> Duration {
         SERVE_TIME.min(self.grace * 3 / 8)
--- a/crates/domain/tests/entry_life.rs
+++ b/crates/domain/tests/entry_life.rs
@@ -24,6 +24,30 @@
     assert_eq!(times.phase(since_ms.map(Duration::from_millis)), expected);
 }
 
+/// All entries are told to stop within seconds: a booking that is done in time
+/// is taken in to the last, a stream is not.
+#[rstest]
+#[case(None, true, 60_000, true)]
+#[case(Some(2_900), true, 25_000, true)]
+#[case(Some(3_100), true, 1_000, false)]
+#[case(Some(3_100), false, 1_000, true)]
+#[case(Some(6_040), false, 1_000, true)]
+#[case(Some(6_041), false, 1_000, false)]
+#[case(Some(7_100), false, 0, false)]
+fn admission_while_leaving(
+    #[case] since_ms: Option<u64>,
+    #[case] is_stream: bool,
+    #[case] needed_ms: u64,
+    #[case] expected: bool,
+) {
+    let times = DrainTimes {
+        grace: Duration::from_secs(8),
+    };
+    let since = since_ms.map(Duration::from_millis);
+    let needed = Duration::from_millis(needed_ms);
+    assert_eq!(times.admits(since, is_stream, needed), expected);
+}
+
 #[test]
 fn short_grace_leaves_time_to_finish() {
     let times = DrainTimes {
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -126,14 +126,10 @@
 async fn serve_request(state: Arc<FrontState>, request: Request<Incoming>) -> CallerReply {
     let received = Instant::now();
     let phase = state.phase(received);
-    let mut reply = if phase >= DrainPhase::Closing {
-        refused(&state, ReplyReason::Closing, "")
-    } else {
-        match admit(&state, request, received).await {
-            Ok(task) if task.route.kind.is_stream() => run_stream(state, task).await,
-            Ok(task) => run_call(&state, &task).await,
-            Err(reply) => *reply,
-        }
+    let mut reply = match admit(&state, request, received).await {
+        Ok(task) if task.route.kind.is_stream() => run_stream(state, task).await,
+        Ok(task) => run_call(&state, &task).await,
+        Err(reply) => *reply,
     };
     if phase >= DrainPhase::Leaving {
         reply
@@ -172,10 +168,20 @@
             return Err(fail(deny(state, ReplyReason::UnknownKey), id.as_str()));
         }
     };
+    let patience = decoded
+        .patience
+        .unwrap_or(PATIENCE_DEFAULT)
+        .min(route.timeout);
+    let since_order = state.drain.since_order(received);
+    if !state
+        .drain_times()
+        .admits(since_order, route.kind.is_stream(), patience)
+    {
+        return Err(fail(ReplyReason::Closing, id.as_str()));
+    }
     let Some(service) = route.pick_target(rand::rng().random()).cloned() else {
         return Err(fail(ReplyReason::NoServer, id.as_str()));
     };
-    let patience = decoded.patience.unwrap_or(PATIENCE_DEFAULT);
     let (tokens, position) = (decoded.tokens, decoded.position);
     let body = match read_body(&desired, body).await {
         Ok(body) => body,
@@ -192,7 +198,7 @@
         tokens,
         position,
         received,
-        deadline: received + patience.min(route.timeout),
+        deadline: received + patience,
         route,
     })
 }
--- a/crates/front/src/drain_clock.rs
+++ b/crates/front/src/drain_clock.rs
@@ -30,10 +30,15 @@
         });
     }
 
+    /// Time since the order; none if there was none.
+    pub(crate) fn since_order(&self, now: Instant) -> Option<Duration> {
+        let order = *self.order.borrow();
+        order.map(|order| now.saturating_duration_since(order))
+    }
+
     /// Phase at a moment.
     pub(crate) fn phase(&self, times: DrainTimes, now: Instant) -> DrainPhase {
-        let since = |order: Instant| now.saturating_duration_since(order);
-        times.phase(self.order.borrow().map(since))
+        times.phase(self.since_order(now))
     }
 
     /// Wait until a time after the order has passed.
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -40,6 +40,7 @@
     pub(crate) drain: DrainClock,
     pub(crate) connections: AtomicUsize,
     listed: AtomicBool,
+    list_lost: AtomicBool,
     start: Instant,
     confirmed_ms: AtomicU64,
     shares: papaya::HashMap<ServiceName, Arc<RetryShare>>,
@@ -59,6 +60,7 @@
             drain: DrainClock::new(),
             connections: AtomicUsize::new(0),
             listed: AtomicBool::new(false),
+            list_lost: AtomicBool::new(false),
             start: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
             shares: papaya::HashMap::new(),
@@ -70,6 +72,16 @@
         self.listed.store(true, Relaxed);
     }
 
+    /// Note whether the store tells of servers.
+    pub(crate) fn note_list_lost(&self, lost: bool) {
+        self.list_lost.store(lost, Relaxed);
+    }
+
+    /// Whether the store does not tell of servers.
+    pub(crate) fn is_list_lost(&self) -> bool {
+        self.list_lost.load(Relaxed)
+    }
+
     /// Note that the store had nothing newer than the desired state known when
     /// it was asked at `asked`.
     pub(crate) fn note_confirmed(&self, asked: Instant) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 mod http_server;
 mod link_pool;
 mod reply;
+mod return_watch;
 mod settings_watch;
 mod store_client;
 mod store_watch;
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -96,6 +96,8 @@
     fn changed(&self, state: &FrontState, page: RowPage);
     /// The store answered a question asked at that moment.
     fn confirmed(&self, state: &FrontState, asked: Instant);
+    /// The store does not answer.
+    fn lost(&self, state: &FrontState);
     /// The store answers again.
     fn returned(&self, state: &FrontState);
     /// Wait until the next question may be asked.
@@ -140,6 +142,7 @@
             Err(failure) => {
                 if failures == 0 {
                     log::warn!(table = T::NAME, reason:% = failure; "store lost");
+                    table.lost(&state);
                 }
                 failures += 1;
                 sleep(pause(failures)).await;
@@ -187,6 +190,8 @@
         state.note_confirmed(asked);
     }
 
+    fn lost(&self, _state: &FrontState) {}
+
     fn returned(&self, _state: &FrontState) {}
 
     async fn pause(&self, _state: &FrontState, _asked: Instant) {}
@@ -248,7 +253,12 @@
 
     fn confirmed(&self, _state: &FrontState, _asked: Instant) {}
 
+    fn lost(&self, state: &FrontState) {
+        state.note_list_lost(true);
+    }
+
     fn returned(&self, state: &FrontState) {
+        state.note_list_lost(false);
         update(state, |registry, now| registry.store_returned(now));
     }
 
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -29,6 +29,7 @@
     copy_keeper::{CopyKeeper, KvCopy},
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, StreamPiece, stream_reply, whole_reply},
+    return_watch::watch_return,
     worker_exchange::{WorkerAnswer, keep_link, send, until_lost},
 };
 
@@ -164,6 +165,9 @@
                 .with_label_values(&[send_name(end)])
                 .inc();
             self.budget.count(end);
+            if end != SendEnd::Rejected {
+                watch_return(&self.state, &slot);
+            }
             self.last_failed.push(slot.record().address);
             let step = next_step(self.task.route.kind, end, &self.budget);
             let again = step == NextStep::TryAgain
--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/worker_exchange.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use domain::{
-    RequestId, event_relay::StreamPatience, run_evidence::SendEnd, server_registry::ServerSlot,
+    RequestId, ServerName, event_relay::StreamPatience, run_evidence::SendEnd,
+    server_registry::ServerSlot,
 };
 use http::{Method, Request, Response, Uri, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,6 +28,8 @@
 /// Time for a copy of a run's memory: some 1.5 GB over 100 GB/s, and others
 /// before it.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for an answer on the health of a server, which takes a millisecond.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a server that failed is avoided at first. A crash of today's
 /// sites lasts 1.2 s; three failures in a row reach beyond it.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
@@ -266,13 +269,34 @@
     }
 }
 
-/// A call of our own to a server, on a connection of its own.
+/// Lifetime that answers for its health at a server's address.
+pub(crate) async fn ask_instance(slot: &ServerSlot, path: &str) -> Option<ServerName> {
+    let asked = exchange_own(slot, Method::GET, path, Vec::new());
+    let (parts, _) = timeout(ASK_TIMEOUT, asked).await.ok()?.ok()?;
+    decode_instance(&parts.headers)
+}
+
+/// A call of our own to a server that must succeed.
 async fn call_server(
     slot: &ServerSlot,
     method: Method,
     path: &str,
     body: Vec<u8>,
 ) -> miette::Result<Bytes> {
+    let (parts, body) = exchange_own(slot, method, path, body).await?;
+    if !parts.status.is_success() {
+        return Err(miette::miette!("status {}", parts.status));
+    }
+    Ok(body)
+}
+
+/// A call of our own to a server, on a connection of its own.
+async fn exchange_own(
+    slot: &ServerSlot,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> miette::Result<(Parts, Bytes)> {
     let address = slot.record().address;
     let mut link = BackendLink::open(address).await.into_diagnostic()?;
     let request = Request::builder()
@@ -283,15 +307,10 @@
         .body(Full::from(body))
         .into_diagnostic()?;
     let response = link.sender.send_request(request).await.into_diagnostic()?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), ANSWER_MAX)
-        .collect()
-        .await;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, ANSWER_MAX).collect().await;
     let body = body.map_err(|error| miette::miette!("{error}"))?.to_bytes();
-    if !status.is_success() {
-        return Err(miette::miette!("status {status}"));
-    }
-    Ok(body)
+    Ok((parts, body))
 }
 
 /// Wait until a silent server is lost: its machine does not take a new
