--- /dev/null
+++ b/crates/front/tests/site/main.rs
@@ -0,0 +1,7 @@
+//! An entry as a real process, before a store and workers that fail.
+
+mod beliefs;
+mod calls;
+mod entry_life;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/front/tests/site/streams.rs
@@ -0,0 +1,120 @@
+//! Streams through workers that die, hang and tear their events.
+
+use crate::support::{POOL, TestSite, caller_request, events, open, wait_for};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use rstest::rstest;
+use stand_ins::{ScriptedWorker, StreamEnd, WorkerAct};
+
+use WorkerAct::{Events, Rejected};
+
+async fn pool(instance: &'static str) -> ScriptedWorker {
+    ScriptedWorker::start(instance).await.expect("a port")
+}
+
+/// The first worker ends its stream like this; the second has a copy.
+#[rstest]
+#[case::cut(StreamEnd::Cut)]
+#[case::torn(StreamEnd::Torn)]
+#[case::hang(StreamEnd::Hang)]
+#[tokio::test]
+async fn stream_goes_on_from_its_copy(#[case] end: StreamEnd) {
+    let (first, second) = (pool("i1").await, pool("i2").await);
+    first.script([Events(5, end)]);
+    second.script([Events(9, StreamEnd::Complete)]);
+    let site = TestSite::start(&[(POOL, &first, "a"), (POOL, &second, "b")]).await;
+    let answered = site.call("/report/1", "r1").await;
+    assert_eq!(answered.status, StatusCode::OK);
+    assert_eq!(answered.body, events(1..=9), "each event once and in order");
+    assert!(answered.whole);
+    let seal = answered.headers.get("x-bamboocross-server-seal");
+    assert_eq!(
+        seal.and_then(|seal| seal.to_str().ok()),
+        Some("i1"),
+        "of the first worker"
+    );
+    let (sent, resumed) = (&first.requests()[0], &second.requests()[0]);
+    let holder = second.address.to_string();
+    assert_eq!(
+        sent.header("x-bamboocross-kv-backup"),
+        Some(holder.as_str())
+    );
+    assert_eq!(sent.header("last-event-id"), None);
+    assert_eq!(resumed.header("last-event-id"), Some("5"));
+    let copy = format!("{holder}/r1");
+    assert_eq!(resumed.header("kv-from"), Some(copy.as_str()));
+}
+
+#[tokio::test]
+async fn stream_without_its_copy_is_read_anew() {
+    let (first, second, third) = (pool("i1").await, pool("i2").await, pool("i3").await);
+    first.script([Events(4, StreamEnd::Cut)]);
+    for other in [&second, &third] {
+        other.script([Rejected, Events(6, StreamEnd::Complete)]);
+    }
+    let workers = [
+        (POOL, &first, "a"),
+        (POOL, &second, "b"),
+        (POOL, &third, "b"),
+    ];
+    let site = TestSite::start(&workers).await;
+    let answered = site.call("/report/1", "r1").await;
+    assert_eq!((answered.body, answered.whole), (events(1..=6), true));
+    let anew: Vec<_> = [second.requests(), third.requests()].concat();
+    let plain = anew
+        .iter()
+        .filter(|request| request.header("kv-from").is_none());
+    assert!(plain.count() >= 1);
+}
+
+/// Only a route that says so is resumed; else the caller sees a cut, not an end.
+#[tokio::test]
+async fn stream_that_runs_once_is_not_resumed() {
+    let (first, second) = (pool("i1").await, pool("i2").await);
+    first.script([Events(3, StreamEnd::Torn)]);
+    let site = TestSite::start(&[(POOL, &first, "a"), (POOL, &second, "b")]).await;
+    let answered = site.call("/once/1", "r1").await;
+    assert_eq!(answered.body, events(1..=3));
+    assert!(!answered.whole);
+    assert!(second.requests().is_empty());
+    assert_eq!(first.requests()[0].header("x-bamboocross-kv-backup"), None);
+}
+
+#[tokio::test]
+async fn caller_resumes_where_it_stopped() {
+    let worker = pool("i1").await;
+    worker.script([Events(8, StreamEnd::Complete)]);
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let mut request = caller_request("/report/1", "r2");
+    let position = "5".parse().expect("a value");
+    request.headers_mut().insert("last-event-id", position);
+    assert_eq!(site.send(request).await.body, events(6..=8));
+}
+
+#[tokio::test]
+async fn caller_that_leaves_ends_the_work() {
+    let worker = pool("i1").await;
+    worker.script([Events(2, StreamEnd::Hang)]);
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let mut response = open(site.listen, caller_request("/report/1", "r1")).await;
+    assert!(
+        response
+            .body_mut()
+            .frame()
+            .await
+            .is_some_and(|frame| frame.is_ok())
+    );
+    drop(response);
+    wait_for("the work to be given up", async || worker.abandoned() == 1).await;
+    assert_eq!(worker.requests().len(), 1);
+}
+
+#[tokio::test]
+async fn stream_that_no_worker_takes_is_refused() {
+    let worker = pool("i1").await;
+    worker.script(std::iter::repeat_n(Rejected, 20));
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let answered = site.call("/report/1", "r1").await;
+    assert_eq!(answered.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answered.headers.contains_key("retry-after"));
+}
--- /dev/null
+++ b/crates/front/tests/site/support.rs
@@ -0,0 +1,290 @@
+//! One entry as a real process, before a store and workers in this process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use stand_ins::{RowStore, ScriptedWorker};
+use tempfile::TempDir;
+use tokio::{net::TcpStream, time::sleep};
+
+/// Pause between two looks at something that is waited for.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// Looks before a test gives up: long after a busy machine is through.
+const LOOKS_MAX: u32 = 3_000;
+
+/// Model service of the desired state.
+pub const POOL: &str = "pool";
+/// Plain service of the desired state.
+pub const DESK: &str = "desk";
+
+/// An entry with what it needs.
+pub struct TestSite {
+    pub store: RowStore,
+    pub listen: SocketAddr,
+    pub ready: SocketAddr,
+    pub admin: SocketAddr,
+    settings: PathBuf,
+    process: Child,
+    _folder: TempDir,
+}
+
+/// An answer with its whole body.
+#[derive(Debug)]
+pub struct Answered {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+/// Address on a host that no other test process uses.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    (Ipv4Addr::new(127, 101, high, low), port).into()
+}
+
+/// Desired state with one route of each kind.
+pub fn desired_state(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resume: bool| {
+        json!({
+            "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout-ms": 20_000, "target-latency-ms": 4_500, "priority": 1,
+            "service": service, "attempts": if kind == "unsafe" { 1 } else { 3 },
+            "public": false, "sticky": false, "can-resume": resume, "gap-aim-ms": 700,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("look", "safe", DESK, false),
+            route("book", "unsafe", DESK, false),
+            route("report", "stream", POOL, true),
+            route("once", "stream", POOL, false),
+        ],
+        "services": [
+            {"name": DESK, "health-path": "/healthz"},
+            {"name": POOL, "health-path": "/healthz",
+             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true}},
+        ],
+        "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_000, "idle-timeout-ms": 15_000},
+        "tenants": [{"name": "north", "api-keys": ["k1"]}],
+    })
+}
+
+impl TestSite {
+    /// Start a store with a desired state, the workers' registrations and an
+    /// entry, and wait until it is ready.
+    pub async fn start(workers: &[(&str, &ScriptedWorker, &str)]) -> Self {
+        let store = RowStore::start().await.expect("a port for the store");
+        store.put("op", "config", desired_state(1).to_string().as_bytes());
+        let site = Self::start_with(store, Stdio::null());
+        for (service, worker, domain) in workers {
+            site.register(service, worker, domain, "ready");
+        }
+        site.wait_ready().await;
+        let known = "\"instance\"";
+        let expected = workers.len();
+        site.wait_state(|text| text.matches(known).count() >= expected)
+            .await;
+        site
+    }
+
+    /// Start an entry before a store, without waiting.
+    pub fn start_with(store: RowStore, output: Stdio) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let (listen, ready, admin) = (own_address(), own_address(), own_address());
+        let settings = folder.path().join("front.json");
+        let text = json!({
+            "name": "front-1", "failure_domain": "a", "listen": listen.to_string(),
+            "ready": ready.to_string(), "admin": admin.to_string(),
+            "store": store.address.to_string(), "apply_ms": 2_000, "grace_seconds": 8,
+            "address_reuse_seconds": 2, "retry_ratio": 0.8, "retry_slack": 150,
+        });
+        std::fs::write(&settings, text.to_string()).expect("the settings are written");
+        let process = Command::new(env!("CARGO_BIN_EXE_bamboocross-front"))
+            .env("BAMBOOCROSS_BOOT", &settings)
+            .stdout(output)
+            .spawn()
+            .expect("the entry starts");
+        Self {
+            store,
+            listen,
+            ready,
+            admin,
+            settings,
+            process,
+            _folder: folder,
+        }
+    }
+
+    /// Write a worker's registration.
+    pub fn register(&self, service: &str, worker: &ScriptedWorker, domain: &str, state: &str) {
+        let row = json!({
+            "service": service, "addr": worker.address.to_string(), "zone": domain,
+            "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1, "born": 1,
+        });
+        let key = format!("i-{}", worker.address.port());
+        self.store.put("servers", &key, row.to_string().as_bytes());
+    }
+
+    /// Write the settings anew.
+    pub fn change_settings(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings are there");
+        let mut settings: Value = serde_json::from_str(&text).expect("they are JSON");
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).expect("the settings are written");
+    }
+
+    pub async fn wait_ready(&self) {
+        wait_for("readiness", async || {
+            let answered = get(self.ready, "/v1/readyz").await;
+            answered.is_some_and(|answered| answered.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Wait for something in the state dump.
+    pub async fn wait_state(&self, holds: impl Fn(&str) -> bool) {
+        wait_for("the state", async || {
+            let answered = get(self.admin, "/state").await;
+            answered.is_some_and(|answered| holds(&answered.body))
+        })
+        .await;
+    }
+
+    /// Value of a metric, summed over its labels.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let answered = get(self.admin, "/metrics")
+            .await
+            .expect("metrics are served");
+        let lines = answered.body.lines().filter(|line| line.starts_with(name));
+        lines
+            .filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok())
+            .sum()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.process.id()).expect("a process id");
+        kill(Pid::from_raw(id), signal).expect("the process is there");
+    }
+
+    pub async fn wait_exit(&mut self) -> ExitStatus {
+        for _ in 0..LOOKS_MAX {
+            if let Some(status) = self.process.try_wait().expect("the process is ours") {
+                return status;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        panic!("the entry did not end");
+    }
+
+    /// Send a request and read the whole answer.
+    pub async fn call(&self, path: &str, id: &str) -> Answered {
+        self.send(caller_request(path, id)).await
+    }
+
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Answered {
+        read_answer(open(self.listen, request).await).await
+    }
+}
+
+impl Drop for TestSite {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// A caller's request with the usual headers.
+pub fn caller_request(path: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::post(path)
+        .header("host", "a.example")
+        .header("x-bamboocross-request-id", id)
+        .header("x-bamboocross-deadline-ms", "15000")
+        .header("authorization", "Bearer k1")
+        .body(Full::from("body"))
+        .expect("a request")
+}
+
+/// Send a request on a connection of its own.
+pub async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let stream = TcpStream::connect(address)
+        .await
+        .expect("the entry listens");
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
+    tokio::spawn(connection);
+    sender.send_request(request).await.expect("an answer")
+}
+
+pub async fn read_answer(response: Response<Incoming>) -> Answered {
+    let (parts, mut body) = response.into_parts();
+    let mut text = String::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(bytes) = frame.into_data() {
+                    text.push_str(&String::from_utf8_lossy(&bytes));
+                }
+            }
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    Answered {
+        status: parts.status,
+        headers: parts.headers,
+        body: text,
+        whole,
+    }
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<Answered> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::get(path)
+        .header("host", "a")
+        .body(Full::<Bytes>::default());
+    let response = sender.send_request(request.ok()?).await.ok()?;
+    Some(read_answer(response).await)
+}
+
+/// Look until something holds.
+pub async fn wait_for(what: &str, holds: impl AsyncFn() -> bool) {
+    for _ in 0..LOOKS_MAX {
+        if holds().await {
+            return;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    panic!("waited in vain for {what}");
+}
+
+/// Events `1..=last` as the workers write them.
+pub fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range
+        .map(|position| format!("id: {position}\ndata: e{position}\n\n"))
+        .collect()
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,5 +1,5 @@
 //! Small stand-ins for what the system meets: engine, plain service, platform
-//! and a network that fails.
+//! and a network that fails; and store and workers of the users' platform.
 //!
 //! They follow the published interfaces and fail on command. What they count
 //! (tokens produced, calls run) is the witness of the measurements, which never
@@ -9,6 +9,8 @@
 mod fault_proxy;
 mod front;
 mod platform_server;
+mod row_store;
+mod scripted_worker;
 mod service_server;
 mod slot_queue;
 mod token_stamps;
@@ -17,6 +19,8 @@
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
 pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
+pub use row_store::{RowStore, StoreMode};
+pub use scripted_worker::{ScriptedWorker, StreamEnd, WorkerAct, WorkerRequest};
 pub use service_server::{ServiceCounts, ServiceFaults, run_service};
 pub use token_stamps::{TokenStamp, wall_clock_us};
 pub use token_text::TextSeed;
--- /dev/null
+++ b/crates/stand-ins/src/row_store.rs
@@ -0,0 +1,254 @@
+//! The store of the users' platform, as far as an entry reads and writes it.
+//!
+//! Rows lie in tables and have versions from one counter; a feed waits for
+//! changes. The store can be told to refuse, to fall silent, to cut its
+//! callers off, or to forget its history.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch, time::timeout};
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    /// Serves.
+    Serving,
+    /// Refuses every call with 503.
+    Busy,
+    /// Answers nothing.
+    Silent,
+    /// Says that the history is gone, once a feed asks.
+    HistoryGone,
+}
+
+#[derive(Debug)]
+struct StoreRow {
+    version: u64,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct StoreState {
+    mode: StoreMode,
+    version: u64,
+    tables: HashMap<String, BTreeMap<String, StoreRow>>,
+    calls: Vec<String>,
+}
+
+/// A store in this process.
+#[derive(Clone, Debug)]
+pub struct RowStore {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: watch::Sender<u64>,
+}
+
+impl RowStore {
+    /// Start an empty store.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let store = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(StoreState {
+                mode: StoreMode::Serving,
+                version: 0,
+                tables: HashMap::new(),
+                calls: Vec::new(),
+            })),
+            changed: watch::Sender::new(0),
+        };
+        tokio::spawn(store.clone().serve(listener));
+        Ok(store)
+    }
+
+    /// Change how it behaves.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.state().mode = mode;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Write a row of the empty part.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.write(table, key, Some(value.to_vec()));
+    }
+
+    /// Remove a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// Keys of the rows of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.state();
+        let rows = state.tables.get(table).into_iter().flatten();
+        rows.filter(|(_, row)| row.value.is_some())
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
+    /// Paths that were called.
+    pub fn calls(&self) -> Vec<String> {
+        self.state().calls.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let version = {
+            let mut state = self.state();
+            state.version += 1;
+            let version = state.version;
+            let row = StoreRow { version, value };
+            let rows = state.tables.entry(table.to_owned()).or_default();
+            rows.insert(key.to_owned(), row);
+            version
+        };
+        self.changed.send_replace(version);
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let store = self.clone();
+            let service = service_fn(move |request| {
+                let store = store.clone();
+                async move { Ok::<_, Infallible>(store.answer(request).await) }
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let mode = {
+            let mut state = self.state();
+            state.calls.push(parts.uri.to_string());
+            state.mode
+        };
+        match mode {
+            StoreMode::Busy => return plain(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Serving | StoreMode::HistoryGone => {}
+        }
+        let query = parts.uri.query().unwrap_or_default();
+        let field = |name: &str| {
+            query
+                .split('&')
+                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+                .unwrap_or_default()
+                .to_owned()
+        };
+        match (&parts.method, parts.uri.path()) {
+            (&Method::GET, "/v1/rows-get") => self.listing(&field("table")),
+            (&Method::GET, "/v1/rows-feed") => {
+                if mode == StoreMode::HistoryGone {
+                    self.state().mode = StoreMode::Serving;
+                    return plain(StatusCode::GONE);
+                }
+                let since = field("since-rev").parse().unwrap_or(0);
+                let wait = Duration::from_millis(field("wait-ms").parse().unwrap_or(0));
+                self.feed(&field("table"), since, wait).await
+            }
+            (&Method::POST, "/v1/rows-tx") => match body.collect().await {
+                Ok(body) => self.transact(&body.to_bytes()),
+                Err(_) => plain(StatusCode::BAD_REQUEST),
+            },
+            _ => plain(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn listing(&self, table: &str) -> Response<Full<Bytes>> {
+        let state = self.state();
+        let rows = state.tables.get(table).into_iter().flatten();
+        let rows: Vec<Value> = rows
+            .filter(|(_, row)| row.value.is_some())
+            .map(|(key, row)| encode(table, key, row))
+            .collect();
+        page(rows, state.version)
+    }
+
+    async fn feed(&self, table: &str, since: u64, wait: Duration) -> Response<Full<Bytes>> {
+        let mut changed = self.changed.subscribe();
+        let newer = async {
+            loop {
+                if !self.rows_after(table, since).0.is_empty() || changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without a change the answer is an empty page.
+        let _ = timeout(wait, newer).await;
+        let (rows, version) = self.rows_after(table, since);
+        page(rows, version)
+    }
+
+    fn rows_after(&self, table: &str, since: u64) -> (Vec<Value>, u64) {
+        let state = self.state();
+        let rows = state.tables.get(table).into_iter().flatten();
+        let mut newer: Vec<(&String, &StoreRow)> =
+            rows.filter(|(_, row)| row.version > since).collect();
+        newer.sort_by_key(|(_, row)| row.version);
+        let rows = newer
+            .into_iter()
+            .map(|(key, row)| encode(table, key, row))
+            .collect();
+        (rows, state.version)
+    }
+
+    fn transact(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else {
+            return plain(StatusCode::BAD_REQUEST);
+        };
+        let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+        for row in call["writes"].as_array().into_iter().flatten() {
+            let value = STANDARD.decode(text(row, "value")).unwrap_or_default();
+            self.put(&text(row, "table"), &text(row, "key"), &value);
+        }
+        for row in call["remove"].as_array().into_iter().flatten() {
+            self.remove(&text(row, "table"), &text(row, "key"));
+        }
+        let version = self.state().version;
+        json_answer(&json!({"ver": version, "now-ms": 0}))
+    }
+}
+
+fn encode(table: &str, key: &str, row: &StoreRow) -> Value {
+    match &row.value {
+        Some(value) => json!({
+            "table": table, "part": "", "key": key, "ver": row.version,
+            "value": STANDARD.encode(value),
+        }),
+        None => json!({
+            "table": table, "part": "", "key": key, "ver": row.version, "tombstone": true,
+        }),
+    }
+}
+
+fn page(rows: Vec<Value>, version: u64) -> Response<Full<Bytes>> {
+    json_answer(&json!({"rows": rows, "has-more": false, "ver": version, "now-ms": 0}))
+}
+
+fn json_answer(value: &Value) -> Response<Full<Bytes>> {
+    Response::new(Full::from(value.to_string()))
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -0,0 +1,284 @@
+//! A worker of the users' platform that answers by a script.
+//!
+//! Its bytes are written by hand, because most of what it is for is answers
+//! that no HTTP library would send: torn, doubled, foreign and late ones.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// What the worker does with one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerAct {
+    /// A whole answer with this status and body.
+    Answer(u16, &'static str),
+    /// The worker's word that it did not run.
+    Rejected,
+    /// Another lifetime, of this name, holds the address.
+    Misdirected(&'static str),
+    /// Reset after the request was read.
+    Reset,
+    /// No answer, until the caller closes.
+    Silence,
+    /// An answer that ends before its length.
+    Truncated,
+    /// A whole answer, and at once the answer to another request.
+    Extra,
+    /// The answer to another request.
+    Foreign,
+    /// A success without the seal.
+    NoSeal,
+    /// Bytes that are no answer.
+    Junk,
+    /// Events after the position asked for, up to this one, then this end.
+    Events(u64, StreamEnd),
+}
+
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// Whole.
+    Complete,
+    /// Reset after a whole event.
+    Cut,
+    /// Reset in the middle of an event.
+    Torn,
+    /// Silent for good.
+    Hang,
+}
+
+/// One request as the worker got it.
+#[derive(Clone, Debug)]
+pub struct WorkerRequest {
+    /// Head, as it came.
+    pub head: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl WorkerRequest {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct WorkerState {
+    script: VecDeque<WorkerAct>,
+    requests: Vec<WorkerRequest>,
+    closed: usize,
+}
+
+/// A worker in this process.
+#[derive(Clone, Debug)]
+pub struct ScriptedWorker {
+    /// Where it listens.
+    pub address: SocketAddr,
+    instance: &'static str,
+    state: Arc<Mutex<WorkerState>>,
+}
+
+/// Pause between two events: long enough that they come as pieces.
+const EVENT_PAUSE: Duration = Duration::from_millis(2);
+
+impl ScriptedWorker {
+    /// Start a worker; without a script it answers 200.
+    pub async fn start(instance: &'static str) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let worker = Self {
+            address: listener.local_addr()?,
+            instance,
+            state: Arc::default(),
+        };
+        tokio::spawn(worker.clone().serve(listener));
+        Ok(worker)
+    }
+
+    /// What to do with the next requests.
+    pub fn script(&self, acts: impl IntoIterator<Item = WorkerAct>) {
+        self.state().script.extend(acts);
+    }
+
+    /// Requests so far.
+    pub fn requests(&self) -> Vec<WorkerRequest> {
+        self.state().requests.clone()
+    }
+
+    /// Connections that their caller closed while an answer was due.
+    pub fn abandoned(&self) -> usize {
+        self.state().closed
+    }
+
+    fn state(&self) -> MutexGuard<'_, WorkerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let worker = self.clone();
+            // A connection that breaks is what many scripts are about.
+            tokio::spawn(async move { worker.serve_connection(stream).await.ok() });
+        }
+    }
+
+    async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut held = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut held).await? {
+            let act = {
+                let mut state = self.state();
+                state.requests.push(request.clone());
+                let act = state.script.pop_front();
+                act.unwrap_or(WorkerAct::Answer(200, "ok"))
+            };
+            if !self.play(&mut stream, &request, act).await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Play one act; tells whether the connection goes on.
+    async fn play(
+        &self,
+        stream: &mut TcpStream,
+        request: &WorkerRequest,
+        act: WorkerAct,
+    ) -> io::Result<bool> {
+        let id = request.header("x-bamboocross-request-id").unwrap_or("");
+        let whole = |id: &str, status: u16, body: &str| {
+            let length = body.len();
+            format!(
+                "HTTP/1.1 {status} X\r\nx-bamboocross-request-id: {id}\r\n\
+                 x-bamboocross-server-seal: seal-{id}\r\n\
+                 x-bamboocross-instance: {}\r\ncontent-length: {length}\r\n\r\n{body}",
+                self.instance
+            )
+        };
+        let text = match act {
+            WorkerAct::Answer(status, body) => whole(id, status, body),
+            WorkerAct::Rejected => format!(
+                "HTTP/1.1 503 X\r\nx-bamboocross-request-id: {id}\r\n\
+                 x-bamboocross-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            ),
+            WorkerAct::Misdirected(other) => format!(
+                "HTTP/1.1 421 X\r\nx-bamboocross-request-id: {id}\r\n\
+                 x-bamboocross-instance: {other}\r\ncontent-length: 0\r\n\r\n"
+            ),
+            WorkerAct::Extra => whole(id, 200, "ok") + &whole("other", 200, "of another"),
+            WorkerAct::Foreign => whole("other", 200, "of another"),
+            WorkerAct::NoSeal => format!(
+                "HTTP/1.1 200 X\r\nx-bamboocross-request-id: {id}\r\ncontent-length: 2\r\n\r\nok"
+            ),
+            WorkerAct::Junk => "no answer at all\r\n\r\n".to_owned(),
+            WorkerAct::Truncated => {
+                let text = whole(id, 200, "cut short");
+                stream.write_all(&text.as_bytes()[..text.len() - 4]).await?;
+                return reset(stream);
+            }
+            WorkerAct::Reset => return reset(stream),
+            WorkerAct::Silence => return self.wait_for_close(stream).await,
+            WorkerAct::Events(last, end) => return self.stream(stream, request, last, end).await,
+        };
+        stream.write_all(text.as_bytes()).await?;
+        Ok(true)
+    }
+
+    async fn stream(
+        &self,
+        stream: &mut TcpStream,
+        request: &WorkerRequest,
+        last: u64,
+        end: StreamEnd,
+    ) -> io::Result<bool> {
+        let id = request.header("x-bamboocross-request-id").unwrap_or("");
+        let after = request.header("last-event-id");
+        let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-bamboocross-request-id: {id}\r\n\
+             x-bamboocross-server-seal: {}\r\ncontent-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\n\r\n",
+            self.instance
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for position in first..=last {
+            write_chunk(stream, &format!("id: {position}\ndata: e{position}\n\n")).await?;
+            sleep(EVENT_PAUSE).await;
+        }
+        match end {
+            StreamEnd::Complete => {
+                stream.write_all(b"0\r\n\r\n").await?;
+                Ok(true)
+            }
+            StreamEnd::Cut => reset(stream),
+            StreamEnd::Torn => {
+                write_chunk(stream, &format!("id: {}\ndata: e", last + 1)).await?;
+                sleep(EVENT_PAUSE).await;
+                reset(stream)
+            }
+            StreamEnd::Hang => self.wait_for_close(stream).await,
+        }
+    }
+
+    async fn wait_for_close(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        let mut bytes = [0; 64];
+        while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
+        self.state().closed += 1;
+        Ok(false)
+    }
+}
+
+async fn write_chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(chunk.as_bytes()).await
+}
+
+fn reset(stream: &TcpStream) -> io::Result<bool> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    Ok(false)
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    held: &mut Vec<u8>,
+) -> io::Result<Option<WorkerRequest>> {
+    let head_end = loop {
+        if let Some(at) = held.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(held).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&held[..head_end]).into_owned();
+    let mut request = WorkerRequest {
+        head,
+        body: Vec::new(),
+    };
+    let length = request
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
+    let end = head_end + length.unwrap_or(0);
+    while held.len() < end {
+        if stream.read_buf(held).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = held[head_end..end].to_vec();
+    held.drain(..end);
+    Ok(Some(request))
+}
