--- /dev/null
+++ b/crates/domain/benches/server_pick.rs
@@ -0,0 +1,62 @@
+//! Time of one choice among servers that registered, whatever their number.
+
+#![expect(missing_docs, reason = "the macros of the library define public items")]
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use domain::{
+    DomainName, ServerName, ServiceName,
+    kv_placement::{PickQuery, TokenCounts, pick_server},
+    server_registry::{ServerRecord, ServerRegistry, ServerState},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+const SIZES: [u16; 3] = [4, 86, 1_400];
+const DOMAINS: u16 = 4;
+
+fn registry(servers: u16) -> ServerRegistry {
+    let records: Vec<ServerRecord> = (0..servers)
+        .map(|number| ServerRecord {
+            instance: ServerName::from(format!("i-{number}")),
+            service: ServiceName::from("pool"),
+            address: ([10, 0, 0, 1], number).into(),
+            domain: DomainName::from(format!("domain-{}", number % DOMAINS)),
+            slots: 64,
+            state: ServerState::Ready,
+            born_ms: 1,
+        })
+        .collect();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&records, Instant::now());
+    registry
+}
+
+fn choices(bench: &mut Criterion) {
+    let mut group = bench.benchmark_group("pick_server");
+    group.measurement_time(Duration::from_secs(2));
+    for size in SIZES {
+        let registry = registry(size);
+        let own_domain = DomainName::from("domain-0");
+        let service = ServiceName::from("pool");
+        let mut rng = SmallRng::seed_from_u64(1);
+        group.bench_function(BenchmarkId::from_parameter(size), |bench| {
+            let query = PickQuery {
+                tokens: Some(TokenCounts {
+                    prompt: 8_000,
+                    output: 900,
+                }),
+                kv_total: 88_000,
+                own_domain: &own_domain,
+                tried: &[],
+                now: Instant::now(),
+            };
+            bench.iter(|| pick_server(black_box(registry.servers(&service)), &query, &mut rng));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choices);
+criterion_main!(benches);
--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -64,9 +64,15 @@
     query: &PickQuery<'_>,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
-    pick_by(servers, query, rng, |domain, slot| {
-        let away = domain != query.own_domain;
-        work_cost(slot, query) + if away { away_cost(query) } else { 0 }
+    let place_cost = |domain: &DomainName| {
+        if domain == query.own_domain {
+            0
+        } else {
+            away_cost(query)
+        }
+    };
+    pick_by(servers, query, rng, place_cost, |slot| {
+        work_cost(slot, query)
     })
 }
 
@@ -78,13 +84,18 @@
     primary: &ServerSlot,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
-    let picked = pick_by(servers, query, rng, |domain, slot| {
-        let same = *domain == primary.record().domain;
-        // Memory decides: a copy reads no prompt.
-        slot.kv_tokens() / PROMPT_TOKENS_PER_MS
-            + u64::from(slot.running()) * RUN_COST_MS
-            + if same { NO_ROOM_MS } else { 0 }
-    })?;
+    let place_cost = |domain: &DomainName| {
+        if *domain == primary.record().domain {
+            NO_ROOM_MS
+        } else {
+            0
+        }
+    };
+    // Memory decides: a copy reads no prompt.
+    let cost = |slot: &ServerSlot| {
+        slot.kv_tokens() / PROMPT_TOKENS_PER_MS + u64::from(slot.running()) * RUN_COST_MS
+    };
+    let picked = pick_by(servers, query, rng, place_cost, cost)?;
     (picked.record().address != primary.record().address).then_some(picked)
 }
 
@@ -92,7 +103,8 @@
     servers: &'a [DomainServers],
     query: &PickQuery<'_>,
     rng: &mut impl Rng,
-    cost: impl Fn(&DomainName, &ServerSlot) -> u64,
+    place_cost: impl Fn(&DomainName) -> u64,
+    cost: impl Fn(&ServerSlot) -> u64,
 ) -> Option<&'a Arc<ServerSlot>> {
     let mut best: Option<(u64, &Arc<ServerSlot>)> = None;
     for own in servers {
@@ -109,6 +121,7 @@
             after.iter().chain(before).take(most)
         };
         let doubt = domain_doubt(window(), query.now);
+        let place = place_cost(&own.domain);
         for slot in window() {
             if slot.is_misdirected() || query.tried.contains(&slot.record().address) {
                 continue;
@@ -118,7 +131,7 @@
             } else {
                 doubt
             };
-            let total = cost(&own.domain, slot) + room_cost(slot, query) + suspicion;
+            let total = place + cost(slot) + room_cost(slot, query) + suspicion;
             if best.is_none_or(|(least, _)| total < least) {
                 best = Some((total, slot));
             }
--- a/crates/domain/src/server_registry/server_slot.rs
+++ b/crates/domain/src/server_registry/server_slot.rs
@@ -153,7 +153,9 @@
 
     /// Whether the server has failed lately.
     pub fn is_suspect(&self, now: Instant) -> bool {
-        self.load.suspect_until.load(Relaxed) > self.millis(now)
+        // Most never failed; reading no clock for them keeps choices short.
+        let until = self.load.suspect_until.load(Relaxed);
+        until != 0 && until > self.millis(now)
     }
 
     /// Time since the last sign of life, on any connection of this process;
--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -60,9 +60,31 @@
 fn render_metrics(state: &FrontState) -> String {
     let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
     state.metrics.dropped_lines.set(dropped);
+    let now = Instant::now();
+    let confirmed = state.freshness().confirmed;
+    let age = confirmed.map_or(-1, |confirmed| {
+        whole(now.duration_since(confirmed).as_secs())
+    });
+    state.metrics.state_age_seconds.set(age);
+    state.metrics.retries_left.set(state.retries_left(now));
+    state.metrics.memory_bytes.set(whole(resident_bytes()));
     state.metrics.set.render()
 }
 
+fn whole(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Memory of this process in use; 0 where the kernel does not tell.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let kilobytes = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1_024
+}
+
 fn dump_state(state: &FrontState) -> Value {
     let now = Instant::now();
     let desired = state.desired.load();
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -7,6 +7,7 @@
     run_evidence::{NextStep, SendBudget, SendEnd, next_step},
     server_registry::{ServerSlot, WorkSize},
 };
+use telemetry::ROUTINE_TARGET;
 use tokio::time::Instant;
 
 use crate::{
@@ -63,6 +64,17 @@
                     .inc();
                 let spent = task.received.elapsed();
                 state.metrics.call_seconds.observe(spent.as_secs_f64());
+                log::info!(
+                    target: ROUTINE_TARGET,
+                    request = task.id.as_str(),
+                    route = task.route.name.as_ref(),
+                    server = slot.record().instance.as_str(),
+                    status = answer.parts.status.as_u16(),
+                    runs = budget.runs,
+                    rejected = budget.rejected,
+                    age_ms = spent.as_millis() as u64;
+                    "answered"
+                );
                 whole_reply(answer.parts, answer.body)
             }
             (NextStep::Refuse, _) => no_server(state, task, &budget),
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -4,8 +4,9 @@
 use telemetry::MetricSet;
 
 /// All metrics; names are listed in docs/OPERATIONS.md.
-pub(crate) struct FrontMetrics {
-    pub(crate) set: MetricSet,
+pub struct FrontMetrics {
+    /// The set that renders them.
+    pub set: MetricSet,
     pub(crate) requests: IntCounterVec,
     pub(crate) refusals: IntCounterVec,
     pub(crate) sends: IntCounterVec,
@@ -20,61 +21,95 @@
     pub(crate) open_connections: IntGauge,
     pub(crate) new_links: IntCounter,
     pub(crate) dropped_lines: IntGauge,
+    pub(crate) retries_left: IntGauge,
+    pub(crate) state_age_seconds: IntGauge,
+    pub(crate) memory_bytes: IntGauge,
+}
+
+impl Default for FrontMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl FrontMetrics {
-    pub(crate) fn new() -> Self {
+    /// Register all metrics.
+    pub fn new() -> Self {
         let mut set = MetricSet::default();
         Self {
             requests: set.counters(
-                "front_requests_total",
+                "bamboocross_front_requests_total",
                 "Requests of callers by outcome",
                 "outcome",
             ),
             refusals: set.counters(
-                "front_refusals_total",
+                "bamboocross_front_refusals_total",
                 "Requests answered by the entry itself, by reason",
                 "reason",
             ),
             sends: set.counters(
-                "front_sends_total",
+                "bamboocross_front_sends_total",
                 "Requests sent to backend servers, by how they ended",
                 "outcome",
             ),
             resumes: set.counters(
-                "front_resumes_total",
+                "bamboocross_front_resumes_total",
                 "Streams that went on at another server, by cause",
                 "cause",
             ),
             store_calls: set.counters(
-                "front_store_calls_total",
+                "bamboocross_front_store_calls_total",
                 "Calls to the platform's store by outcome",
                 "outcome",
             ),
             call_seconds: set.seconds(
-                "front_call_seconds",
+                "bamboocross_front_call_seconds",
                 "Time from a plain request to its answer",
             ),
             first_event_seconds: set.seconds(
-                "front_first_event_seconds",
+                "bamboocross_front_first_event_seconds",
                 "Time from a stream's request to its first event",
             ),
             event_gap_seconds: set.seconds(
-                "front_event_gap_seconds",
+                "bamboocross_front_event_gap_seconds",
                 "Time between pieces of a stream that were handed on",
             ),
-            events: set.counter("front_events_total", "Events handed on to callers"),
-            servers: set.gauge("front_servers", "Backend servers that may get requests"),
+            events: set.counter(
+                "bamboocross_front_events_total",
+                "Events handed on to callers",
+            ),
+            servers: set.gauge(
+                "bamboocross_front_servers",
+                "Backend servers that may get requests",
+            ),
             state_version: set.gauge(
-                "front_state_version",
+                "bamboocross_front_state_version",
                 "Number of the desired state in force",
             ),
-            open_connections: set.gauge("front_open_connections", "Connections of callers"),
+            open_connections: set.gauge(
+                "bamboocross_front_open_connections",
+                "Connections of callers",
+            ),
             new_links: set.counter(
-                "front_new_links_total",
+                "bamboocross_front_new_links_total",
                 "Connections opened to backend servers",
             ),
-            dropped_lines: set.gauge("front_dropped_lines", "Log lines dropped since the start"),
+            dropped_lines: set.gauge(
+                "bamboocross_front_log_lines_dropped_total",
+                "Log lines dropped since the start",
+            ),
+            retries_left: set.gauge(
+                "bamboocross_front_retries_left",
+                "Retries left in the window, of the service with the least",
+            ),
+            state_age_seconds: set.gauge(
+                "bamboocross_front_state_age_seconds",
+                "Time since the store confirmed the desired state in force",
+            ),
+            memory_bytes: set.gauge(
+                "bamboocross_front_memory_bytes",
+                "Memory of the process in use",
+            ),
             set,
         }
     }
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -147,6 +147,14 @@
         share.spend(entries, now)
     }
 
+    /// Retries left of the service that has the least.
+    pub(crate) fn retries_left(&self, now: Instant) -> i64 {
+        let entries = self.roster.load().count(ROSTER_LIFETIME, now);
+        let shares = self.shares.pin();
+        let left = shares.values().map(|share| share.left(entries, now) as i64);
+        left.min().unwrap_or(0)
+    }
+
     /// Share of a service's retry budget.
     pub(crate) fn retry_share(&self, service: &ServiceName) -> Arc<RetryShare> {
         let shares = self.shares.pin();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub use admin_front::serve_admin;
 pub use caller_front::serve_callers;
+pub use front_metrics::FrontMetrics;
 pub use front_state::FrontState;
 pub use settings_watch::watch_settings;
 pub use store_watch::watch_store;
--- a/crates/front/tests/site/entry_life.rs
+++ b/crates/front/tests/site/entry_life.rs
@@ -43,7 +43,11 @@
     site.register(DESK, &desk, "a", "ready");
     site.wait_ready().await;
     let mut asked = 0;
-    while site.metric("front_dropped_lines").await == 0.0 {
+    while site
+        .metric("bamboocross_front_log_lines_dropped_total")
+        .await
+        == 0.0
+    {
         let answered = site.call("/none/1", "r").await;
         assert_eq!(answered.status, StatusCode::NOT_FOUND);
         asked += 1;
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -7,7 +7,7 @@
 use domain::{NoteVersion, ServerName, vm_membership::StopKind};
 
 use crate::{
-    CommandResult, dump_command,
+    CommandResult, dump_command, follow_command,
     note_command::{self, NoteSource},
     requests_command::{self, RequestQuery},
     spread_watch::wait_until_in_force,
@@ -41,6 +41,25 @@
                 .about("Print the state of one process as JSON")
                 .arg(address_arg("address", "HTTP address of the process")),
         )
+        .subcommand(follow_command_line())
+}
+
+fn follow_command_line() -> Command {
+    Command::new("follow")
+        .about("Tell the story of one request from saved logs of several processes")
+        .arg(
+            Arg::new("request")
+                .help("Identity of the request, as the logs have it")
+                .required(true),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .help("Saved logs, one file a process or one with the names of processes")
+                .value_parser(value_parser!(PathBuf))
+                .num_args(1..)
+                .required(true),
+        )
 }
 
 fn note_commands() -> Command {
@@ -230,10 +249,19 @@
             let address = matches.get_one::<SocketAddr>("address");
             dump_command::dump(address.copied().expect("the argument is required")).await
         }
+        Some(("follow", matches)) => run_follow(matches),
         _ => unreachable!("a subcommand is required"),
     }
 }
 
+fn run_follow(matches: &ArgMatches) -> CommandResult {
+    let request = matches.get_one::<String>("request");
+    let logs = matches.get_many::<PathBuf>("logs");
+    let paths: Vec<PathBuf> = logs.into_iter().flatten().cloned().collect();
+    follow_command::follow(request.expect("the argument is required"), &paths)?;
+    Ok(())
+}
+
 async fn run_note(matches: &ArgMatches) -> CommandResult {
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
     let platform = platform_of(matches);
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,7 +11,7 @@
 mod metric_set;
 mod stop_signal;
 
-pub use bounded_writer::{BoundedWriter, dropped_lines};
+pub use bounded_writer::{BoundedWriter, ROUTINE_TARGET, dropped_lines};
 pub use daemon_command::{DaemonArgs, ExitStatus, report_and_exit};
 pub use daemon_run::{DaemonSpec, run_daemon};
 pub use log_setup::{LogTarget, start_logs};
--- a/xtask/tests/control.rs
+++ b/xtask/tests/control.rs
@@ -4,6 +4,7 @@
 
 use agent::AgentMetrics;
 use entry::EntryMetrics;
+use front::FrontMetrics;
 use miette::{IntoDiagnostic, Result};
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -15,13 +16,20 @@
 const UNITS: [&str; 5] = ["_total", "_seconds", "_bytes", "_ratio", "_version"];
 
 /// Gauges of things counted now, whose unit is the thing itself.
-const COUNTED: [&str; 2] = ["bamboocross_agent_generations", "bamboocross_entry_servers"];
+const COUNTED: [&str; 5] = [
+    "bamboocross_agent_generations",
+    "bamboocross_entry_servers",
+    "bamboocross_front_open_connections",
+    "bamboocross_front_retries_left",
+    "bamboocross_front_servers",
+];
 
-const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+const OPERATING: &str = include_str!("../../docs/OPERATIONS.md");
 
 fn exported() -> Vec<MetricDescription> {
     let mut all = EntryMetrics::new().set.descriptions().to_vec();
     all.extend_from_slice(AgentMetrics::new().set.descriptions());
+    all.extend_from_slice(FrontMetrics::new().set.descriptions());
     all
 }
 
