--- a/crates/domain/src/server_registry/registry_fold.rs
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -90,6 +90,11 @@
         self.slots.is_empty()
     }
 
+    /// A server by the name of its lifetime.
+    pub fn find(&self, instance: &ServerName) -> Option<&Arc<ServerSlot>> {
+        self.slots.get(instance)
+    }
+
     /// Whether a lifetime of that name is in the list.
     pub fn contains(&self, instance: &ServerName) -> bool {
         self.slots.contains_key(instance)
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -29,13 +29,14 @@
     share.note_request(Instant::now());
     let mut budget = SendBudget::new(task.route.attempts, task.route.kind);
     let mut tried = Vec::new();
+    let mut held: Option<WholeAnswer> = None;
     loop {
         let now = Instant::now();
         if task.left(now).is_zero() {
-            break own(state, task, ReplyReason::Timeout);
+            return end_with(state, task, held, ReplyReason::Timeout);
         }
-        let Some(slot) = pick(state, task, &tried, now) else {
-            break no_server(state, task, &budget);
+        let Some(slot) = pick(state, task, &budget, &tried, now) else {
+            return end_with(state, task, held, no_server(task, &budget));
         };
         let sent = send_once(state, &slot, task, &budget).await;
         let end = match &sent {
@@ -44,49 +45,59 @@
             },
             Err(end) => *end,
         };
-        state
-            .metrics
-            .sends
-            .with_label_values(&[send_name(end)])
-            .inc();
+        let outcome = send_name(end);
+        state.metrics.sends.with_label_values(&[outcome]).inc();
         budget.count(end);
         tried.push(slot.record().address);
+        held = sent.ok().or(held);
         let step = next_step(task.route.kind, end, &budget);
-        if step == NextStep::TryAgain && (!end.arrived() || state.spend_retry(&share)) {
+        let again = step == NextStep::TryAgain && (!end.arrived() || state.spend_retry(&share));
+        log::info!(
+            target: ROUTINE_TARGET,
+            request = task.id.as_str(),
+            route = task.route.name.as_ref(),
+            server = slot.record().instance.as_str(),
+            outcome = outcome,
+            again = again,
+            runs = budget.runs,
+            rejected = budget.rejected,
+            age_ms = task.received.elapsed().as_millis() as u64;
+            "call sent"
+        );
+        if again {
             continue;
         }
-        break match (step, sent) {
-            (NextStep::Deliver | NextStep::TryAgain, Ok(answer)) => {
-                state
-                    .metrics
-                    .requests
-                    .with_label_values(&["answered"])
-                    .inc();
-                let spent = task.received.elapsed();
-                state.metrics.call_seconds.observe(spent.as_secs_f64());
-                log::info!(
-                    target: ROUTINE_TARGET,
-                    request = task.id.as_str(),
-                    route = task.route.name.as_ref(),
-                    server = slot.record().instance.as_str(),
-                    status = answer.parts.status.as_u16(),
-                    runs = budget.runs,
-                    rejected = budget.rejected,
-                    age_ms = spent.as_millis() as u64;
-                    "answered"
-                );
-                whole_reply(answer.parts, answer.body)
-            }
-            (NextStep::Refuse, _) => no_server(state, task, &budget),
-            (NextStep::TryAgain, Err(_)) if budget.runs == 0 => {
-                refuse(state, task, ReplyReason::NoBudget)
-            }
-            _ if task.left(Instant::now()).is_zero() => own(state, task, ReplyReason::Timeout),
-            _ => own(state, task, ReplyReason::OutcomeUnknown),
+        let reason = match step {
+            NextStep::Refuse => no_server(task, &budget),
+            NextStep::TryAgain if budget.runs == 0 => ReplyReason::NoBudget,
+            _ if task.left(Instant::now()).is_zero() => ReplyReason::Timeout,
+            _ => ReplyReason::OutcomeUnknown,
         };
+        return end_with(state, task, held, reason);
     }
 }
 
+/// The last answer of a server, a failure at the least, goes before the entry's
+/// own word.
+fn end_with(
+    state: &FrontState,
+    task: &CallTask,
+    held: Option<WholeAnswer>,
+    reason: ReplyReason,
+) -> CallerReply {
+    let Some(answer) = held else {
+        return own(state, task, reason);
+    };
+    let spent = task.received.elapsed();
+    state.metrics.call_seconds.observe(spent.as_secs_f64());
+    state
+        .metrics
+        .requests
+        .with_label_values(&["answered"])
+        .inc();
+    whole_reply(answer.parts, answer.body)
+}
+
 /// Metric label of a send's end.
 pub(crate) fn send_name(end: SendEnd) -> &'static str {
     match end {
@@ -103,6 +114,7 @@
 fn pick(
     state: &FrontState,
     task: &CallTask,
+    budget: &SendBudget,
     tried: &[SocketAddr],
     now: Instant,
 ) -> Option<Arc<ServerSlot>> {
@@ -116,7 +128,19 @@
         now,
     };
     let servers = registry.servers(&task.service);
-    pick_server(servers, &query, &mut rand::rng()).map(Arc::clone)
+    let mut rng = rand::rng();
+    let picked = pick_server(servers, &query, &mut rng);
+    // Where only one server is left, what may run again does so there, unless
+    // it is full.
+    let picked = picked.or_else(|| {
+        let again = PickQuery {
+            tried: &[],
+            ..query
+        };
+        let may_repeat = task.route.kind.is_idempotent() && budget.rejected == 0;
+        may_repeat.then(|| pick_server(servers, &again, &mut rng))?
+    });
+    picked.map(Arc::clone)
 }
 
 async fn send_once(
@@ -149,24 +173,24 @@
     task.deadline.min(now + silent)
 }
 
-fn no_server(state: &FrontState, task: &CallTask, budget: &SendBudget) -> CallerReply {
+/// Why a request ends for which there is no server.
+fn no_server(task: &CallTask, budget: &SendBudget) -> ReplyReason {
     if budget.runs > 0 && !task.route.kind.is_idempotent() {
-        return own(state, task, ReplyReason::OutcomeUnknown);
+        ReplyReason::OutcomeUnknown
+    } else {
+        ReplyReason::NoServer
     }
-    refuse(state, task, ReplyReason::NoServer)
-}
-
-/// Refuse a request that surely did not run, or that may run again.
-pub(crate) fn refuse(state: &FrontState, task: &CallTask, reason: ReplyReason) -> CallerReply {
-    note(state, task, reason);
-    let left = task.left(Instant::now());
-    refusal(reason, task.route.kind.is_stream(), left)
 }
 
-/// Answer with the entry's own word.
+/// Answer with the entry's own word; a refusal tells when to come back.
 pub(crate) fn own(state: &FrontState, task: &CallTask, reason: ReplyReason) -> CallerReply {
     note(state, task, reason);
-    own_reply(reason)
+    if reason.is_refusal() {
+        let left = task.left(Instant::now());
+        refusal(reason, task.route.kind.is_stream(), left)
+    } else {
+        own_reply(reason)
+    }
 }
 
 fn note(state: &FrontState, task: &CallTask, reason: ReplyReason) {
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -121,6 +121,12 @@
 }
 
 impl ReplyReason {
+    /// Whether it promises that the request did not run, or asks an idempotent
+    /// one to come back.
+    pub(crate) fn is_refusal(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -289,7 +289,7 @@
 /// on the newest registry until it is the one replaced.
 fn update(state: &FrontState, change: impl Fn(&mut ServerRegistry, Instant)) {
     let now = Instant::now();
-    state.registry.rcu(|registry| {
+    let before = state.registry.rcu(|registry| {
         let mut registry = ServerRegistry::clone(registry);
         change(&mut registry, now);
         registry
@@ -298,4 +298,33 @@
     state.links.retain(&registry);
     let count = i64::try_from(registry.len()).unwrap_or(i64::MAX);
     state.metrics.servers.set(count);
+    if before.is_empty() {
+        log::info!(servers = count; "servers listed");
+    } else {
+        note_changes(&before, &registry);
+    }
+}
+
+/// One line for each server that came, changed or went.
+fn note_changes(before: &ServerRegistry, after: &ServerRegistry) {
+    for slot in after.all() {
+        let record = slot.record();
+        let known = before.find(&record.instance);
+        if known.is_none_or(|known| known.record() != record) {
+            log::info!(
+                server = record.instance.as_str(),
+                service = record.service.as_str(),
+                address:% = record.address,
+                domain = record.domain.as_str(),
+                state:? = record.state;
+                "server known"
+            );
+        }
+    }
+    for slot in before.all() {
+        let instance = &slot.record().instance;
+        if !after.contains(instance) {
+            log::info!(server = instance.as_str(); "server gone");
+        }
+    }
 }
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    call_run::{own, refuse, send_name},
+    call_run::{own, send_name},
     call_task::CallTask,
     copy_keeper::{CopyKeeper, KvCopy},
     front_state::FrontState,
@@ -146,6 +146,10 @@
 
     async fn drive(&mut self) -> &'static str {
         loop {
+            if self.task.left(Instant::now()).is_zero() {
+                self.give_up(ReplyReason::Timeout);
+                return "timeout";
+            }
             let Some(slot) = self.next_server().await else {
                 self.give_up(ReplyReason::NoServer);
                 return "no_server";
@@ -204,15 +208,13 @@
         let Some(head) = self.head.take() else {
             return;
         };
-        let reply = match reason {
-            ReplyReason::NoServer | ReplyReason::NoBudget | ReplyReason::Closing
-                if self.budget.runs == 0 || self.task.route.kind.is_idempotent() =>
-            {
-                refuse(&self.state, &self.task, reason)
-            }
-            ReplyReason::Timeout => own(&self.state, &self.task, reason),
-            _ => own(&self.state, &self.task, ReplyReason::OutcomeUnknown),
+        let may_refuse = self.budget.runs == 0 || self.task.route.kind.is_idempotent();
+        let reason = if reason.is_refusal() && !may_refuse {
+            ReplyReason::OutcomeUnknown
+        } else {
+            reason
         };
+        let reply = own(&self.state, &self.task, reason);
         // The caller may have left in this moment.
         let _ = head.send(StreamHead::Whole(Box::new(reply)));
     }
--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/worker_exchange.rs
@@ -28,6 +28,9 @@
 /// Time for a copy of a run's memory: some 1.5 GB over 100 GB/s, and others
 /// before it.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a silent server is blamed although the request's time is
+/// over: some times the work of a plain request.
+const FAIR_WAIT: Duration = Duration::from_millis(200);
 /// Time for an answer on the health of a server, which takes a millisecond.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a server that failed is avoided at first. A crash of today's
@@ -58,28 +61,32 @@
     order: &WorkerOrder<'_>,
     limit: Instant,
 ) -> Result<WorkerAnswer, SendEnd> {
+    let started = Instant::now();
     let sent = exchange(state, slot, task, order, limit).await;
-    note_end(slot, task, &sent);
+    match &sent {
+        Ok(_) => slot.note_life(Instant::now()),
+        Err(end) => note_failure(slot, task, *end, started),
+    }
     sent
 }
 
-fn note_end(slot: &ServerSlot, task: &CallTask, sent: &Result<WorkerAnswer, SendEnd>) {
+/// A server is not blamed for a time limit that left it no time, nor for being
+/// full.
+fn note_failure(slot: &ServerSlot, task: &CallTask, end: SendEnd, started: Instant) {
     let now = Instant::now();
-    match sent {
-        Ok(_) => slot.note_life(now),
-        // The server is there, only full.
-        Err(SendEnd::Rejected) => {}
-        Err(end) => {
-            slot.note_failure(now, FAILURE_PAUSE);
-            log::info!(
-                request = task.id.as_str(),
-                server = slot.record().instance.as_str(),
-                address:% = slot.record().address,
-                outcome:? = end;
-                "send failed"
-            );
-        }
+    let waited = now.duration_since(started);
+    let had_time = now < task.deadline || waited >= FAIR_WAIT;
+    if end != SendEnd::Rejected && had_time {
+        slot.note_failure(now, FAILURE_PAUSE);
     }
+    log::info!(
+        request = task.id.as_str(),
+        server = slot.record().instance.as_str(),
+        address:% = slot.record().address,
+        outcome:? = end,
+        waited_ms = waited.as_millis() as u64;
+        "send failed"
+    );
 }
 
 async fn exchange(
--- a/crates/front/tests/site/calls.rs
+++ b/crates/front/tests/site/calls.rs
@@ -70,6 +70,28 @@
     assert_eq!((first.requests().len(), second.requests().len()), (1, 1));
 }
 
+/// One server is left and fails once: what may run again does so there, and a
+/// server's last word goes before a refusal.
+#[rstest]
+#[case(&[Answer(500, "failed")], 200, 2)]
+#[case(&[Answer(500, "failed"), Answer(500, "failed")], 500, 2)]
+#[case(&[Answer(500, "failed"), Reset], 500, 2)]
+#[tokio::test]
+async fn last_server_is_asked_again(
+    #[case] acts: &[WorkerAct],
+    #[case] status: u16,
+    #[case] sends: usize,
+) {
+    let worker = desk("i1").await;
+    worker.script(acts.iter().cloned());
+    let site = TestSite::start(&[(DESK, &worker, "a")]).await;
+    let mut request = caller_request("/look/1", "r1");
+    *request.uri_mut() = http::Uri::from_static("/twice/1");
+    let answered = site.send(request).await;
+    assert_eq!(answered.status.as_u16(), status, "{answered:?}");
+    assert_eq!(worker.requests().len(), sends);
+}
+
 #[tokio::test]
 async fn rejected_booking_goes_to_another_worker() {
     let (first, second) = (desk("i1").await, desk("i2").await);
--- a/crates/front/tests/site/support.rs
+++ b/crates/front/tests/site/support.rs
@@ -63,11 +63,16 @@
 
 /// Desired state with one route of each kind.
 pub fn desired_state(version: u64) -> Value {
+    let attempts = |name: &str| match name {
+        "book" => 1,
+        "twice" => 2,
+        _ => 3,
+    };
     let route = |name: &str, kind: &str, service: &str, resume: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind,
             "timeout-ms": 20_000, "target-latency-ms": 4_500, "priority": 1,
-            "service": service, "attempts": if kind == "unsafe" { 1 } else { 3 },
+            "service": service, "attempts": attempts(name),
             "public": false, "sticky": false, "can-resume": resume, "gap-aim-ms": 700,
         })
     };
@@ -75,6 +80,7 @@
         "version": version,
         "routes": [
             route("look", "safe", DESK, false),
+            route("twice", "safe", DESK, false),
             route("book", "unsafe", DESK, false),
             route("report", "stream", POOL, true),
             route("once", "stream", POOL, false),
