--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/worker_exchange.rs
@@ -247,7 +247,7 @@
     log::info!(
         request = run.as_str(),
         server = slot.record().instance.as_str(),
-        target:% = target,
+        holder:% = target,
         outcome = outcome;
         "memory copied"
     );
