--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -29,9 +29,6 @@
 const SUSPECT_MS: u64 = 100_000;
 /// Cost of a failure domain of which half of the servers failed lately.
 const DOMAIN_SUSPECT_MS: u64 = 50_000;
-/// Cost of the failure domain in which a request has just lost a server: two
-/// prompts that wait elsewhere, or one loss more.
-const LOST_DOMAIN_MS: u64 = 2_500;
 /// Cost of a server without memory for the request.
 const NO_ROOM_MS: u64 = 20_000;
 /// Age up to which a report counts; it is some 100 ms old when it arrives.
@@ -57,8 +54,6 @@
     pub own_domain: &'a DomainName,
     /// Servers that have had the request.
     pub tried: &'a [SocketAddr],
-    /// Failure domain in which the request has just lost a server.
-    pub lost_domain: Option<&'a DomainName>,
     /// The moment.
     pub now: Instant,
 }
@@ -70,8 +65,11 @@
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
     let place_cost = |domain: &DomainName| {
-        let away = domain != query.own_domain;
-        lost_cost(domain, query) + if away { away_cost(query) } else { 0 }
+        if domain == query.own_domain {
+            0
+        } else {
+            away_cost(query)
+        }
     };
     pick_by(servers, query, rng, place_cost, |slot| {
         work_cost(slot, query)
@@ -87,8 +85,11 @@
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerSlot>> {
     let place_cost = |domain: &DomainName| {
-        let same = *domain == primary.record().domain;
-        lost_cost(domain, query) + if same { NO_ROOM_MS } else { 0 }
+        if *domain == primary.record().domain {
+            NO_ROOM_MS
+        } else {
+            0
+        }
     };
     // Memory decides: a copy reads no prompt.
     let cost = |slot: &ServerSlot| {
@@ -175,15 +176,6 @@
     }
 }
 
-/// Failure domains fail as a whole, and seldom is it known at once.
-fn lost_cost(domain: &DomainName, query: &PickQuery<'_>) -> u64 {
-    if query.lost_domain == Some(domain) {
-        LOST_DOMAIN_MS
-    } else {
-        0
-    }
-}
-
 fn room_cost(slot: &ServerSlot, query: &PickQuery<'_>) -> u64 {
     let Some(tokens) = query.tokens else {
         return 0;
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
-    DomainName,
     kv_placement::{PickQuery, pick_server},
     run_evidence::{NextStep, SendBudget, SendEnd, next_step},
     server_registry::{ServerSlot, WorkSize},
@@ -14,7 +13,6 @@
 use crate::{
     call_task::CallTask,
     front_state::FrontState,
-    link_pool::LinkTrust,
     reply::{CallerReply, ReplyReason, own_reply, refusal, whole_reply},
     worker_exchange::{WholeAnswer, send},
 };
@@ -31,14 +29,13 @@
     share.note_request(Instant::now());
     let mut budget = SendBudget::new(task.route.attempts, task.route.kind);
     let mut tried = Vec::new();
-    let mut lost_domain: Option<DomainName> = None;
     let mut held: Option<WholeAnswer> = None;
     loop {
         let now = Instant::now();
         if task.left(now).is_zero() {
             return end_with(state, task, held, ReplyReason::Timeout);
         }
-        let Some(slot) = pick(state, task, &budget, (&tried, lost_domain.as_ref()), now) else {
+        let Some(slot) = pick(state, task, &budget, &tried, now) else {
             return end_with(state, task, held, no_server(task, &budget));
         };
         let sent = send_once(state, &slot, task, &budget).await;
@@ -52,12 +49,6 @@
         state.metrics.sends.with_label_values(&[outcome]).inc();
         budget.count(end);
         tried.push(slot.record().address);
-        if matches!(
-            end,
-            SendEnd::NotConnected | SendEnd::Broken | SendEnd::Silent
-        ) {
-            lost_domain = Some(slot.record().domain.clone());
-        }
         held = sent.ok().or(held);
         let step = next_step(task.route.kind, end, &budget);
         let again = step == NextStep::TryAgain && (!end.arrived() || state.spend_retry(&share));
@@ -124,7 +115,7 @@
     state: &FrontState,
     task: &CallTask,
     budget: &SendBudget,
-    (tried, lost_domain): (&[SocketAddr], Option<&DomainName>),
+    tried: &[SocketAddr],
     now: Instant,
 ) -> Option<Arc<ServerSlot>> {
     let registry = state.registry.load();
@@ -134,7 +125,6 @@
         kv_total: 0,
         own_domain: &settings.domain,
         tried,
-        lost_domain,
         now,
     };
     let servers = registry.servers(&task.service);
@@ -165,19 +155,10 @@
         runs: 1,
         ..WorkSize::default()
     });
-    let trust = link_trust(task, budget);
-    let answer = send(state, slot, task, &task.order(slot, now), trust, limit).await?;
+    let answer = send(state, slot, task, &task.order(slot, now), limit).await?;
     answer.read_whole(state, slot, limit).await
 }
 
-fn link_trust(task: &CallTask, budget: &SendBudget) -> LinkTrust {
-    match task.route.kind.is_idempotent() {
-        false => LinkTrust::Proven,
-        true if budget.runs > 0 => LinkTrust::New,
-        true => LinkTrust::Open,
-    }
-}
-
 /// An idempotent request that may run once more does not wait for a silent
 /// server to the end.
 fn send_limit(task: &CallTask, budget: &SendBudget, now: Instant) -> Instant {
--- a/crates/front/src/link_pool.rs
+++ b/crates/front/src/link_pool.rs
@@ -27,8 +27,6 @@
     Open,
     /// Used a moment ago, since a request on it cannot be sent twice.
     Proven,
-    /// Opened for this exchange, since others to that place may be dead.
-    New,
 }
 
 /// Idle connections by server.
@@ -45,9 +43,6 @@
         trust: LinkTrust,
         now: Instant,
     ) -> Option<BackendLink> {
-        if trust == LinkTrust::New {
-            return None;
-        }
         let queue = Arc::clone(self.idle.pin().get(&slot.record().instance)?);
         // At most one round, so that links put back are not seen again.
         for _ in 0..queue.len() {
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -8,7 +8,6 @@
 
 use bytes::{Bytes, BytesMut};
 use domain::{
-    DomainName,
     desired_state::{EngineSpec, RouteKind},
     event_relay::{EventLedger, EventVerdict, StreamPatience},
     kv_placement::{PickQuery, TokenCounts, pick_backup, pick_server},
@@ -29,7 +28,6 @@
     call_task::CallTask,
     copy_keeper::{CopyKeeper, KvCopy},
     front_state::FrontState,
-    link_pool::LinkTrust,
     reply::{CallerReply, ReplyReason, StreamPiece, stream_reply, whole_reply},
     return_watch::watch_return,
     worker_exchange::{WorkerAnswer, keep_link, send, until_lost},
@@ -90,7 +88,6 @@
     budget: SendBudget,
     copy: Option<KvCopy>,
     last_failed: Vec<SocketAddr>,
-    lost_domain: Option<DomainName>,
     last_piece: Option<Instant>,
 }
 
@@ -113,7 +110,6 @@
             pieces,
             copy: None,
             last_failed: Vec::new(),
-            lost_domain: None,
             last_piece: None,
         }
     }
@@ -175,7 +171,6 @@
             self.budget.count(end);
             if end != SendEnd::Rejected {
                 watch_return(&self.state, &slot);
-                self.lost_domain = Some(slot.record().domain.clone());
             }
             self.last_failed.push(slot.record().address);
             let step = next_step(self.task.route.kind, end, &self.budget);
@@ -263,8 +258,8 @@
     }
 
     fn query<'a>(
-        &'a self,
-        own_domain: &'a DomainName,
+        &self,
+        own_domain: &'a domain::DomainName,
         tried: &'a [SocketAddr],
         now: Instant,
     ) -> PickQuery<'a> {
@@ -275,7 +270,6 @@
                 .map_or(u64::MAX / 100, |engine| engine.kv_tokens),
             own_domain,
             tried,
-            lost_domain: self.lost_domain.as_ref(),
             now,
         }
     }
@@ -351,13 +345,8 @@
             "stream sent"
         );
         let patience = StreamPatience::before_events(task.route.latency_target);
-        let trust = match task.route.kind {
-            RouteKind::ResumableStream if self.lost_domain.is_some() => LinkTrust::New,
-            RouteKind::ResumableStream => LinkTrust::Open,
-            _ => LinkTrust::Proven,
-        };
         let sent = tokio::select! {
-            sent = send(&self.state, slot, &task, &order, trust, task.deadline) => sent,
+            sent = send(&self.state, slot, &task, &order, task.deadline) => sent,
             () = until_lost(&self.state, slot, patience) => {
                 slot.note_failure(Instant::now(), BROKEN_PAUSE);
                 Err(SendEnd::Silent)
--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/worker_exchange.rs
@@ -59,11 +59,10 @@
     slot: &ServerSlot,
     task: &CallTask,
     order: &WorkerOrder<'_>,
-    trust: LinkTrust,
     limit: Instant,
 ) -> Result<WorkerAnswer, SendEnd> {
     let started = Instant::now();
-    let sent = exchange(state, slot, task, order, trust, limit).await;
+    let sent = exchange(state, slot, task, order, limit).await;
     match &sent {
         Ok(_) => slot.note_life(Instant::now()),
         Err(end) => note_failure(slot, task, *end, started),
@@ -95,9 +94,13 @@
     slot: &ServerSlot,
     task: &CallTask,
     order: &WorkerOrder<'_>,
-    trust: LinkTrust,
     limit: Instant,
 ) -> Result<WorkerAnswer, SendEnd> {
+    let trust = if task.route.kind.is_idempotent() {
+        LinkTrust::Open
+    } else {
+        LinkTrust::Proven
+    };
     let mut request = encode(task, order);
     if let Some(mut link) = state.links.take(slot, trust, Instant::now()) {
         match attempt(&mut link, request, limit).await? {
