cargo xtask soak: entries under faults that a seed draws

Entries as processes are killed, stopped, paused and started; the store falls silent, refuses and forgets; workers spoil 12 % of their answers. What callers got is held against what workers ran. Each checker finds a planted fault (18 tests).

--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -77,10 +78,19 @@
     }
 }
 
+/// Acts of a worker without a script: a share of requests meets a fault.
+#[derive(Debug)]
+struct FaultDraw {
+    rng: SmallRng,
+    percent: u32,
+}
+
 #[derive(Debug, Default)]
 struct WorkerState {
     script: VecDeque<WorkerAct>,
+    faults: Option<FaultDraw>,
     requests: Vec<WorkerRequest>,
+    ran: Vec<String>,
     closed: usize,
 }
 
@@ -93,6 +103,8 @@
     state: Arc<Mutex<WorkerState>>,
 }
 
+/// Events of a whole stream of a worker without a script.
+pub const STREAM_EVENTS: u64 = 30;
 /// Pause between two events: long enough that they come as pieces.
 const EVENT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -114,6 +126,19 @@
         self.state().script.extend(acts);
     }
 
+    /// Meet a share of requests with faults that are drawn.
+    pub fn draw_faults(&self, seed: u64, percent: u32) {
+        self.state().faults = Some(FaultDraw {
+            rng: SmallRng::seed_from_u64(seed),
+            percent,
+        });
+    }
+
+    /// Ids of the requests that ran, one entry a run.
+    pub fn ran(&self) -> Vec<String> {
+        self.state().ran.clone()
+    }
+
     /// Requests so far.
     pub fn requests(&self) -> Vec<WorkerRequest> {
         self.state().requests.clone()
@@ -142,8 +167,12 @@
             let act = {
                 let mut state = self.state();
                 state.requests.push(request.clone());
-                let act = state.script.pop_front();
-                act.unwrap_or(WorkerAct::Answer(200, "ok"))
+                let act = state.next_act(&request);
+                if !matches!(act, WorkerAct::Rejected | WorkerAct::Misdirected(_)) {
+                    let id = request.header("x-bamboocross-request-id").unwrap_or("");
+                    state.ran.push(id.to_owned());
+                }
+                act
             };
             if !self.play(&mut stream, &request, act).await? {
                 return Ok(());
@@ -242,6 +271,54 @@
     }
 }
 
+impl WorkerState {
+    fn next_act(&mut self, request: &WorkerRequest) -> WorkerAct {
+        if let Some(act) = self.script.pop_front() {
+            return act;
+        }
+        let is_stream = request.head.starts_with("POST /report/");
+        if let Some(draw) = &mut self.faults
+            && draw.rng.random_range(0..100) < draw.percent
+        {
+            return draw.act(is_stream);
+        }
+        if is_stream {
+            WorkerAct::Events(STREAM_EVENTS, StreamEnd::Complete)
+        } else {
+            WorkerAct::Answer(200, "ok")
+        }
+    }
+}
+
+impl FaultDraw {
+    fn act(&mut self, is_stream: bool) -> WorkerAct {
+        let at = self.rng.random_range(0..STREAM_EVENTS);
+        let acts = if is_stream {
+            vec![
+                WorkerAct::Events(at, StreamEnd::Cut),
+                WorkerAct::Events(at, StreamEnd::Torn),
+                WorkerAct::Events(at, StreamEnd::Hang),
+                WorkerAct::Rejected,
+                WorkerAct::Reset,
+            ]
+        } else {
+            vec![
+                WorkerAct::Reset,
+                WorkerAct::Truncated,
+                WorkerAct::Extra,
+                WorkerAct::Foreign,
+                WorkerAct::NoSeal,
+                WorkerAct::Junk,
+                WorkerAct::Silence,
+                WorkerAct::Rejected,
+                WorkerAct::Answer(500, "failed"),
+            ]
+        };
+        let index = self.rng.random_range(0..acts.len());
+        acts[index].clone()
+    }
+}
+
 async fn write_chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
     stream.write_all(chunk.as_bytes()).await
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load_run;
 pub mod measure;
 pub mod patient_caller;
+pub mod soak;
 
 pub use caller::{CallerClient, ChatEnd, ChatOutcome};
 pub use deployment::{Deployment, DeploymentPlan, ServerSite};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 use xtask::{
     checks, demo,
     measure::{self, MeasureOptions},
+    soak::{self, SoakOptions},
 };
 
 fn main() -> ExitCode {
@@ -16,10 +17,12 @@
         .subcommand(Command::new("demo").about("A long report through the death of its engine"))
         .subcommand(test_command())
         .subcommand(measure_command())
+        .subcommand(soak_command())
         .subcommand(Command::new("check-domain").about("Check what the domain depends on"))
         .get_matches();
     let ran = match matches.subcommand() {
         Some(("measure", matches)) => run_measure(matches),
+        Some(("soak", matches)) => run_soak(matches),
         Some(("demo", _)) => build().and_then(|()| block_on(demo::run()).map(drop)),
         Some(("test", matches)) => build().and_then(|()| run_tests(matches)),
         _ => checks::check_domain(),
@@ -91,6 +94,34 @@
     block_on(measure::run(name, options))
 }
 
+fn soak_command() -> Command {
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+    };
+    Command::new("soak")
+        .about("Entries of the users' platform under faults that are drawn")
+        .arg(number("seed", "Seed of the first run", "1"))
+        .arg(number("seeds", "Runs, one a seed", "1"))
+        .arg(number("seconds", "Seconds of faults in each run", "20"))
+}
+
+fn run_soak(matches: &ArgMatches) -> Result<()> {
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    build()?;
+    for seed in number("seed")..number("seed") + number("seeds") {
+        let options = SoakOptions {
+            seed,
+            seconds: number("seconds"),
+        };
+        block_on(soak::run(options))?;
+    }
+    Ok(())
+}
+
 fn build() -> Result<()> {
     cargo(&["build", "--quiet", "--release", "--workspace", "--bins"])
 }
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,65 @@
+//! A soak: entries as real processes, under faults that a seed draws.
+//!
+//! Store and workers are stand-ins in this process. Entries are paused, killed,
+//! stopped and started again; the store falls silent, refuses and forgets;
+//! workers spoil a share of their answers. Callers go on all the while, and
+//! what they got is held against what the workers ran.
+
+mod soak_callers;
+mod soak_faults;
+mod soak_site;
+mod witness;
+
+use std::{sync::Arc, time::Duration};
+
+use miette::{Result, miette};
+use tokio::{task::JoinSet, time::Instant};
+
+pub use soak_faults::{FaultCounts, draw_faults};
+pub use soak_site::SoakSite;
+pub use witness::{BrokenPromise, CallRecord, MarkRecord, SoakWitness, StreamRecord};
+
+/// Callers at once.
+const CALLERS: u64 = 12;
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Seconds of faults.
+    pub seconds: u64,
+}
+
+/// Play one run; a broken promise is an error.
+pub async fn run(options: SoakOptions) -> Result<()> {
+    let site = Arc::new(SoakSite::start(options.seed).await?);
+    let witness = Arc::new(SoakWitness::default());
+    let end = Instant::now() + Duration::from_secs(options.seconds);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let (site, witness) = (Arc::clone(&site), Arc::clone(&witness));
+        let seed = options.seed * 1_000 + number;
+        callers.spawn(soak_callers::call_until(site, witness, seed, end));
+    }
+    let faults = draw_faults(&site, options.seed, end).await;
+    while callers.join_next().await.is_some() {}
+    let recovered = soak_callers::recovers(&site).await;
+    let ran = site.ran();
+    let mut broken = witness.broken(&ran);
+    if !recovered {
+        broken.push(BrokenPromise::NotRecovered);
+    }
+    let (calls, streams, marks) = witness.counts();
+    println!(
+        "soak seed={} seconds={} calls={calls} streams={streams} marks={marks} {faults} broken={}",
+        options.seed,
+        options.seconds,
+        broken.len()
+    );
+    if broken.is_empty() {
+        return Ok(());
+    }
+    let list: Vec<String> = broken.iter().map(ToString::to_string).collect();
+    Err(miette!("seed {}: {}", options.seed, list.join("; ")))
+}
--- /dev/null
+++ b/xtask/src/soak/soak_site.rs
@@ -0,0 +1,227 @@
+//! Entries, store and workers of a soak.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering::SeqCst},
+    },
+};
+
+use miette::{IntoDiagnostic, Result, miette};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use stand_ins::{RowStore, ScriptedWorker};
+use tempfile::TempDir;
+
+/// Failure domains, each with an entry, a model worker and a plain one.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Share of requests that a worker spoils, in percent.
+const FAULT_PERCENT: u32 = 12;
+
+/// One entry as a process that dies and starts again.
+#[derive(Debug)]
+struct SoakEntry {
+    listen: SocketAddr,
+    settings: PathBuf,
+    process: Option<Child>,
+    lifetime: u64,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub struct SoakSite {
+    /// The store.
+    pub store: RowStore,
+    workers: Vec<ScriptedWorker>,
+    entries: Vec<Mutex<SoakEntry>>,
+    version: AtomicU64,
+    lifetimes: AtomicU64,
+    _folder: TempDir,
+}
+
+impl SoakSite {
+    /// Start all.
+    pub async fn start(seed: u64) -> Result<Self> {
+        let store = RowStore::start().await.into_diagnostic()?;
+        let mut workers = Vec::new();
+        for (number, domain) in (0_u64..).zip(DOMAINS) {
+            for service in ["pool", "desk"] {
+                let worker = ScriptedWorker::start("w").await.into_diagnostic()?;
+                worker.draw_faults(seed * 100 + number, FAULT_PERCENT);
+                store.put(
+                    "servers",
+                    &format!("i-{}", worker.address.port()),
+                    registration(service, &worker, domain)
+                        .to_string()
+                        .as_bytes(),
+                );
+                workers.push(worker);
+            }
+        }
+        let folder = TempDir::new().into_diagnostic()?;
+        let entries = (0_u8..).zip(DOMAINS).map(|(number, domain)| {
+            let entry = SoakEntry::new(&folder, &store, number, domain)?;
+            Ok(Mutex::new(entry))
+        });
+        let site = Self {
+            entries: entries.collect::<Result<_>>()?,
+            store,
+            workers,
+            version: AtomicU64::new(0),
+            lifetimes: AtomicU64::new(0),
+            _folder: folder,
+        };
+        site.publish();
+        for number in 0..site.entry_count() {
+            site.start_entry(number)?;
+        }
+        Ok(site)
+    }
+
+    /// Number of entries.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Put a version in force that adds a route, and name it.
+    pub fn publish(&self) -> u64 {
+        let version = self.version.fetch_add(1, SeqCst) + 1;
+        let state = desired_state(version).to_string();
+        self.store.put("op", "config", state.as_bytes());
+        version
+    }
+
+    /// Newest version.
+    pub fn version(&self) -> u64 {
+        self.version.load(SeqCst)
+    }
+
+    /// Address and lifetime of an entry.
+    pub fn entry(&self, number: usize) -> (SocketAddr, u64) {
+        let entry = self.lock(number);
+        (entry.listen, entry.lifetime)
+    }
+
+    /// Ids that ran, one entry a run.
+    pub fn ran(&self) -> Vec<String> {
+        self.workers.iter().flat_map(ScriptedWorker::ran).collect()
+    }
+
+    /// Send a signal to an entry that runs.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        if let Some(process) = &self.lock(number).process {
+            let id = i32::try_from(process.id()).unwrap_or(i32::MAX);
+            // The process may have ended in this moment.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Start an entry again if it has ended.
+    pub fn revive(&self, number: usize) -> Result<()> {
+        let ended = match &mut self.lock(number).process {
+            Some(process) => process.try_wait().into_diagnostic()?.is_some(),
+            None => true,
+        };
+        if ended {
+            self.start_entry(number)?;
+        }
+        Ok(())
+    }
+
+    fn start_entry(&self, number: usize) -> Result<()> {
+        let program = std::env::current_exe()
+            .into_diagnostic()?
+            .ancestors()
+            .map(|folder| folder.join("bamboocross-front"))
+            .find(|program| program.exists())
+            .ok_or_else(|| miette!("bamboocross-front is not built"))?;
+        let mut entry = self.lock(number);
+        let process = Command::new(program)
+            .env("BAMBOOCROSS_BOOT", &entry.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .into_diagnostic()?;
+        entry.process = Some(process);
+        entry.lifetime = self.lifetimes.fetch_add(1, SeqCst);
+        Ok(())
+    }
+
+    fn lock(&self, number: usize) -> MutexGuard<'_, SoakEntry> {
+        self.entries[number]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for SoakSite {
+    fn drop(&mut self) {
+        for number in 0..self.entry_count() {
+            if let Some(process) = &mut self.lock(number).process {
+                // Both fail only if the process has ended already.
+                let _ = process.kill();
+                let _ = process.wait();
+            }
+        }
+    }
+}
+
+impl SoakEntry {
+    fn new(folder: &TempDir, store: &RowStore, number: u8, domain: &str) -> Result<Self> {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let host = Ipv4Addr::new(127, 110 + number, high, low);
+        let address = |port: u16| SocketAddr::from((host, port));
+        let settings = folder.path().join(format!("{domain}.json"));
+        let text = json!({
+            "name": format!("front-{domain}"), "failure_domain": domain,
+            "listen": address(7_001).to_string(), "ready": address(7_002).to_string(),
+            "admin": address(7_003).to_string(), "store": store.address.to_string(),
+            "apply_ms": 2_000, "grace_seconds": 4, "address_reuse_seconds": 2,
+            "retry_ratio": 0.8, "retry_slack": 150,
+        });
+        std::fs::write(&settings, text.to_string()).into_diagnostic()?;
+        Ok(Self {
+            listen: address(7_001),
+            settings,
+            process: None,
+            lifetime: 0,
+        })
+    }
+}
+
+fn registration(service: &str, worker: &ScriptedWorker, domain: &str) -> Value {
+    json!({
+        "service": service, "addr": worker.address.to_string(), "zone": domain, "version": "v1",
+        "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1,
+    })
+}
+
+fn desired_state(version: u64) -> Value {
+    let route = |prefix: String, kind: &str, service: &str| {
+        json!({
+            "name": prefix, "host": "a.example", "prefix": format!("/{prefix}/"), "kind": kind,
+            "timeout-ms": 8_000, "target-latency-ms": 500, "priority": 1, "service": service,
+            "attempts": if kind == "unsafe" { 1 } else { 4 }, "public": true,
+            "can-resume": kind == "stream", "gap-aim-ms": 300,
+        })
+    };
+    let mut routes = vec![
+        route("book".to_owned(), "unsafe", "desk"),
+        route("report".to_owned(), "stream", "pool"),
+    ];
+    routes.extend((1..=version).map(|version| route(format!("mark-{version}"), "safe", "desk")));
+    json!({
+        "version": version, "routes": routes,
+        "services": [
+            {"name": "desk", "health-path": "/healthz"},
+            {"name": "pool", "health-path": "/healthz",
+             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true}},
+        ],
+    })
+}
--- /dev/null
+++ b/xtask/src/soak/witness.rs
@@ -0,0 +1,185 @@
+//! What callers saw, held against what workers ran.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use derive_more::Display;
+use stand_ins::STREAM_EVENTS;
+
+/// One booking as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Id of the attempt.
+    pub id: String,
+    /// Status; none if the connection broke.
+    pub status: Option<u16>,
+    /// Seal of the answer.
+    pub seal: Option<String>,
+    /// Body of the answer.
+    pub body: String,
+}
+
+/// One stream over all of its caller's attempts.
+#[derive(Clone, Debug)]
+pub struct StreamRecord {
+    /// Id of the first attempt.
+    pub id: String,
+    /// Positions of the events, in the order in which they came.
+    pub positions: Vec<u64>,
+    /// Whether the last answer ended as complete.
+    pub complete: bool,
+}
+
+/// One request for a route that versions of the desired state add.
+#[derive(Clone, Debug)]
+pub struct MarkRecord {
+    /// Lifetime of the entry that was asked.
+    pub lifetime: u64,
+    /// Version that added the route.
+    pub version: u64,
+    /// Order among all requests when it was sent, and when it was answered.
+    pub sent: u64,
+    /// See `sent`.
+    pub answered: u64,
+    /// Whether the route was there; none if that was not told.
+    pub found: Option<bool>,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum BrokenPromise {
+    /// A booking ran more than once.
+    #[display("booking {_0} ran {_1} times")]
+    RanTwice(String, usize),
+    /// A refused booking ran.
+    #[display("booking {_0} was refused and ran")]
+    RefusedAndRan(String),
+    /// A success without the worker's own answer.
+    #[display("booking {_0} was answered with another's bytes")]
+    ForeignAnswer(String),
+    /// Events missing, repeated or out of order.
+    #[display("stream {_0} got {_1:?}")]
+    BrokenOrder(String, Vec<u64>),
+    /// A stream ended as complete and was not.
+    #[display("stream {_0} ended early as complete")]
+    EndedEarly(String),
+    /// An older desired state came back.
+    #[display("lifetime {_0} went back behind version {_1}")]
+    WentBack(u64, u64),
+    /// After all entries died, not all served again.
+    #[display("not all entries served again")]
+    NotRecovered,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    calls: Vec<CallRecord>,
+    streams: Vec<StreamRecord>,
+    marks: Vec<MarkRecord>,
+}
+
+/// Everything that callers saw.
+#[derive(Debug, Default)]
+pub struct SoakWitness {
+    records: Mutex<Records>,
+}
+
+impl SoakWitness {
+    fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keep a booking.
+    pub fn note_call(&self, record: CallRecord) {
+        self.records().calls.push(record);
+    }
+
+    /// Keep a stream.
+    pub fn note_stream(&self, record: StreamRecord) {
+        self.records().streams.push(record);
+    }
+
+    /// Keep a request for a marked route.
+    pub fn note_mark(&self, record: MarkRecord) {
+        self.records().marks.push(record);
+    }
+
+    /// Bookings, streams and requests for marked routes.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let records = self.records();
+        (
+            records.calls.len(),
+            records.streams.len(),
+            records.marks.len(),
+        )
+    }
+
+    /// All broken promises, given the ids that ran, one entry a run.
+    pub fn broken(&self, ran: &[String]) -> Vec<BrokenPromise> {
+        let mut runs: HashMap<&str, usize> = HashMap::new();
+        for id in ran {
+            *runs.entry(id).or_default() += 1;
+        }
+        let records = self.records();
+        let mut broken = Vec::new();
+        for call in &records.calls {
+            check_call(
+                call,
+                runs.get(call.id.as_str()).copied().unwrap_or(0),
+                &mut broken,
+            );
+        }
+        for stream in &records.streams {
+            check_stream(stream, &mut broken);
+        }
+        check_marks(&records.marks, &mut broken);
+        broken
+    }
+}
+
+fn check_call(call: &CallRecord, runs: usize, broken: &mut Vec<BrokenPromise>) {
+    if runs > 1 {
+        broken.push(BrokenPromise::RanTwice(call.id.clone(), runs));
+    }
+    let refused = matches!(call.status, Some(503 | 429 | 408 | 421));
+    if refused && runs > 0 {
+        broken.push(BrokenPromise::RefusedAndRan(call.id.clone()));
+    }
+    let is_success = call
+        .status
+        .is_some_and(|status| (200..300).contains(&status));
+    let own_seal = format!("seal-{}", call.id);
+    let is_own = call.seal.as_deref() == Some(own_seal.as_str()) && call.body == "ok";
+    if is_success && (!is_own || runs == 0) {
+        broken.push(BrokenPromise::ForeignAnswer(call.id.clone()));
+    }
+}
+
+fn check_stream(stream: &StreamRecord, broken: &mut Vec<BrokenPromise>) {
+    let positions = &stream.positions;
+    if !positions.iter().copied().eq(1..=positions.len() as u64) {
+        broken.push(BrokenPromise::BrokenOrder(
+            stream.id.clone(),
+            positions.clone(),
+        ));
+    } else if stream.complete && positions.len() as u64 != STREAM_EVENTS {
+        broken.push(BrokenPromise::EndedEarly(stream.id.clone()));
+    }
+}
+
+/// Versions only add routes, so one that a lifetime has served stays.
+fn check_marks(marks: &[MarkRecord], broken: &mut Vec<BrokenPromise>) {
+    for lost in marks.iter().filter(|mark| mark.found == Some(false)) {
+        let seen = marks.iter().any(|mark| {
+            mark.lifetime == lost.lifetime
+                && mark.found == Some(true)
+                && mark.version >= lost.version
+                && mark.answered < lost.sent
+        });
+        if seen {
+            broken.push(BrokenPromise::WentBack(lost.lifetime, lost.version));
+        }
+    }
+}
--- /dev/null
+++ b/xtask/tests/soak.rs
@@ -0,0 +1,95 @@
+//! Each checker of the soak finds the promise that a double breaks, and a short
+//! run with a fixed seed breaks none.
+
+use rstest::rstest;
+use xtask::soak::{
+    self, BrokenPromise, CallRecord, MarkRecord, SoakOptions, SoakWitness, StreamRecord,
+};
+
+fn call(id: &str, status: u16, seal: &str, body: &str) -> CallRecord {
+    CallRecord {
+        id: id.to_owned(),
+        status: Some(status),
+        seal: Some(seal.to_owned()),
+        body: body.to_owned(),
+    }
+}
+
+fn mark(version: u64, sent: u64, found: bool) -> MarkRecord {
+    MarkRecord {
+        lifetime: 1,
+        version,
+        sent,
+        answered: sent + 1,
+        found: Some(found),
+    }
+}
+
+#[rstest]
+#[case::served(call("r1", 200, "seal-r1", "ok"), &["r1"], None)]
+#[case::refused(call("r1", 503, "", ""), &[], None)]
+#[case::unknown(call("r1", 502, "", ""), &["r1"], None)]
+#[case::twice(
+    call("r1", 200, "seal-r1", "ok"), &["r1", "r1"], Some(BrokenPromise::RanTwice("r1".into(), 2))
+)]
+#[case::untrue(
+    call("r1", 503, "", ""), &["r1"], Some(BrokenPromise::RefusedAndRan("r1".into()))
+)]
+#[case::of_another(
+    call("r1", 200, "seal-r2", "ok"), &["r1"], Some(BrokenPromise::ForeignAnswer("r1".into()))
+)]
+#[case::cut(
+    call("r1", 200, "seal-r1", "o"), &["r1"], Some(BrokenPromise::ForeignAnswer("r1".into()))
+)]
+#[case::from_nowhere(
+    call("r1", 200, "seal-r1", "ok"), &[], Some(BrokenPromise::ForeignAnswer("r1".into()))
+)]
+fn bookings(
+    #[case] record: CallRecord,
+    #[case] ran: &[&str],
+    #[case] expected: Option<BrokenPromise>,
+) {
+    let witness = SoakWitness::default();
+    witness.note_call(record);
+    let ran: Vec<String> = ran.iter().map(ToString::to_string).collect();
+    assert_eq!(witness.broken(&ran), Vec::from_iter(expected));
+}
+
+#[rstest]
+#[case::whole((1..=30).collect(), true, false)]
+#[case::cut((1..=7).collect(), false, false)]
+#[case::early((1..=29).collect(), true, true)]
+#[case::missing(vec![1, 2, 4], false, true)]
+#[case::repeated(vec![1, 2, 2, 3], false, true)]
+fn streams(#[case] positions: Vec<u64>, #[case] complete: bool, #[case] broken: bool) {
+    let witness = SoakWitness::default();
+    witness.note_stream(StreamRecord {
+        id: "r1".to_owned(),
+        positions,
+        complete,
+    });
+    assert_eq!(!witness.broken(&[]).is_empty(), broken);
+}
+
+#[rstest]
+#[case::not_yet(&[mark(2, 1, false), mark(2, 3, true)], false)]
+#[case::back(&[mark(2, 1, true), mark(2, 3, false)], true)]
+#[case::older_back(&[mark(5, 1, true), mark(2, 3, false)], true)]
+#[case::crossed(&[mark(2, 1, true), mark(2, 2, false)], false)]
+fn desired_states(#[case] marks: &[MarkRecord], #[case] broken: bool) {
+    let witness = SoakWitness::default();
+    marks
+        .iter()
+        .cloned()
+        .for_each(|mark| witness.note_mark(mark));
+    assert_eq!(!witness.broken(&[]).is_empty(), broken);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_breaks_no_promise() -> miette::Result<()> {
+    let options = SoakOptions {
+        seed: 1,
+        seconds: 6,
+    };
+    soak::run(options).await
+}
