--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -36,6 +36,9 @@
 const HEAD_BUFFER_MIN: usize = 8_192;
 /// Time that a caller waits where it does not say.
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
+/// Time that a caller is taken to have left where its request was not decoded:
+/// the shortest of today's time limits.
+const REFUSED_LEFT: Duration = Duration::from_millis(600);
 /// Pause between two looks whether all connections have ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(100);
 /// Part of the grace time after which the process ends whatever is open, in
@@ -241,7 +244,3 @@
         _ => own_reply(reason),
     }
 }
-
-/// Time that a caller is taken to have left where its request was not decoded:
-/// the shortest of today's time limits.
-const REFUSED_LEFT: Duration = Duration::from_millis(600);
--- a/crates/front/src/http_server.rs
+++ b/crates/front/src/http_server.rs
@@ -1,6 +1,6 @@
 //! Serving of HTTP/1.1 connections.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -10,6 +10,9 @@
 
 use crate::reply::ReplyBody;
 
+/// Pause after a connection could not be accepted: some round trips.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Listen on an address.
 pub(crate) async fn bind(address: SocketAddr) -> miette::Result<TcpListener> {
     TcpListener::bind(address)
@@ -37,9 +40,6 @@
     }
 }
 
-/// Pause after a connection could not be accepted: some round trips.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 /// Serve small requests of operators and of the balancer.
 pub(crate) async fn serve_small<H>(listener: TcpListener, handle: H)
 where
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -4,23 +4,22 @@
 //! side is a bounded channel: it holds the server back when the caller reads
 //! slowly, and its closing tells that the caller has left.
 
+mod event_flow;
+mod server_search;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use domain::{
-    desired_state::{EngineSpec, RouteKind},
-    event_relay::{EventLedger, EventVerdict, StreamPatience},
-    kv_placement::{PickQuery, TokenCounts, pick_backup, pick_server},
+    event_relay::{EventLedger, StreamPatience},
+    kv_placement::TokenCounts,
     retry_share::RetryShare,
     run_evidence::{NextStep, SendBudget, SendEnd, next_step},
-    server_registry::{ServerSlot, WorkGuard, WorkSize},
+    server_registry::{ServerSlot, WorkSize},
 };
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use platform::{event_stream::EventCutter, worker_request::KvSource};
+use platform::worker_request::KvSource;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 use crate::{
@@ -30,7 +29,7 @@
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, StreamPiece, stream_reply, whole_reply},
     return_watch::watch_return,
-    worker_exchange::{WorkerAnswer, keep_link, send, until_lost},
+    worker_exchange::{WorkerAnswer, send, until_lost},
 };
 
 /// Pieces that wait for the caller; one holds what the server sent at once.
@@ -38,10 +37,6 @@
 /// Time for which a server whose stream broke off is avoided at first: a third
 /// of a crash at today's sites.
 const BROKEN_PAUSE: Duration = Duration::from_millis(400);
-/// Time for which a stream without a latency target looks for a server.
-const SEARCH_DEFAULT: Duration = Duration::from_secs(2);
-/// Pause before servers are looked for again when there are none.
-const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 /// Tokens of a request that does not tell, a usual prompt of today's sites.
 const TOKENS_DEFAULT: TokenCounts = TokenCounts {
     prompt: 8_000,
@@ -223,95 +218,6 @@
         self.task.tokens.unwrap_or(TOKENS_DEFAULT)
     }
 
-    /// The server with the copy, or the best of all; waits while there is none.
-    async fn next_server(&mut self) -> Option<Arc<ServerSlot>> {
-        let wait = self.task.route.latency_target.unwrap_or(SEARCH_DEFAULT);
-        let limit = self.task.deadline.min(Instant::now() + wait / 2);
-        loop {
-            let now = Instant::now();
-            if let Some(slot) = self.pick(now) {
-                return Some(slot);
-            }
-            self.last_failed.clear();
-            if now >= limit {
-                return None;
-            }
-            sleep(SEARCH_PAUSE).await;
-        }
-    }
-
-    fn pick(&self, now: Instant) -> Option<Arc<ServerSlot>> {
-        let registry = self.state.registry.load();
-        let servers = registry.servers(&self.task.service);
-        if let Some(copy) = &self.copy {
-            let holder = servers
-                .iter()
-                .flat_map(|own| &own.slots)
-                .find(|slot| slot.record().address == copy.holder && !slot.is_suspect(now));
-            if let Some(holder) = holder {
-                return Some(Arc::clone(holder));
-            }
-        }
-        let settings = self.state.settings.load();
-        let query = self.query(&settings.domain, &self.last_failed, now);
-        pick_server(servers, &query, &mut rand::rng()).map(Arc::clone)
-    }
-
-    fn query<'a>(
-        &self,
-        own_domain: &'a domain::DomainName,
-        tried: &'a [SocketAddr],
-        now: Instant,
-    ) -> PickQuery<'a> {
-        PickQuery {
-            tokens: Some(self.tokens()),
-            kv_total: self
-                .engine()
-                .map_or(u64::MAX / 100, |engine| engine.kv_tokens),
-            own_domain,
-            tried,
-            now,
-        }
-    }
-
-    fn engine(&self) -> Option<EngineSpec> {
-        let desired = self.state.desired.load();
-        desired
-            .as_ref()?
-            .service(&self.task.service)?
-            .engine
-            .clone()
-    }
-
-    /// Whether a server still is what it was when it was chosen.
-    fn lives(&self, slot: &ServerSlot) -> bool {
-        let registry = self.state.registry.load();
-        !slot.is_misdirected() && registry.knows(slot)
-    }
-
-    /// A holder for the copy, with its room taken.
-    fn choose_holder(&self, primary: &ServerSlot) -> Option<(Arc<ServerSlot>, WorkGuard)> {
-        let holder = self.pick_copy_holder(primary)?;
-        let room = holder.begin(WorkSize {
-            kv_tokens: self.tokens().total(),
-            ..WorkSize::default()
-        });
-        Some((holder, room))
-    }
-
-    fn pick_copy_holder(&self, primary: &ServerSlot) -> Option<Arc<ServerSlot>> {
-        let backed_up = self.task.route.kind == RouteKind::ResumableStream
-            && self.engine().is_some_and(|engine| engine.backups);
-        if !backed_up {
-            return None;
-        }
-        let registry = self.state.registry.load();
-        let settings = self.state.settings.load();
-        let query = self.query(&settings.domain, &self.last_failed, Instant::now());
-        let servers = registry.servers(&self.task.service);
-        pick_backup(servers, &query, primary, &mut rand::rng()).map(Arc::clone)
-    }
-
     async fn attempt(&mut self, slot: &Arc<ServerSlot>) -> AttemptEnd {
         let now = Instant::now();
         let task = Arc::clone(&self.task);
@@ -388,126 +294,4 @@
             }
         }
     }
-
-    async fn relay(
-        &mut self,
-        slot: &Arc<ServerSlot>,
-        answer: WorkerAnswer,
-        work: &mut WorkGuard,
-        mut keeper: CopyKeeper,
-    ) -> AttemptEnd {
-        let (parts, mut body, link) = answer.split();
-        if let Some(head) = self.head.take() {
-            let parts = Box::new(parts.clone());
-            if head.send(StreamHead::Streaming(parts)).is_err() {
-                return AttemptEnd::Ended(SendEnd::Broken);
-            }
-        }
-        let mut cutter = EventCutter::default();
-        let mut begun = false;
-        loop {
-            let bytes = match self.next_bytes(slot, &mut body, begun).await {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) => break,
-                Err(end) => {
-                    slot.note_failure(Instant::now(), BROKEN_PAUSE);
-                    return AttemptEnd::Ended(end);
-                }
-            };
-            slot.note_answer(Instant::now());
-            let Some(events) = self.take_events(&mut cutter, &bytes) else {
-                return AttemptEnd::Ended(SendEnd::Broken);
-            };
-            if events.is_empty() {
-                continue;
-            }
-            if !begun {
-                begun = true;
-                work.prompt_read();
-            }
-            // There is no copy before the prompt is read.
-            let chosen = || self.choose_holder(slot);
-            keeper.tend(|holder| self.lives(holder), chosen).await;
-            self.copy = keeper.copy().cloned();
-            self.note_piece();
-            if self.pieces.send(StreamPiece::Events(events)).await.is_err() {
-                return AttemptEnd::Ended(SendEnd::Broken);
-            }
-        }
-        if cutter.has_partial() {
-            return AttemptEnd::Ended(SendEnd::Broken);
-        }
-        keeper.finish();
-        keep_link(&self.state, slot, &parts, link);
-        AttemptEnd::Complete
-    }
-
-    /// Next bytes of a server; none at the end of its answer.
-    async fn next_bytes(
-        &self,
-        slot: &ServerSlot,
-        body: &mut Incoming,
-        begun: bool,
-    ) -> Result<Option<Bytes>, SendEnd> {
-        let route = &self.task.route;
-        let patience = if begun {
-            StreamPatience::between_events(route.gap_target)
-        } else {
-            StreamPatience::before_events(route.latency_target)
-        };
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = until_lost(&self.state, slot, patience) => return Err(SendEnd::Silent),
-            };
-            return match frame {
-                None => Ok(None),
-                Some(Err(error)) => {
-                    log::debug!(request = self.task.id.as_str(), error:%; "stream broke");
-                    Err(SendEnd::Broken)
-                }
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => Ok(Some(bytes)),
-                    // Trailers carry nothing that is handed on.
-                    Err(_) => continue,
-                },
-            };
-        }
-    }
-
-    /// Events of these bytes that the caller lacks; none if one is missing.
-    fn take_events(&mut self, cutter: &mut EventCutter, bytes: &[u8]) -> Option<Bytes> {
-        let mut taken = BytesMut::with_capacity(bytes.len());
-        let mut gap = false;
-        let ledger = &mut self.ledger;
-        let events = &self.state.metrics.events;
-        cutter.push(bytes, |event| {
-            if gap {
-                return;
-            }
-            match ledger.judge(event.position) {
-                EventVerdict::Deliver => {
-                    events.inc();
-                    taken.extend_from_slice(event.bytes);
-                }
-                EventVerdict::Drop => {}
-                EventVerdict::Gap => gap = true,
-            }
-        });
-        (!gap).then(|| taken.freeze())
-    }
-
-    fn note_piece(&mut self) {
-        let now = Instant::now();
-        let metrics = &self.state.metrics;
-        match self.last_piece.replace(now) {
-            Some(last) => metrics
-                .event_gap_seconds
-                .observe((now - last).as_secs_f64()),
-            None => {
-                let spent = now - self.task.received;
-                metrics.first_event_seconds.observe(spent.as_secs_f64());
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/front/src/stream_run/server_search.rs
@@ -0,0 +1,112 @@
+//! Which server a stream goes to, and which one keeps its copy.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use domain::{
+    DomainName,
+    desired_state::{EngineSpec, RouteKind},
+    kv_placement::{PickQuery, pick_backup, pick_server},
+    server_registry::{ServerSlot, WorkGuard, WorkSize},
+};
+use tokio::time::{Instant, sleep};
+
+use super::StreamRun;
+
+/// Time for which a stream without a latency target looks for a server.
+const SEARCH_DEFAULT: Duration = Duration::from_secs(2);
+/// Pause before servers are looked for again when there are none.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+
+impl StreamRun {
+    /// The server with the copy, or the best of all; waits while there is none.
+    pub(super) async fn next_server(&mut self) -> Option<Arc<ServerSlot>> {
+        let wait = self.task.route.latency_target.unwrap_or(SEARCH_DEFAULT);
+        let limit = self.task.deadline.min(Instant::now() + wait / 2);
+        loop {
+            let now = Instant::now();
+            if let Some(slot) = self.pick(now) {
+                return Some(slot);
+            }
+            self.last_failed.clear();
+            if now >= limit {
+                return None;
+            }
+            sleep(SEARCH_PAUSE).await;
+        }
+    }
+
+    fn pick(&self, now: Instant) -> Option<Arc<ServerSlot>> {
+        let registry = self.state.registry.load();
+        let servers = registry.servers(&self.task.service);
+        if let Some(copy) = &self.copy {
+            let holder = servers
+                .iter()
+                .flat_map(|own| &own.slots)
+                .find(|slot| slot.record().address == copy.holder && !slot.is_suspect(now));
+            if let Some(holder) = holder {
+                return Some(Arc::clone(holder));
+            }
+        }
+        let settings = self.state.settings.load();
+        let query = self.query(&settings.domain, &self.last_failed, now);
+        pick_server(servers, &query, &mut rand::rng()).map(Arc::clone)
+    }
+
+    fn query<'a>(
+        &self,
+        own_domain: &'a DomainName,
+        tried: &'a [SocketAddr],
+        now: Instant,
+    ) -> PickQuery<'a> {
+        PickQuery {
+            tokens: Some(self.tokens()),
+            kv_total: self
+                .engine()
+                .map_or(u64::MAX / 100, |engine| engine.kv_tokens),
+            own_domain,
+            tried,
+            now,
+        }
+    }
+
+    fn engine(&self) -> Option<EngineSpec> {
+        let desired = self.state.desired.load();
+        desired
+            .as_ref()?
+            .service(&self.task.service)?
+            .engine
+            .clone()
+    }
+
+    /// Whether a server still is what it was when it was chosen.
+    pub(super) fn lives(&self, slot: &ServerSlot) -> bool {
+        let registry = self.state.registry.load();
+        !slot.is_misdirected() && registry.knows(slot)
+    }
+
+    /// A holder for the copy, with its room taken.
+    pub(super) fn choose_holder(
+        &self,
+        primary: &ServerSlot,
+    ) -> Option<(Arc<ServerSlot>, WorkGuard)> {
+        let holder = self.pick_copy_holder(primary)?;
+        let room = holder.begin(WorkSize {
+            kv_tokens: self.tokens().total(),
+            ..WorkSize::default()
+        });
+        Some((holder, room))
+    }
+
+    fn pick_copy_holder(&self, primary: &ServerSlot) -> Option<Arc<ServerSlot>> {
+        let backed_up = self.task.route.kind == RouteKind::ResumableStream
+            && self.engine().is_some_and(|engine| engine.backups);
+        if !backed_up {
+            return None;
+        }
+        let registry = self.state.registry.load();
+        let settings = self.state.settings.load();
+        let query = self.query(&settings.domain, &self.last_failed, Instant::now());
+        let servers = registry.servers(&self.task.service);
+        pick_backup(servers, &query, primary, &mut rand::rng()).map(Arc::clone)
+    }
+}
