--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -14,7 +14,7 @@
     call_task::CallTask,
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, own_reply, refusal, whole_reply},
-    worker_exchange::{WholeAnswer, send},
+    server_exchange::{WholeAnswer, send},
 };
 
 /// Silence after which an idempotent request is tried elsewhere, as a multiple
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -19,11 +19,11 @@
 mod link_pool;
 mod reply;
 mod return_watch;
+mod server_exchange;
 mod settings_watch;
 mod store_client;
 mod store_watch;
 mod stream_run;
-mod worker_exchange;
 
 pub use admin_front::serve_admin;
 pub use caller_front::serve_callers;
--- a/crates/front/src/return_watch.rs
+++ b/crates/front/src/return_watch.rs
@@ -9,7 +9,7 @@
 use domain::server_registry::ServerSlot;
 use tokio::time::{Instant, sleep};
 
-use crate::{front_state::FrontState, worker_exchange::ask_instance};
+use crate::{front_state::FrontState, server_exchange::ask_instance};
 
 /// Time between two questions; a crash at today's sites lasts 1.2 s of the 2 s
 /// in which an address is given to no other server.
--- a/crates/front/src/worker_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -38,7 +38,7 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
 /// The genuine head of an answer, with its body to come.
-pub(crate) struct WorkerAnswer {
+pub(crate) struct ServerAnswer {
     pub(crate) parts: Parts,
     pub(crate) body: Incoming,
     pub(crate) server_error: bool,
@@ -60,7 +60,7 @@
     task: &CallTask,
     order: &WorkerOrder<'_>,
     limit: Instant,
-) -> Result<WorkerAnswer, SendEnd> {
+) -> Result<ServerAnswer, SendEnd> {
     let started = Instant::now();
     let sent = exchange(state, slot, task, order, limit).await;
     match &sent {
@@ -95,7 +95,7 @@
     task: &CallTask,
     order: &WorkerOrder<'_>,
     limit: Instant,
-) -> Result<WorkerAnswer, SendEnd> {
+) -> Result<ServerAnswer, SendEnd> {
     let trust = if task.route.kind.is_idempotent() {
         LinkTrust::Open
     } else {
@@ -158,7 +158,7 @@
     task: &CallTask,
     response: Response<Incoming>,
     link: BackendLink,
-) -> Result<WorkerAnswer, SendEnd> {
+) -> Result<ServerAnswer, SendEnd> {
     let (parts, body) = response.into_parts();
     let head = decode_head(parts.status, &parts.headers, &task.id);
     if head.is_rejection() {
@@ -184,7 +184,7 @@
     if let Some(report) = decode_load(&parts.headers) {
         slot.note_report(report, Instant::now());
     }
-    Ok(WorkerAnswer {
+    Ok(ServerAnswer {
         parts,
         body,
         server_error: head.server_error,
@@ -193,7 +193,7 @@
     })
 }
 
-impl WorkerAnswer {
+impl ServerAnswer {
     /// Read the whole body; the connection is kept if it may be.
     pub(crate) async fn read_whole(
         self,
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -29,7 +29,7 @@
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, StreamPiece, stream_reply, whole_reply},
     return_watch::watch_return,
-    worker_exchange::{WorkerAnswer, send, until_lost},
+    server_exchange::{ServerAnswer, send, until_lost},
 };
 
 /// Pieces that wait for the caller; one holds what the server sent at once.
@@ -270,7 +270,7 @@
 
     /// An answer that is no stream goes to the caller, unless the stream has
     /// begun or another server may do better.
-    async fn failed_answer(&mut self, slot: &ServerSlot, answer: WorkerAnswer) -> AttemptEnd {
+    async fn failed_answer(&mut self, slot: &ServerSlot, answer: ServerAnswer) -> AttemptEnd {
         let server_error = answer.server_error;
         let end = SendEnd::Answered { server_error };
         let mut counted = self.budget;
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -17,14 +17,14 @@
 use crate::{
     copy_keeper::CopyKeeper,
     reply::StreamPiece,
-    worker_exchange::{WorkerAnswer, keep_link, until_lost},
+    server_exchange::{ServerAnswer, keep_link, until_lost},
 };
 
 impl StreamRun {
     pub(super) async fn relay(
         &mut self,
         slot: &Arc<ServerSlot>,
-        answer: WorkerAnswer,
+        answer: ServerAnswer,
         work: &mut WorkGuard,
         mut keeper: CopyKeeper,
     ) -> AttemptEnd {
