Silence alone ends no stream that runs once

Cause: the question whether a silent server still lives, and the bound on its silence, were asked of every stream; for one that may run only once they ended the answer although nothing can follow. Found by reading. The test silent_stream_that_runs_once_is_waited_for failed before (failed at 2.8 s, not at its time limit) and passes now. The set-up of placement tests stands once.

--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -48,15 +48,19 @@
     Arc::clone(found.expect("a server of that name"))
 }
 
-fn pick(registry: &ServerRegistry, tokens: Option<TokenCounts>, now: Instant) -> String {
-    let own_domain = DomainName::from("a");
-    let query = PickQuery {
+fn query(own_domain: &DomainName, tokens: Option<TokenCounts>, now: Instant) -> PickQuery<'_> {
+    PickQuery {
         tokens,
         kv_total: KV_TOTAL,
-        own_domain: &own_domain,
+        own_domain,
         tried: &[],
         now,
-    };
+    }
+}
+
+fn pick(registry: &ServerRegistry, tokens: Option<TokenCounts>, now: Instant) -> String {
+    let own_domain = DomainName::from("a");
+    let query = query(&own_domain, tokens, now);
     let mut rng = SmallRng::seed_from_u64(7);
     pick_server(
         registry.servers(&ServiceName::from("pool")),
@@ -150,13 +154,7 @@
 async fn entries_do_not_herd_on_equals() {
     let registry = servers(&[8]);
     let own_domain = DomainName::from("a");
-    let query = PickQuery {
-        tokens: Some(PROMPT),
-        kv_total: KV_TOTAL,
-        own_domain: &own_domain,
-        tried: &[],
-        now: Instant::now(),
-    };
+    let query = query(&own_domain, Some(PROMPT), Instant::now());
     let pool = ServiceName::from("pool");
     let mut picked: Vec<String> = (0..64)
         .filter_map(|seed| {
@@ -182,13 +180,7 @@
     let registry = servers(counts);
     let primary = slot(&registry, "a0");
     let own_domain = DomainName::from("a");
-    let query = PickQuery {
-        tokens: Some(PROMPT),
-        kv_total: KV_TOTAL,
-        own_domain: &own_domain,
-        tried: &[],
-        now: Instant::now(),
-    };
+    let query = query(&own_domain, Some(PROMPT), Instant::now());
     let pool = ServiceName::from("pool");
     // The order of the list and the draw must not matter.
     for seed in 0..32 {
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -214,6 +214,16 @@
         let _ = head.send(StreamHead::Whole(Box::new(reply)));
     }
 
+    /// Wait until a silent server is lost. A stream that runs once is not ended
+    /// for silence alone.
+    async fn lost(&self, slot: &ServerSlot, patience: StreamPatience) {
+        if self.task.route.kind.is_idempotent() {
+            until_lost(&self.state, slot, patience).await;
+        } else {
+            std::future::pending().await
+        }
+    }
+
     fn tokens(&self) -> TokenCounts {
         self.task.tokens.unwrap_or(TOKENS_DEFAULT)
     }
@@ -253,7 +263,7 @@
         let patience = StreamPatience::before_events(task.route.latency_target);
         let sent = tokio::select! {
             sent = send(&self.state, slot, &task, &order, task.deadline) => sent,
-            () = until_lost(&self.state, slot, patience) => {
+            () = self.lost(slot, patience) => {
                 slot.note_failure(Instant::now(), BROKEN_PAUSE);
                 Err(SendEnd::Silent)
             }
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -17,7 +17,7 @@
 use crate::{
     copy_keeper::CopyKeeper,
     reply::StreamPiece,
-    server_exchange::{ServerAnswer, keep_link, until_lost},
+    server_exchange::{ServerAnswer, keep_link},
 };
 
 impl StreamRun {
@@ -90,7 +90,7 @@
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = until_lost(&self.state, slot, patience) => return Err(SendEnd::Silent),
+                () = self.lost(slot, patience) => return Err(SendEnd::Silent),
             };
             return match frame {
                 None => Ok(None),
--- a/crates/front/tests/site/streams.rs
+++ b/crates/front/tests/site/streams.rs
@@ -80,6 +80,28 @@
     assert_eq!(first.requests()[0].header("x-bamboocross-kv-backup"), None);
 }
 
+/// Silence alone ends no stream that runs once: its time limit does.
+#[tokio::test]
+async fn silent_stream_that_runs_once_is_waited_for() {
+    let worker = pool("i1").await;
+    worker.script([Events(2, StreamEnd::Hang)]);
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let mut request = caller_request("/once/1", "r1");
+    // Beyond the silence after which a stream that may be resumed moves.
+    let limit = "4000".parse().expect("a value");
+    request
+        .headers_mut()
+        .insert("x-bamboocross-deadline-ms", limit);
+    let answered = site.send(request).await;
+    assert_eq!((answered.body, answered.whole), (events(1..=2), false));
+    let ended = "bamboocross_front_requests_total{outcome=\"timeout\"}";
+    wait_for("the end to be counted", async || {
+        site.metric("bamboocross_front_requests_total").await == 1.0
+    })
+    .await;
+    assert_eq!(site.metric(ended).await, 1.0);
+}
+
 #[tokio::test]
 async fn caller_resumes_where_it_stopped() {
     let worker = pool("i1").await;
