Streams that come back go to the server that has their prompt

Cause: a caller whose stream broke off with its entry (planned stops cut at 88 % of the grace time, entries that die) comes back at another entry, under another id; its prompt of some 8,000 tokens was read anew although a server still had it. Ruled out: rows of the store written by an entry that leaves (nothing is left of one that dies), a hash of the prompt as the first choice (worse placement). Change: one task keeps an index of what servers hold and takes it anew after 0.5 s; placement counts the reading of a prompt where it is not in memory; a server that is chosen in place of a full one fetches the memory from it.

--- a/crates/domain/benches/server_pick.rs
+++ b/crates/domain/benches/server_pick.rs
@@ -48,6 +48,7 @@
                     output: 900,
                 }),
                 kv_total: 88_000,
+                held: None,
                 own_domain: &own_domain,
                 tried: &[],
                 now: Instant::now(),
--- a/crates/domain/src/identity.rs
+++ b/crates/domain/src/identity.rs
@@ -61,6 +61,8 @@
     RequestKey;
     /// Identity of one attempt of a caller, chosen by the caller.
     RequestId;
+    /// Last part of a prompt, which belongs to one request or session.
+    PromptPart;
     /// Identity of a release note.
     NoteId;
 }
--- a/crates/domain/src/kv_placement.rs
+++ b/crates/domain/src/kv_placement.rs
@@ -5,7 +5,8 @@
 //! prompt tokens are still to be read and memory is left. Other processes read
 //! the same reports, so own work in flight counts first. Bytes between failure
 //! domains cost, so the own one is preferred by a margin. Servers that failed
-//! lately, and failure domains where several did, come last.
+//! lately, and failure domains where several did, come last. A prompt that lies
+//! in a server's memory need not be read there.
 
 mod copy_plan;
 mod server_pick;
--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -8,6 +8,7 @@
 use super::TokenCounts;
 use crate::{
     DomainName,
+    prompt_memory::HeldPrompt,
     server_registry::{DomainServers, ServerSlot},
 };
 
@@ -52,6 +53,8 @@
     pub tokens: Option<TokenCounts>,
     /// Memory of a model server in tokens.
     pub kv_total: u64,
+    /// Server that has the prompt in its memory, if one is known.
+    pub held: Option<HeldPrompt>,
     /// Failure domain of this process.
     pub own_domain: &'a DomainName,
     /// Servers that have had the request.
@@ -60,6 +63,16 @@
     pub now: Instant,
 }
 
+impl PickQuery<'_> {
+    /// Tokens of the prompt that a server has in its memory.
+    fn held_at(&self, slot: &ServerSlot) -> u64 {
+        match self.held {
+            Some(held) if held.address == slot.record().address => held.tokens,
+            _ => 0,
+        }
+    }
+}
+
 /// The server for a request.
 pub fn pick_server<'a>(
     servers: &'a [DomainServers],
@@ -167,8 +180,10 @@
     let others = report.map_or(0, |report| {
         u64::from(report.running + report.waiting).saturating_sub(own)
     });
-    if query.tokens.is_some() {
-        return slot.prompt_tokens() / PROMPT_TOKENS_PER_MS + (own + others) * RUN_COST_MS;
+    if let Some(tokens) = query.tokens {
+        let unread = tokens.prompt.saturating_sub(query.held_at(slot));
+        let reading = slot.prompt_tokens() + unread;
+        return reading / PROMPT_TOKENS_PER_MS + (own + others) * RUN_COST_MS;
     }
     let pace = report.map_or(100, |report| u64::from(report.pace_percent.max(1)));
     (own + others + 1) * CALL_COST_MS * pace / 100
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generation_stream;
 pub mod identity;
 pub mod kv_placement;
+pub mod prompt_memory;
 pub mod release_note;
 pub mod retry_share;
 pub mod run_evidence;
@@ -27,6 +28,6 @@
 pub use class_counts::{ClassCounts, CountBounds, CountRefusal};
 pub use identity::{
     AdapterName, AttemptNumber, BodyDigest, DomainName, FencingNumber, GenerationId, ModelName,
-    ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, RequestId, RequestKey, ServerName,
-    ServiceName, TeamName, TokenPosition, WorkClass,
+    ModelVersion, NoteId, NoteVersion, OrderVersion, PoolName, PromptPart, RequestId, RequestKey,
+    ServerName, ServiceName, TeamName, TokenPosition, WorkClass,
 };
--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -7,6 +7,7 @@
     kv_placement::{
         CopyPlan, CopyStep, LoadReport, PickQuery, TokenCounts, pick_backup, pick_server,
     },
+    prompt_memory::HeldPrompt,
     server_registry::{ServerRecord, ServerRegistry, ServerSlot, ServerState, WorkSize},
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -52,6 +53,7 @@
     PickQuery {
         tokens,
         kv_total: KV_TOTAL,
+        held: None,
         own_domain,
         tried: &[],
         now,
@@ -71,6 +73,31 @@
     .unwrap_or_default()
 }
 
+/// A prompt of 8,000 tokens takes a second to read: more than another failure
+/// domain costs, less than the prompts of two others.
+#[rstest]
+#[case::idle(0, "b0")]
+#[case::busy(4_000, "b0")]
+#[case::crowded(16_000, "a0")]
+#[tokio::test(start_paused = true)]
+async fn prompt_goes_where_its_memory_is(#[case] reading_there: u64, #[case] expected: &str) {
+    let registry = servers(&[1, 1]);
+    let holder = slot(&registry, "b0");
+    let _busy = holder.begin(reading(reading_there));
+    let own_domain = DomainName::from("a");
+    let query = PickQuery {
+        held: Some(HeldPrompt {
+            address: holder.record().address,
+            tokens: 8_000,
+        }),
+        ..query(&own_domain, Some(PROMPT), Instant::now())
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let servers = registry.servers(&ServiceName::from("pool"));
+    let picked = pick_server(servers, &query, &mut rng).expect("a server");
+    assert_eq!(picked.record().instance.as_str(), expected);
+}
+
 fn reading(tokens: u64) -> WorkSize {
     WorkSize {
         runs: 1,
--- /dev/null
+++ b/crates/domain/tests/prompt_memory.rs
@@ -0,0 +1,80 @@
+//! Who is asked for a prompt's memory, and how long the answer counts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use domain::{
+    DomainName, PromptPart, ServerName, ServiceName,
+    prompt_memory::{HeldPrompt, MemoryIndex, servers_to_ask},
+    server_registry::{ServerRecord, ServerRegistry, ServerState},
+};
+use rstest::rstest;
+use tokio::time::{Instant, advance};
+
+fn address(port: u16) -> SocketAddr {
+    ([10, 0, 0, 1], port).into()
+}
+
+fn part(text: &str) -> PromptPart {
+    PromptPart::from(text)
+}
+
+#[tokio::test(start_paused = true)]
+async fn server_with_the_most_of_a_prompt_is_found() {
+    let mut index = MemoryIndex::new(Instant::now());
+    index.add(address(1), [(part("p"), 100), (part("q"), 5)]);
+    index.add(address(2), [(part("p"), 7_800)]);
+    index.add(address(3), [(part("p"), 6_000)]);
+    let held = |port, tokens| {
+        Some(HeldPrompt {
+            address: address(port),
+            tokens,
+        })
+    };
+    assert_eq!(index.find(&part("p")), held(2, 7_800));
+    assert_eq!(index.find(&part("q")), held(1, 5));
+    assert_eq!(index.find(&part("r")), None);
+}
+
+/// Within half a second one index answers for all streams that come back.
+#[rstest]
+#[case::at_once(0, true)]
+#[case::together(499, true)]
+#[case::later(500, false)]
+#[tokio::test(start_paused = true)]
+async fn index_grows_old(#[case] age_ms: u64, #[case] fresh: bool) {
+    let index = MemoryIndex::new(Instant::now());
+    advance(Duration::from_millis(age_ms)).await;
+    assert_eq!(index.is_fresh(Instant::now()), fresh);
+    assert!(!MemoryIndex::default().is_fresh(Instant::now()));
+}
+
+/// A search costs a bounded number of calls, and none to servers in doubt.
+#[tokio::test(start_paused = true)]
+async fn search_is_bounded_and_passes_over_servers_that_failed() {
+    let record = |domain: &str, port: u16| ServerRecord {
+        instance: ServerName::from(format!("{domain}{port}")),
+        service: ServiceName::from("pool"),
+        address: address(port),
+        domain: DomainName::from(domain),
+        slots: 64,
+        state: ServerState::Ready,
+        born_ms: 1,
+    };
+    let many = (0..100).map(|port| record("a", port));
+    let few = (100..103).map(|port| record("b", port));
+    let records: Vec<_> = many.chain(few).collect();
+    let mut registry = ServerRegistry::default();
+    let now = Instant::now();
+    registry.replace(&records, now);
+    let failed = registry.find(&ServerName::from("b101")).expect("a server");
+    failed.note_failure(now, Duration::from_secs(1));
+    let asked: Vec<_> = servers_to_ask(registry.servers(&ServiceName::from("pool")), now)
+        .map(|slot| slot.record())
+        .collect();
+    let in_domain = |name: &str| {
+        let of_domain = asked.iter().filter(|own| own.domain.as_str() == name);
+        of_domain.count()
+    };
+    assert_eq!((in_domain("a"), in_domain("b")), (32, 2));
+    assert!(asked.iter().all(|own| own.instance.as_str() != "b101"));
+}
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -123,6 +123,7 @@
     let query = PickQuery {
         tokens: None,
         kv_total: 0,
+        held: None,
         own_domain: &settings.domain,
         tried,
         now,
--- a/crates/front/src/call_task.rs
+++ b/crates/front/src/call_task.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use domain::{
-    RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
+    PromptPart, RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
     event_relay::EventPosition, kv_placement::TokenCounts, server_registry::ServerSlot,
 };
 use http::{HeaderMap, Method, uri::PathAndQuery};
@@ -24,6 +24,8 @@
     pub(crate) service: ServiceName,
     pub(crate) team: Option<TeamName>,
     pub(crate) tokens: Option<TokenCounts>,
+    /// Last part of the prompt.
+    pub(crate) prompt: Option<PromptPart>,
     /// Position after which the caller wants the stream.
     pub(crate) position: Option<EventPosition>,
     pub(crate) received: Instant,
@@ -47,6 +49,7 @@
             position: None,
             backup: None,
             source: None,
+            fetch: None,
         }
     }
 }
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -185,7 +185,7 @@
     let Some(service) = route.pick_target(rand::rng().random()).cloned() else {
         return Err(fail(ReplyReason::NoServer, id.as_str()));
     };
-    let (tokens, position) = (decoded.tokens, decoded.position);
+    let (tokens, prompt, position) = (decoded.tokens, decoded.prompt, decoded.position);
     let body = match read_body(&desired, body).await {
         Ok(body) => body,
         Err(reason) => return Err(fail(reason, id.as_str())),
@@ -199,6 +199,7 @@
         service,
         team,
         tokens,
+        prompt,
         position,
         received,
         deadline: received + patience,
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -11,6 +11,7 @@
     pub(crate) refusals: IntCounterVec,
     pub(crate) sends: IntCounterVec,
     pub(crate) resumes: IntCounterVec,
+    pub(crate) prompt_searches: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) call_seconds: Histogram,
     pub(crate) first_event_seconds: Histogram,
@@ -57,6 +58,11 @@
                 "Streams that went on at another server, by cause",
                 "cause",
             ),
+            prompt_searches: set.counters(
+                "bamboocross_front_prompt_searches_total",
+                "Searches for a server that has a prompt in its memory, by outcome",
+                "outcome",
+            ),
             store_calls: set.counters(
                 "bamboocross_front_store_calls_total",
                 "Calls to the platform's store by outcome",
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -20,7 +20,10 @@
 use settings::FrontSettings;
 use tokio::{sync::Notify, time::Instant};
 
-use crate::{drain_clock::DrainClock, front_metrics::FrontMetrics, link_pool::LinkPool};
+use crate::{
+    drain_clock::DrainClock, front_metrics::FrontMetrics, link_pool::LinkPool,
+    prompt_finder::PromptFinder,
+};
 
 /// Time after which an entry whose row did not change counts as gone: three
 /// of its announcements, one of which may be lost.
@@ -36,6 +39,7 @@
     /// Wakes the watch of servers when a server contradicted the list.
     pub(crate) list_doubt: Notify,
     pub(crate) links: LinkPool,
+    pub(crate) finder: PromptFinder,
     pub(crate) metrics: FrontMetrics,
     pub(crate) drain: DrainClock,
     pub(crate) connections: AtomicUsize,
@@ -48,7 +52,7 @@
 
 impl FrontState {
     /// State at the start, which knows nothing yet.
-    pub fn new(settings: FrontSettings) -> Self {
+    pub fn new(settings: FrontSettings, finder: PromptFinder) -> Self {
         Self {
             settings: ArcSwap::from_pointee(settings),
             desired: ArcSwapOption::empty(),
@@ -56,6 +60,7 @@
             roster: ArcSwap::default(),
             list_doubt: Notify::new(),
             links: LinkPool::default(),
+            finder,
             metrics: FrontMetrics::new(),
             drain: DrainClock::new(),
             connections: AtomicUsize::new(0),
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -3,7 +3,10 @@
 
 use std::{num::NonZeroUsize, process::ExitCode, sync::Arc};
 
-use front::{FrontState, serve_admin, serve_callers, watch_settings, watch_store};
+use front::{
+    FrontState, PromptFinder, answer_questions, serve_admin, serve_callers, watch_settings,
+    watch_store,
+};
 use settings::FrontSettings;
 use telemetry::{DaemonSpec, LogTarget, StopSignal, run_daemon};
 
@@ -20,7 +23,8 @@
 }
 
 async fn serve(settings: FrontSettings, stop: StopSignal) -> miette::Result<()> {
-    let state = Arc::new(FrontState::new(settings));
+    let (finder, questions) = PromptFinder::new();
+    let state = Arc::new(FrontState::new(settings, finder));
     let settings = state.settings.load_full();
     log::info!(
         node = settings.name.as_str(),
@@ -29,6 +33,7 @@
         "start"
     );
     watch_store(&state);
+    answer_questions(&state, questions);
     watch_settings(&state)?;
     serve_admin(&state).await?;
     serve_callers(Arc::clone(&state), stop).await?;
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use domain::{
-    RequestId, ServerName, event_relay::StreamPatience, run_evidence::SendEnd,
+    PromptPart, RequestId, ServerName, event_relay::StreamPatience, run_evidence::SendEnd,
     server_registry::ServerSlot,
 };
 use http::{Method, Request, Response, Uri, header, response::Parts};
@@ -13,7 +13,7 @@
 use miette::IntoDiagnostic;
 use platform::{
     worker_answer::{closes, decode_head, decode_instance, decode_load, idle_time},
-    worker_call::{MOVE_PATH, decode_handle, move_body, release_path},
+    worker_call::{HELD_PATH, MOVE_PATH, decode_handle, decode_held, move_body, release_path},
     worker_request::WorkerOrder,
 };
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -278,11 +278,33 @@
 
 /// Lifetime that answers for its health at a server's address.
 pub(crate) async fn ask_instance(slot: &ServerSlot, path: &str) -> Option<ServerName> {
-    let asked = exchange_own(slot, Method::GET, path, Vec::new());
+    let asked = async {
+        let mut link = open_own(slot).await?;
+        exchange_own(&mut link, slot, Method::GET, path, Vec::new()).await
+    };
     let (parts, _) = timeout(ASK_TIMEOUT, asked).await.ok()?.ok()?;
     decode_instance(&parts.headers)
 }
 
+/// Parts of prompts that a server holds, with their tokens.
+pub(crate) async fn list_held(
+    state: &FrontState,
+    slot: &ServerSlot,
+) -> miette::Result<Vec<(PromptPart, u64)>> {
+    let kept = state.links.take(slot, LinkTrust::Open, Instant::now());
+    let mut link = match kept {
+        Some(link) => link,
+        None => open_own(slot).await?,
+    };
+    let (parts, body) = exchange_own(&mut link, slot, Method::GET, HELD_PATH, Vec::new()).await?;
+    if !parts.status.is_success() {
+        return Err(miette::miette!("status {}", parts.status));
+    }
+    let held = decode_held(&body).into_diagnostic()?;
+    keep_link(state, slot, &parts, link);
+    Ok(held)
+}
+
 /// A call of our own to a server that must succeed.
 async fn call_server(
     slot: &ServerSlot,
@@ -290,22 +312,29 @@
     path: &str,
     body: Vec<u8>,
 ) -> miette::Result<Bytes> {
-    let (parts, body) = exchange_own(slot, method, path, body).await?;
+    let mut link = open_own(slot).await?;
+    let (parts, body) = exchange_own(&mut link, slot, method, path, body).await?;
     if !parts.status.is_success() {
         return Err(miette::miette!("status {}", parts.status));
     }
     Ok(body)
 }
 
-/// A call of our own to a server, on a connection of its own.
+async fn open_own(slot: &ServerSlot) -> miette::Result<BackendLink> {
+    BackendLink::open(slot.record().address)
+        .await
+        .into_diagnostic()
+}
+
+/// A call of our own to a server.
 async fn exchange_own(
+    link: &mut BackendLink,
     slot: &ServerSlot,
     method: Method,
     path: &str,
     body: Vec<u8>,
 ) -> miette::Result<(Parts, Bytes)> {
     let address = slot.record().address;
-    let mut link = BackendLink::open(address).await.into_diagnostic()?;
     let request = Request::builder()
         .method(method)
         .uri(path)
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -12,6 +12,7 @@
 use domain::{
     event_relay::{EventLedger, StreamPatience},
     kv_placement::TokenCounts,
+    prompt_memory::HeldPrompt,
     retry_share::RetryShare,
     run_evidence::{NextStep, SendBudget, SendEnd, next_step},
     server_registry::{ServerSlot, WorkSize},
@@ -82,8 +83,17 @@
     ledger: EventLedger,
     budget: SendBudget,
     copy: Option<KvCopy>,
+    held: Option<HeldPrompt>,
     last_failed: Vec<SocketAddr>,
     last_piece: Option<Instant>,
+    pace: StreamPace,
+}
+
+/// How a stream came, as its caller saw it.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamPace {
+    first: Option<Duration>,
+    longest_gap: Duration,
 }
 
 impl StreamRun {
@@ -104,8 +114,10 @@
             head: Some(head),
             pieces,
             copy: None,
+            held: None,
             last_failed: Vec::new(),
             last_piece: None,
+            pace: StreamPace::default(),
         }
     }
 
@@ -134,12 +146,17 @@
             age_ms = task.received.elapsed().as_millis() as u64,
             runs = self.budget.runs,
             rejected = self.budget.rejected,
+            first_ms:? = self.pace.first.map(|first| first.as_millis()),
+            gap_ms = self.pace.longest_gap.as_millis() as u64,
             position:? = self.ledger.last();
             "stream ended"
         );
     }
 
     async fn drive(&mut self) -> &'static str {
+        if self.task.position.is_some() {
+            self.search_prompt().await;
+        }
         loop {
             if self.task.left(Instant::now()).is_zero() {
                 self.give_up(ReplyReason::Timeout);
@@ -168,6 +185,11 @@
                 watch_return(&self.state, &slot);
             }
             self.last_failed.push(slot.record().address);
+            // One that is full still has the prompt; another may fetch it.
+            if end != SendEnd::Rejected {
+                self.held
+                    .take_if(|held| held.address == slot.record().address);
+            }
             let step = next_step(self.task.route.kind, end, &self.budget);
             let again = step == NextStep::TryAgain
                 && (!end.arrived() || self.state.spend_retry(&self.share));
@@ -228,6 +250,15 @@
         self.task.tokens.unwrap_or(TOKENS_DEFAULT)
     }
 
+    /// Tokens of the prompt that a server has in its memory, or else the server
+    /// from which it fetches them.
+    fn memory_for(&self, slot: &ServerSlot) -> (u64, Option<SocketAddr>) {
+        match self.held {
+            Some(held) if held.address == slot.record().address => (held.tokens, None),
+            held => (0, held.map(|held| held.address)),
+        }
+    }
+
     async fn attempt(&mut self, slot: &Arc<ServerSlot>) -> AttemptEnd {
         let now = Instant::now();
         let task = Arc::clone(&self.task);
@@ -237,9 +268,11 @@
             .take()
             .filter(|copy| copy.holder == slot.record().address);
         let holder = self.choose_holder(slot);
+        let (known, fetch) = self.memory_for(slot);
+        let unread = tokens.prompt.saturating_sub(known);
         let mut work = slot.begin(WorkSize {
             runs: 1,
-            prompt_tokens: if copy.is_some() { 0 } else { tokens.prompt },
+            prompt_tokens: if copy.is_some() { 0 } else { unread },
             kv_tokens: tokens.total(),
         });
         let mut order = task.order(slot, now);
@@ -249,12 +282,15 @@
             address: copy.named_at,
             name: &copy.name,
         });
+        order.fetch = fetch;
         log::info!(
             request = task.id.as_str(),
             server = slot.record().instance.as_str(),
             domain = slot.record().domain.as_str(),
             backup:? = order.backup,
             copy = order.source.is_some(),
+            held_tokens = known,
+            fetch:? = order.fetch,
             position:? = order.position,
             running = slot.running(),
             prompt_tokens = slot.prompt_tokens();
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -133,11 +133,14 @@
         let now = Instant::now();
         let metrics = &self.state.metrics;
         match self.last_piece.replace(now) {
-            Some(last) => metrics
-                .event_gap_seconds
-                .observe((now - last).as_secs_f64()),
+            Some(last) => {
+                let gap = now - last;
+                self.pace.longest_gap = self.pace.longest_gap.max(gap);
+                metrics.event_gap_seconds.observe(gap.as_secs_f64());
+            }
             None => {
                 let spent = now - self.task.received;
+                self.pace.first = Some(spent);
                 metrics.first_event_seconds.observe(spent.as_secs_f64());
             }
         }
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -35,6 +35,24 @@
         }
     }
 
+    /// Look for a server that has the prompt in its memory.
+    pub(super) async fn search_prompt(&mut self) {
+        let Some(part) = &self.task.prompt else {
+            return;
+        };
+        self.held = self.state.finder.find(&self.task.service, part).await;
+        let outcome = if self.held.is_some() {
+            "held"
+        } else {
+            "absent"
+        };
+        self.state
+            .metrics
+            .prompt_searches
+            .with_label_values(&[outcome])
+            .inc();
+    }
+
     fn pick(&self, now: Instant) -> Option<Arc<ServerSlot>> {
         let registry = self.state.registry.load();
         let servers = registry.servers(&self.task.service);
@@ -63,6 +81,7 @@
             kv_total: self
                 .engine()
                 .map_or(u64::MAX / 100, |engine| engine.kv_tokens),
+            held: self.held,
             own_domain,
             tried,
             now,
--- a/crates/front/tests/site/streams.rs
+++ b/crates/front/tests/site/streams.rs
@@ -1,8 +1,10 @@
 //! Streams through workers that die, hang and tear their events.
 
 use crate::support::{POOL, TestSite, caller_request, events, open, wait_for};
-use http::StatusCode;
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
 use rstest::rstest;
 use stand_ins::{ScriptedWorker, StreamEnd, WorkerAct};
 
@@ -113,6 +115,79 @@
     assert_eq!(site.send(request).await.body, events(6..=8));
 }
 
+/// A caller that resumes a stream, and the part of its prompt that is its own.
+fn resuming_request(id: &str, part: &str) -> Request<Full<Bytes>> {
+    let mut request = caller_request("/report/1", id);
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", HeaderValue::from_static("5"));
+    headers.insert(
+        "x-bamboocross-token-counts",
+        HeaderValue::from_static("8000,900"),
+    );
+    let prefix = format!("5c1e07a2:200,{part}:7800");
+    headers.insert("x-bamboocross-prompt-prefix", value(&prefix));
+    request
+}
+
+fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("a value")
+}
+
+/// The server that has the prompt goes before one in the own failure domain.
+#[tokio::test]
+async fn resumed_stream_goes_where_its_prompt_is() {
+    let (own, away) = (pool("i1").await, pool("i2").await);
+    away.hold("91bd3f06", 7_800);
+    away.script([Events(8, StreamEnd::Complete)]);
+    let site = TestSite::start(&[(POOL, &own, "a"), (POOL, &away, "b")]).await;
+    let answered = site.send(resuming_request("r2", "91bd3f06")).await;
+    assert_eq!(answered.body, events(6..=8));
+    assert!(own.requests().is_empty(), "the prompt is not read anew");
+    assert_eq!(away.requests()[0].header("kv-fetch"), None);
+}
+
+/// Where the server that has the prompt is full, another one fetches it.
+#[tokio::test]
+async fn prompt_is_fetched_from_a_server_that_is_full() {
+    let (own, away) = (pool("i1").await, pool("i2").await);
+    away.hold("91bd3f06", 7_800);
+    away.script([Rejected]);
+    own.script([Events(8, StreamEnd::Complete)]);
+    let site = TestSite::start(&[(POOL, &own, "a"), (POOL, &away, "b")]).await;
+    let answered = site.send(resuming_request("r2", "91bd3f06")).await;
+    assert_eq!(answered.body, events(6..=8));
+    let source = away.address.to_string();
+    assert_eq!(own.requests()[0].header("kv-fetch"), Some(source.as_str()));
+}
+
+/// Streams that come back together cost one search.
+#[tokio::test]
+async fn streams_that_come_back_together_share_a_search() {
+    let worker = pool("i1").await;
+    worker.hold("91bd3f06", 7_800);
+    worker.script(std::iter::repeat_n(Events(8, StreamEnd::Complete), 6));
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let requests = (0..6).map(|number| site.send(resuming_request(&format!("r{number}"), "other")));
+    for answered in join_all(requests).await {
+        assert_eq!(answered.body, events(6..=8));
+    }
+    assert!(worker.listings() <= 2, "{} searches", worker.listings());
+    let searches = "bamboocross_front_prompt_searches_total{outcome=\"absent\"}";
+    assert_eq!(site.metric(searches).await, 6.0);
+}
+
+/// A server that does not answer the search holds up no stream for long.
+#[tokio::test]
+async fn server_without_a_listing_holds_nothing() {
+    let worker = pool("i1").await;
+    worker.mute_listings();
+    worker.script([Events(8, StreamEnd::Complete)]);
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    let answered = site.send(resuming_request("r2", "91bd3f06")).await;
+    assert_eq!(answered.body, events(6..=8));
+    assert_eq!(worker.listings(), 1);
+}
+
 #[tokio::test]
 async fn caller_that_leaves_ends_the_work() {
     let worker = pool("i1").await;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -91,6 +91,9 @@
     faults: Option<FaultDraw>,
     requests: Vec<WorkerRequest>,
     ran: Vec<String>,
+    held: Vec<(String, u64)>,
+    listings: usize,
+    mute: bool,
     closed: usize,
 }
 
@@ -134,6 +137,21 @@
         });
     }
 
+    /// Hold a part of a prompt in memory.
+    pub fn hold(&self, part: &str, tokens: u64) {
+        self.state().held.push((part.to_owned(), tokens));
+    }
+
+    /// Leave the question what the worker holds without an answer.
+    pub fn mute_listings(&self) {
+        self.state().mute = true;
+    }
+
+    /// How often the worker was asked what it holds.
+    pub fn listings(&self) -> usize {
+        self.state().listings
+    }
+
     /// Ids of the requests that ran, one entry a run.
     pub fn ran(&self) -> Vec<String> {
         self.state().ran.clone()
@@ -164,6 +182,14 @@
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut held = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut held).await? {
+            if request.head.starts_with("GET /v1/kv-list ") {
+                let Some(listing) = self.state().list_held() else {
+                    self.wait_for_close(&mut stream).await?;
+                    return Ok(());
+                };
+                stream.write_all(listing.as_bytes()).await?;
+                continue;
+            }
             let act = {
                 let mut state = self.state();
                 state.requests.push(request.clone());
@@ -272,6 +298,26 @@
 }
 
 impl WorkerState {
+    fn list_held(&mut self) -> Option<String> {
+        self.listings += 1;
+        if self.mute {
+            return None;
+        }
+        let held: Vec<String> = self
+            .held
+            .iter()
+            .map(|(part, tokens)| format!(r#"["","{part}",{tokens},"m"]"#))
+            .collect();
+        let body = format!(
+            r#"{{"epoch":1,"next-token":1,"held":[{}]}}"#,
+            held.join(",")
+        );
+        Some(format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    }
+
     fn next_act(&mut self, request: &WorkerRequest) -> WorkerAct {
         if let Some(act) = self.script.pop_front() {
             return act;
