Retry budget spent to 0.9; a lost failure domain is known from the few servers met

An entry with 0.8 streams a second meets four or five of a domain's 20 servers, so the rule 'half of the servers looked at failed' never saw a domain go dark: 250 connections tried in vain and 127 rejections by servers that had started again, each of which spends budget. Change: 0.9 of the share is spent (the rest covers joining entries and windows that do not match; the test of the sum holds); a domain is in doubt for 2.5 s when more of the servers met lately failed than live.

--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -30,6 +30,11 @@
 const SUSPECT_MS: u64 = 100_000;
 /// Cost of a failure domain of which half of the servers failed lately.
 const DOMAIN_SUSPECT_MS: u64 = 50_000;
+/// Time for which failures count for their failure domain: a crash of today's
+/// sites and the time until its servers' new registrations are read.
+const DOMAIN_PAUSE: Duration = Duration::from_millis(2_500);
+/// Age up to which a sign of life counts for the failure domain.
+const LIFE_AGE: Duration = Duration::from_millis(1_000);
 /// Cost of a server without memory for the request.
 const NO_ROOM_MS: u64 = 20_000;
 /// Cost of a run's own server as the holder of its copy: above all others.
@@ -159,12 +164,23 @@
     best.map(|(_, slot)| slot)
 }
 
-/// Cost of a failure domain in which half of the servers looked at failed.
+/// Cost of a failure domain that seems lost: half of the servers looked at
+/// failed, or more of those that this process met lately failed than live. A
+/// process with few requests meets only some servers of a domain.
 fn domain_doubt<'a>(slots: impl Iterator<Item = &'a Arc<ServerSlot>>, now: Instant) -> u64 {
-    let (all, suspect) = slots.fold((0_u32, 0_u32), |(all, suspect), slot| {
-        (all + 1, suspect + u32::from(slot.is_suspect(now)))
-    });
-    if suspect >= 2 && suspect * 2 >= all {
+    let (mut all, mut suspect, mut failing, mut alive) = (0_u32, 0_u32, 0_u32, 0_u32);
+    for slot in slots {
+        all += 1;
+        suspect += u32::from(slot.is_suspect(now));
+        if slot.is_failing(DOMAIN_PAUSE, now) {
+            failing += 1;
+        } else if slot.is_alive(LIFE_AGE, now) {
+            alive += 1;
+        }
+    }
+    let half_lost = suspect >= 2 && suspect * 2 >= all;
+    let met_lost = failing >= 2 && failing > alive;
+    if half_lost || met_lost {
         DOMAIN_SUSPECT_MS
     } else {
         0
--- a/crates/domain/src/retry_share.rs
+++ b/crates/domain/src/retry_share.rs
@@ -14,7 +14,7 @@
 
 /// Part of the budget that is spent; the rest is for entries that join before
 /// the others know, and for windows that do not match.
-const SPENT_PART: f64 = 0.7;
+const SPENT_PART: f64 = 0.9;
 /// Windows are counted in this many slices.
 const SLICES: usize = 10;
 
--- a/crates/domain/src/server_registry/server_slot.rs
+++ b/crates/domain/src/server_registry/server_slot.rs
@@ -21,6 +21,7 @@
     prompt_tokens: AtomicU64,
     kv_tokens: AtomicU64,
     suspect_until: AtomicU64,
+    failed_at: AtomicU64,
     life_sign: AtomicU64,
     misdirected: AtomicBool,
     failures: AtomicU32,
@@ -36,6 +37,7 @@
             prompt_tokens: AtomicU64::new(0),
             kv_tokens: AtomicU64::new(0),
             suspect_until: AtomicU64::new(0),
+            failed_at: AtomicU64::new(0),
             life_sign: AtomicU64::new(0),
             misdirected: AtomicBool::new(false),
             failures: AtomicU32::new(0),
@@ -137,6 +139,7 @@
     /// each failure in a row.
     pub fn note_failure(&self, now: Instant, base: Duration) {
         let failures = self.load.failures.fetch_add(1, Relaxed).min(3);
+        self.load.failed_at.store(self.millis(now).max(1), Relaxed);
         let until = self.millis(now + base * (1 << failures));
         self.load.suspect_until.fetch_max(until, Relaxed);
     }
@@ -158,6 +161,18 @@
         until != 0 && until > self.millis(now)
     }
 
+    /// Whether the server failed within `window` and gave no sign of life since.
+    pub fn is_failing(&self, window: Duration, now: Instant) -> bool {
+        let failed = self.load.failed_at.load(Relaxed);
+        failed > self.load.life_sign.load(Relaxed)
+            && self.millis(now).saturating_sub(failed) < millis(window)
+    }
+
+    /// Whether the server gave a sign of life within `window`.
+    pub fn is_alive(&self, window: Duration, now: Instant) -> bool {
+        self.silence(now) < window
+    }
+
     /// Time since the last sign of life, on any connection of this process;
     /// without end if there was none.
     pub fn silence(&self, now: Instant) -> Duration {
@@ -198,11 +213,14 @@
     }
 
     fn millis(&self, now: Instant) -> u64 {
-        let since = now.saturating_duration_since(self.load.start);
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        millis(now.saturating_duration_since(self.load.start))
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Room taken at a server; given back when dropped.
 #[derive(Debug)]
 pub struct WorkGuard {
