While the store is away servers that started again are known from themselves

Cause: a server that crashed starts again under another name. With the store out of reach an entry learnt that name only from the 421 to a request, which spends retry budget, and only within the 2 s in which the address is given to nobody else. Change: when a server of a domain is lost, all servers of the domain are asked for their names (bounded: 32, 5 s); a server that serves a model that no other service of the desired state serves is of that service however old the last sign of life is. The test fails without the proof. Callers' listener opens before all else at the start.

--- a/crates/domain/src/desired_state/accepted_state.rs
+++ b/crates/domain/src/desired_state/accepted_state.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::{ApiKey, CallerLimits, RouteSpec, ServiceSpec};
-use crate::{ServiceName, TeamName};
+use crate::{ModelName, ServiceName, TeamName};
 
 /// Order of a desired state among all that were accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -117,6 +117,19 @@
         self.services.get(name)
     }
 
+    /// Whether a server that serves these models must be one of a service: it has
+    /// one of them, and no other service has it.
+    pub fn only_serves(&self, service: &ServiceName, models: &[ModelName]) -> bool {
+        let has = |spec: &ServiceSpec, model: &ModelName| {
+            let engine = spec.engine.as_ref();
+            engine.is_some_and(|engine| engine.models.contains(model))
+        };
+        models.iter().any(|model| {
+            let mut holders = self.services.values().filter(|spec| has(spec, model));
+            holders.next().is_some_and(|spec| spec.name == *service) && holders.next().is_none()
+        })
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/domain/src/desired_state/route_spec.rs
+++ b/crates/domain/src/desired_state/route_spec.rs
@@ -4,7 +4,7 @@
 
 use derive_more::From;
 
-use crate::ServiceName;
+use crate::{ModelName, ServiceName};
 
 /// Key that a caller shows.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, From)]
@@ -102,6 +102,8 @@
     pub kv_tokens: u64,
     /// Whether a run's memory can be copied while it runs.
     pub backups: bool,
+    /// Models that they serve.
+    pub models: Vec<ModelName>,
 }
 
 /// One service.
--- a/crates/domain/src/server_registry.rs
+++ b/crates/domain/src/server_registry.rs
@@ -9,5 +9,7 @@
 mod registry_fold;
 mod server_slot;
 
-pub use registry_fold::{DomainServers, RegistryChange, ServerRecord, ServerRegistry, ServerState};
+pub use registry_fold::{
+    AdoptProof, DomainServers, RegistryChange, ServerRecord, ServerRegistry, ServerState,
+};
 pub use server_slot::{ServerLoad, ServerSlot, WorkGuard, WorkSize};
--- a/crates/domain/src/server_registry/registry_fold.rs
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -46,6 +46,16 @@
     pub born_ms: u64,
 }
 
+/// Why the server that holds an address now is of the service that held it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdoptProof {
+    /// The address is given to no other service for this time after the last
+    /// sign of life there.
+    RecentLife(Duration),
+    /// The server serves a model that no other service serves.
+    OnlyModel,
+}
+
 /// One change of the list.
 #[derive(Clone, Debug)]
 pub enum RegistryChange {
@@ -166,18 +176,21 @@
         self.rebuild();
     }
 
-    /// Take in what a server said of itself when it turned down a request for
-    /// `old`: another lifetime holds the address. It is of the same service
-    /// only while the address cannot have been given away, so `old` must have
-    /// shown life within `reuse_time`. It stays until the list says otherwise.
+    /// Take in what a server said of itself at the address of `old`: another
+    /// lifetime holds it, of the same service as the proof tells. It stays until
+    /// the list says otherwise.
     pub fn adopt(
         &mut self,
         old: &ServerSlot,
         instance: ServerName,
-        reuse_time: Duration,
+        proof: AdoptProof,
         now: Instant,
     ) -> bool {
-        if old.silence(now) >= reuse_time || self.slots.contains_key(&instance) {
+        let is_proved = match proof {
+            AdoptProof::RecentLife(reuse_time) => old.silence(now) < reuse_time,
+            AdoptProof::OnlyModel => true,
+        };
+        if !is_proved || self.slots.contains_key(&instance) {
             return false;
         }
         self.put(ServerRecord {
--- a/crates/domain/src/server_registry/server_slot.rs
+++ b/crates/domain/src/server_registry/server_slot.rs
@@ -24,6 +24,7 @@
     failed_at: AtomicU64,
     life_sign: AtomicU64,
     misdirected: AtomicBool,
+    watched: AtomicBool,
     failures: AtomicU32,
     reported: AtomicU64,
     reported_at: AtomicU64,
@@ -40,6 +41,7 @@
             failed_at: AtomicU64::new(0),
             life_sign: AtomicU64::new(0),
             misdirected: AtomicBool::new(false),
+            watched: AtomicBool::new(false),
             failures: AtomicU32::new(0),
             reported: AtomicU64::new(0),
             reported_at: AtomicU64::new(0),
@@ -144,6 +146,16 @@
         self.load.suspect_until.fetch_max(until, Relaxed);
     }
 
+    /// Begin to watch for the server's return; tells whether nobody did yet.
+    pub fn begin_watch(&self) -> bool {
+        !self.load.watched.swap(true, Relaxed)
+    }
+
+    /// End the watch.
+    pub fn end_watch(&self) {
+        self.load.watched.store(false, Relaxed);
+    }
+
     /// Note that another server holds the address.
     pub fn note_misdirected(&self) {
         self.load.misdirected.store(true, Relaxed);
--- a/crates/domain/tests/desired_state.rs
+++ b/crates/domain/tests/desired_state.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use domain::{
-    ServiceName, TeamName,
+    ModelName, ServiceName, TeamName,
     desired_state::{
-        ApiKey, CallerLimits, DesiredState, RequestQuery, RequestVerdict, RouteKind, RouteSpec,
-        StateFreshness, StateVersion, TeamSpec, WeightedService,
+        ApiKey, CallerLimits, DesiredState, EngineSpec, RequestQuery, RequestVerdict, RouteKind,
+        RouteSpec, ServiceSpec, StateFreshness, StateVersion, TeamSpec, WeightedService,
     },
 };
 use rstest::rstest;
@@ -137,3 +137,39 @@
     assert!(fresh(Some(now)).may_deny(now + Duration::from_secs(4)));
     assert!(!fresh(Some(now)).may_deny(now + Duration::from_millis(4_001)));
 }
+
+/// Whether the models of a server prove that it is one of `pool`. Services are
+/// written as `NAME: MODELS`.
+#[rstest]
+#[case::only_there("pool: m, desk:", "m", true)]
+#[case::one_of_two("pool: m n, canary: m", "m n", true)]
+#[case::elsewhere_too("pool: m, canary: m", "m", false)]
+#[case::of_another("pool: m, canary: n", "n", false)]
+#[case::no_model_server("pool: m", "", false)]
+fn models_prove_a_service(#[case] services: &str, #[case] models: &str, #[case] expected: bool) {
+    let names =
+        |text: &str| -> Vec<ModelName> { text.split_whitespace().map(ModelName::from).collect() };
+    let services = services.split(", ").map(|service| {
+        let (name, models) = service.split_once(':').expect("a name");
+        let models = names(models);
+        ServiceSpec {
+            name: ServiceName::from(name),
+            health_path: "/healthz".into(),
+            engine: (!models.is_empty()).then_some(EngineSpec {
+                slots: 8,
+                kv_tokens: 88_000,
+                backups: true,
+                models,
+            }),
+        }
+    });
+    let state = DesiredState::new(
+        StateVersion { row: 1, number: 1 },
+        Vec::new(),
+        services.collect(),
+        None,
+        CallerLimits::default(),
+    );
+    let proved = state.only_serves(&ServiceName::from("pool"), &names(models));
+    assert_eq!(proved, expected);
+}
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -5,7 +5,9 @@
 use domain::{
     DomainName, ServerName, ServiceName,
     kv_placement::LoadReport,
-    server_registry::{RegistryChange, ServerRecord, ServerRegistry, ServerState, WorkSize},
+    server_registry::{
+        AdoptProof, RegistryChange, ServerRecord, ServerRegistry, ServerState, WorkSize,
+    },
 };
 use tokio::time::Instant;
 
@@ -136,19 +138,19 @@
 #[tokio::test(start_paused = true)]
 async fn restarted_server_is_adopted_while_its_address_is_surely_its_own() {
     let now = Instant::now();
-    let reuse = Duration::from_secs(2);
+    let recent = AdoptProof::RecentLife(Duration::from_secs(2));
     let mut registry = ServerRegistry::default();
     registry.replace(&[record("old", 1, 5)], now);
     let old = registry.all().next().cloned().expect("one server");
     let new = || ServerName::from("new");
-    assert!(!registry.adopt(&old, new(), reuse, now), "never heard of");
+    assert!(!registry.adopt(&old, new(), recent, now), "never heard of");
     old.note_life(now + Duration::from_millis(10));
     let late = now + Duration::from_millis(2_010);
     assert!(
-        !registry.adopt(&old, new(), reuse, late),
+        !registry.adopt(&old, new(), recent, late),
         "may be another's by now"
     );
-    assert!(registry.adopt(&old, new(), reuse, now + Duration::from_secs(1)));
+    assert!(registry.adopt(&old, new(), recent, now + Duration::from_secs(1)));
     check(&registry, &["new"]);
     // The registration brings the start of that lifetime; counts go on.
     let slot = registry.all().next().cloned().expect("one server");
@@ -157,6 +159,23 @@
     assert!(registry.knows(&slot));
 }
 
+/// A model that only one service serves proves it however long the silence was.
+#[tokio::test(start_paused = true)]
+async fn server_with_the_only_model_is_adopted_late() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("old", 1, 5)], now);
+    let old = registry.all().next().cloned().expect("one server");
+    let late = now + Duration::from_secs(60);
+    let new = || ServerName::from("new");
+    assert!(registry.adopt(&old, new(), AdoptProof::OnlyModel, late));
+    check(&registry, &["new"]);
+    assert!(
+        !registry.adopt(&old, new(), AdoptProof::OnlyModel, late),
+        "known by now"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn failures_in_a_row_pause_longer_and_an_answer_ends_them() {
     let now = Instant::now();
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -14,6 +14,7 @@
     call_task::CallTask,
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, own_reply, refusal, whole_reply},
+    return_watch::watch_return,
     server_exchange::{WholeAnswer, send},
 };
 
@@ -24,7 +25,7 @@
 const SILENT_DEFAULT: Duration = Duration::from_millis(500);
 
 /// Carry a plain request to its end.
-pub(crate) async fn run_call(state: &FrontState, task: &CallTask) -> CallerReply {
+pub(crate) async fn run_call(state: &Arc<FrontState>, task: &CallTask) -> CallerReply {
     let share = state.retry_share(&task.service);
     share.note_request(Instant::now());
     let mut budget = SendBudget::new(task.route.attempts, task.route.kind);
@@ -49,6 +50,9 @@
         state.metrics.sends.with_label_values(&[outcome]).inc();
         budget.count(end);
         tried.push(slot.record().address);
+        if is_loss(end) || slot.is_misdirected() {
+            watch_return(state, &slot);
+        }
         held = sent.ok().or(held);
         let step = next_step(task.route.kind, end, &budget);
         let again = step == NextStep::TryAgain && (!end.arrived() || state.spend_retry(&share));
@@ -111,6 +115,14 @@
     }
 }
 
+/// Whether a server that ends a send like this may have ended itself.
+fn is_loss(end: SendEnd) -> bool {
+    matches!(
+        end,
+        SendEnd::NotConnected | SendEnd::Broken | SendEnd::Silent
+    )
+}
+
 fn pick(
     state: &FrontState,
     task: &CallTask,
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use platform::{caller_request::CallerHeaders, worker_request::forwarded_headers};
 use rand::Rng;
+use settings::FrontSettings;
 use telemetry::StopSignal;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -45,10 +46,24 @@
 /// percent.
 const END_PERCENT: u32 = 95;
 
+/// Listener for callers, made before all else: those whose entry died come back
+/// within half a second, and a connection that is refused is not tried again.
+pub struct CallerListener(TcpListener);
+
+impl CallerListener {
+    /// Listen; connections wait until they are served.
+    pub async fn bind(settings: &FrontSettings) -> miette::Result<Self> {
+        bind(settings.listen).await.map(Self)
+    }
+}
+
 /// Serve callers until the process has drained.
-pub async fn serve_callers(state: Arc<FrontState>, mut stop: StopSignal) -> miette::Result<()> {
-    let listener = bind(state.settings.load().listen).await?;
-    tokio::spawn(accept_callers(Arc::clone(&state), listener));
+pub async fn serve_callers(
+    state: Arc<FrontState>,
+    listener: CallerListener,
+    mut stop: StopSignal,
+) -> miette::Result<()> {
+    tokio::spawn(accept_callers(Arc::clone(&state), listener.0));
     stop.stopped().await;
     let ordered = Instant::now();
     state.drain.start(ordered);
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -15,7 +15,7 @@
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
     retry_share::RetryShare,
-    server_registry::{ServerRegistry, ServerSlot},
+    server_registry::{AdoptProof, ServerRegistry, ServerSlot},
 };
 use settings::FrontSettings;
 use tokio::{sync::Notify, time::Instant};
@@ -124,25 +124,31 @@
         self.drain.phase(self.drain_times(), now)
     }
 
-    /// Take in the lifetime that holds a server's address now, if it must be
-    /// of the same service.
-    pub(crate) fn adopt(&self, old: &ServerSlot, instance: &ServerName) {
+    /// Take in the lifetime that holds a server's address now, if it must be of
+    /// the same service since the address was in use a moment ago.
+    pub(crate) fn adopt_recent(&self, old: &ServerSlot, instance: &ServerName) -> bool {
         let reuse_time = self.settings.load().address_reuse;
+        self.adopt(old, instance, AdoptProof::RecentLife(reuse_time))
+    }
+
+    /// Take in the lifetime that holds a server's address now.
+    pub(crate) fn adopt(&self, old: &ServerSlot, instance: &ServerName, proof: AdoptProof) -> bool {
         let now = Instant::now();
         let mut adopted = false;
         self.registry.rcu(|registry| {
             let mut registry = ServerRegistry::clone(registry);
-            adopted = registry.adopt(old, instance.clone(), reuse_time, now);
+            adopted = registry.adopt(old, instance.clone(), proof, now);
             registry
         });
         if adopted {
             log::info!(
                 server = instance.as_str(),
                 before = old.record().instance.as_str(),
-                silent_ms = old.silence(now).as_millis() as u64;
+                proof:? = proof;
                 "server adopted from its own answer"
             );
         }
+        adopted
     }
 
     /// Spend one retry of a service's budget if there is one.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,7 +27,7 @@
 mod stream_run;
 
 pub use admin_front::serve_admin;
-pub use caller_front::serve_callers;
+pub use caller_front::{CallerListener, serve_callers};
 pub use front_metrics::FrontMetrics;
 pub use front_state::FrontState;
 pub use prompt_finder::{PromptFinder, PromptQuestions, answer_questions};
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -4,8 +4,8 @@
 use std::{num::NonZeroUsize, process::ExitCode, sync::Arc};
 
 use front::{
-    FrontState, PromptFinder, answer_questions, serve_admin, serve_callers, watch_settings,
-    watch_store,
+    CallerListener, FrontState, PromptFinder, answer_questions, serve_admin, serve_callers,
+    watch_settings, watch_store,
 };
 use settings::FrontSettings;
 use telemetry::{DaemonSpec, LogTarget, StopSignal, run_daemon};
@@ -23,6 +23,7 @@
 }
 
 async fn serve(settings: FrontSettings, stop: StopSignal) -> miette::Result<()> {
+    let listener = CallerListener::bind(&settings).await?;
     let (finder, questions) = PromptFinder::new();
     let state = Arc::new(FrontState::new(settings, finder));
     let settings = state.settings.load_full();
@@ -36,7 +37,7 @@
     answer_questions(&state, questions);
     watch_settings(&state)?;
     serve_admin(&state).await?;
-    serve_callers(Arc::clone(&state), stop).await?;
+    serve_callers(Arc::clone(&state), listener, stop).await?;
     log::info!(node = settings.name.as_str(); "stop");
     Ok(())
 }
--- a/crates/front/src/return_watch.rs
+++ b/crates/front/src/return_watch.rs
@@ -2,41 +2,71 @@
 //!
 //! A server that crashed registers under another name when it starts again.
 //! While the store is out of reach that name can be had only from the server
-//! itself, and it proves the service only for a short time.
+//! itself. Servers of a failure domain are lost together, so all of the domain
+//! are asked when one was lost: a question costs less than a request that the
+//! next lifetime turns down.
 
 use std::{sync::Arc, time::Duration};
 
-use domain::server_registry::ServerSlot;
+use domain::{
+    ServerName,
+    server_registry::{AdoptProof, ServerSlot},
+};
 use tokio::time::{Instant, sleep};
 
-use crate::{front_state::FrontState, server_exchange::ask_instance};
+use crate::{
+    front_state::FrontState,
+    server_exchange::{ask_instance, ask_models},
+};
 
-/// Time between two questions; a crash at today's sites lasts 1.2 s of the 2 s
-/// in which an address is given to no other server.
-const ASK_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two questions; a crash at today's sites lasts 1.2 s.
+const ASK_PERIOD: Duration = Duration::from_millis(300);
+/// Time for which a lost server is asked: some crashes.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+/// Servers of one failure domain that are watched at once: all of today's
+/// sites, and a bound on the questions of larger ones.
+const WATCHED_MAX: usize = 32;
 
-/// Ask at a lost server's address who holds it, while the store cannot tell.
-pub(crate) fn watch_return(state: &Arc<FrontState>, slot: &Arc<ServerSlot>) {
+/// Ask at the addresses of a lost server's failure domain who holds them, while
+/// the store cannot tell.
+pub(crate) fn watch_return(state: &Arc<FrontState>, lost: &Arc<ServerSlot>) {
     if !state.is_list_lost() {
         return;
     }
+    watch_one(state, lost);
+    let registry = state.registry.load();
+    let record = lost.record();
+    let domains = registry.servers(&record.service).iter();
+    let peers = domains
+        .filter(|own| own.domain == record.domain)
+        .flat_map(|own| &own.slots);
+    for peer in peers.take(WATCHED_MAX) {
+        watch_one(state, peer);
+    }
+}
+
+fn watch_one(state: &Arc<FrontState>, slot: &Arc<ServerSlot>) {
+    if !slot.begin_watch() {
+        return;
+    }
     let (state, slot) = (Arc::clone(state), Arc::clone(slot));
-    tokio::spawn(async move { ask_until_known(&state, &slot).await });
+    tokio::spawn(async move {
+        ask_until_known(&state, &slot).await;
+        slot.end_watch();
+    });
 }
 
 async fn ask_until_known(state: &FrontState, slot: &ServerSlot) {
-    let reuse_time = state.settings.load().address_reuse;
-    let service = &slot.record().service;
     let health_path = state.desired.load().as_ref().and_then(|desired| {
         desired
-            .service(service)
+            .service(&slot.record().service)
             .map(|spec| spec.health_path.clone())
     });
     let Some(health_path) = health_path else {
         return;
     };
-    while slot.silence(Instant::now()) < reuse_time && !slot.is_misdirected() {
-        sleep(ASK_PERIOD).await;
+    let end = Instant::now() + WATCH_TIME;
+    while state.is_list_lost() && Instant::now() < end {
         match ask_instance(slot, &health_path).await {
             Some(instance) if instance == slot.record().instance => {
                 slot.note_life(Instant::now());
@@ -44,10 +74,24 @@
             }
             Some(instance) => {
                 slot.note_misdirected();
-                state.adopt(slot, &instance);
+                take_in(state, slot, &instance).await;
                 return;
             }
-            None => {}
+            None => sleep(ASK_PERIOD).await,
         }
     }
 }
+
+async fn take_in(state: &FrontState, slot: &ServerSlot, instance: &ServerName) {
+    if state.adopt_recent(slot, instance) {
+        return;
+    }
+    let models = ask_models(slot).await;
+    let desired = state.desired.load();
+    let is_proved = desired
+        .as_ref()
+        .is_some_and(|desired| desired.only_serves(&slot.record().service, &models));
+    if is_proved {
+        state.adopt(slot, instance, AdoptProof::OnlyModel);
+    }
+}
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use domain::{
-    PromptPart, RequestId, ServerName, event_relay::StreamPatience, run_evidence::SendEnd,
-    server_registry::ServerSlot,
+    ModelName, PromptPart, RequestId, ServerName, event_relay::StreamPatience,
+    run_evidence::SendEnd, server_registry::ServerSlot,
 };
 use http::{Method, Request, Response, Uri, header, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,7 +13,10 @@
 use miette::IntoDiagnostic;
 use platform::{
     worker_answer::{closes, decode_head, decode_instance, decode_load, idle_time},
-    worker_call::{HELD_PATH, MOVE_PATH, decode_handle, decode_held, move_body, release_path},
+    worker_call::{
+        HELD_PATH, MOVE_PATH, REPORT_PATH, decode_handle, decode_held, decode_models, move_body,
+        release_path,
+    },
     worker_request::WorkerOrder,
 };
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -166,7 +169,7 @@
             slot.note_misdirected();
             state.list_doubt.notify_one();
             if let Some(instance) = decode_instance(&parts.headers) {
-                state.adopt(slot, &instance);
+                state.adopt_recent(slot, &instance);
             }
         }
         return Err(SendEnd::Rejected);
@@ -286,6 +289,19 @@
     decode_instance(&parts.headers)
 }
 
+/// Models that the server at an address serves; none if it is no model server.
+pub(crate) async fn ask_models(slot: &ServerSlot) -> Vec<ModelName> {
+    let asked = call_server(slot, Method::GET, REPORT_PATH, Vec::new());
+    let answered = match timeout(ASK_TIMEOUT, asked).await {
+        Ok(answered) => answered.and_then(|body| decode_models(&body).into_diagnostic()),
+        Err(_) => Err(miette::miette!("no answer in time")),
+    };
+    answered.unwrap_or_else(|error| {
+        log::debug!(address:% = slot.record().address, error:%; "server did not tell its models");
+        Vec::new()
+    })
+}
+
 /// Parts of prompts that a server holds, with their tokens.
 pub(crate) async fn list_held(
     state: &FrontState,
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -181,7 +181,7 @@
                 .with_label_values(&[send_name(end)])
                 .inc();
             self.budget.count(end);
-            if end != SendEnd::Rejected {
+            if end != SendEnd::Rejected || slot.is_misdirected() {
                 watch_return(&self.state, &slot);
             }
             self.last_failed.push(slot.record().address);
--- a/crates/front/tests/site/beliefs.rs
+++ b/crates/front/tests/site/beliefs.rs
@@ -1,10 +1,16 @@
 //! Desired state, servers and settings through faults of the store.
 
-use crate::support::{DESK, TestSite, desired_state, wait_for};
+use std::time::Duration;
+
+use crate::support::{DESK, POOL, TestSite, desired_state, wait_for};
 use http::StatusCode;
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use serde_json::json;
-use stand_ins::{RowStore, ScriptedWorker, StoreMode, WorkerAct};
+use stand_ins::{RowStore, ScriptedWorker, StoreMode, StreamEnd, WorkerAct};
+use tokio::time::sleep;
+
+use WorkerAct::{Events, Reset};
 
 async fn desk(instance: &'static str) -> ScriptedWorker {
     ScriptedWorker::start(instance).await.expect("a port")
@@ -114,6 +120,62 @@
     assert_eq!(last.header("x-bamboocross-target-instance"), Some("i-next"));
 }
 
+/// While the store is away, servers that started again tell their names
+/// themselves, those that had no request too; the model proves the service.
+#[rstest]
+#[case::only_service(1, true)]
+#[case::another_has_the_model(2, false)]
+#[tokio::test]
+async fn restarted_servers_are_known_without_the_store(
+    #[case] services: usize,
+    #[case] expected: bool,
+) {
+    let (first, second) = (desk("i1").await, desk("i2").await);
+    let site = TestSite::start(&[(POOL, &first, "a"), (POOL, &second, "a")]).await;
+    let mut state = desired_state(4);
+    let mut other = state["services"][1].clone();
+    other["name"] = json!("other");
+    if services == 2 {
+        state["services"]
+            .as_array_mut()
+            .expect("a list")
+            .push(other);
+    }
+    state["routes"][0]["prefix"] = json!("/seen/");
+    site.store.put("op", "config", state.to_string().as_bytes());
+    wait_for("the state", async || {
+        site.metric("bamboocross_front_state_version").await == 4.0
+    })
+    .await;
+    site.store.set_mode(StoreMode::Silent);
+    wait_for("the loss of the store", async || {
+        let lost = "bamboocross_front_store_calls_total{outcome=\"unreachable\"}";
+        site.metric(lost).await >= 2.0
+    })
+    .await;
+    for worker in [&first, &second] {
+        worker.script([Reset, Events(9, StreamEnd::Complete)]);
+    }
+    let target = |worker: &ScriptedWorker| {
+        let last = worker.requests().pop();
+        let name = last.and_then(|last| {
+            last.header("x-bamboocross-target-instance")
+                .map(str::to_owned)
+        });
+        name.unwrap_or_default()
+    };
+    let mut known = false;
+    for number in 0..20 {
+        site.call("/report/1", &format!("r{number}")).await;
+        known = target(&first) == "i1" && target(&second) == "i2";
+        if known {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(known, expected);
+}
+
 #[tokio::test]
 async fn settings_change_without_an_end() {
     let worker = desk("i1").await;
--- a/crates/front/tests/site/support.rs
+++ b/crates/front/tests/site/support.rs
@@ -88,7 +88,8 @@
         "services": [
             {"name": DESK, "health-path": "/healthz"},
             {"name": POOL, "health-path": "/healthz",
-             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true}},
+             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true,
+                        "models": [{"name": "m"}]}},
         ],
         "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_000, "idle-timeout-ms": 15_000},
         "tenants": [{"name": "north", "api-keys": ["k1"]}],
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -78,6 +78,26 @@
     }
 }
 
+/// What the system asks of a worker on its own account.
+#[derive(Clone, Copy, Debug)]
+enum OwnQuestion {
+    Health,
+    Report,
+    Held,
+}
+
+impl OwnQuestion {
+    fn of(request: &WorkerRequest) -> Option<Self> {
+        let path = request.head.strip_prefix("GET ")?.split(' ').next()?;
+        match path {
+            "/healthz" => Some(Self::Health),
+            "/v1/report" => Some(Self::Report),
+            "/v1/kv-list" => Some(Self::Held),
+            _ => None,
+        }
+    }
+}
+
 /// Acts of a worker without a script: a share of requests meets a fault.
 #[derive(Debug)]
 struct FaultDraw {
@@ -179,15 +199,36 @@
         }
     }
 
+    /// Answer a question that is no request of a caller; none if it stays open.
+    fn answer_question(&self, question: OwnQuestion) -> Option<String> {
+        let mut state = self.state();
+        let body = match question {
+            OwnQuestion::Health => String::new(),
+            OwnQuestion::Report => r#"{"models":[{"name":"m","version":1}]}"#.to_owned(),
+            OwnQuestion::Held => {
+                state.listings += 1;
+                if state.mute {
+                    return None;
+                }
+                state.list_held()
+            }
+        };
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nx-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            self.instance,
+            body.len()
+        ))
+    }
+
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut held = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut held).await? {
-            if request.head.starts_with("GET /v1/kv-list ") {
-                let Some(listing) = self.state().list_held() else {
+            if let Some(question) = OwnQuestion::of(&request) {
+                let Some(answer) = self.answer_question(question) else {
                     self.wait_for_close(&mut stream).await?;
                     return Ok(());
                 };
-                stream.write_all(listing.as_bytes()).await?;
+                stream.write_all(answer.as_bytes()).await?;
                 continue;
             }
             let act = {
@@ -298,24 +339,16 @@
 }
 
 impl WorkerState {
-    fn list_held(&mut self) -> Option<String> {
-        self.listings += 1;
-        if self.mute {
-            return None;
-        }
+    fn list_held(&mut self) -> String {
         let held: Vec<String> = self
             .held
             .iter()
             .map(|(part, tokens)| format!(r#"["","{part}",{tokens},"m"]"#))
             .collect();
-        let body = format!(
+        format!(
             r#"{{"epoch":1,"next-token":1,"held":[{}]}}"#,
             held.join(",")
-        );
-        Some(format!(
-            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
-        ))
+        )
     }
 
     fn next_act(&mut self, request: &WorkerRequest) -> WorkerAct {
