Soak: links between processes are harmed; recovery has its planted fault

Until now no byte between an entry, the store and the workers was late or lost. Each worker and each entry's way to the store now lies behind a link that delays, cuts, silences open connections or all, or loses one way, in series and overlapping (0.1 to 2.5 s). The double for 'all entries serve again': entries whose links stay cut.

--- a/crates/stand-ins/src/fault_proxy.rs
+++ b/crates/stand-ins/src/fault_proxy.rs
@@ -1,10 +1,12 @@
 //! A network between two processes that fails on command.
 //!
 //! One process carries any number of links. A link listens on an address of its
-//! own and passes bytes on to its target, as its mode says at that moment.
+//! own and passes bytes on to its target, as its mode says at that moment. Links
+//! run as a process of their own, or within the one that tests.
 
 use std::{
     collections::BTreeMap,
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -95,11 +97,47 @@
     changes: u64,
 }
 
-struct ProxyLink {
+/// One link, which ends with the runtime that it was started on.
+#[derive(Debug)]
+pub struct ProxyLink {
+    /// Where it listens.
+    pub listen: SocketAddr,
     modes: watch::Sender<ModeState>,
     bytes: Arc<AtomicU64>,
 }
 
+impl ProxyLink {
+    /// Start a link; port 0 is replaced by one that is free.
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let (modes, receiver) = watch::channel(ModeState::default());
+        let bytes = Arc::<AtomicU64>::default();
+        let view = LinkView {
+            target,
+            modes: receiver,
+            bytes: Arc::clone(&bytes),
+        };
+        let listen = listener.local_addr()?;
+        tokio::spawn(accept(listener, view));
+        Ok(Self {
+            listen,
+            modes,
+            bytes,
+        })
+    }
+
+    /// Do this with bytes from now on.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.modes.send_modify(|state| {
+            state.changes += 1;
+            state.mode = mode;
+            if mode == LinkMode::SilenceOpen {
+                state.silenced_before = state.changes;
+            }
+        });
+    }
+}
+
 /// A link as its connections see it.
 #[derive(Clone)]
 struct LinkView {
@@ -132,20 +170,10 @@
     Extension(state): Extension<Arc<ProxyState>>,
     Json(link): Json<ProxyMessage>,
 ) -> StatusCode {
-    let Ok(listener) = TcpListener::bind(link.listen).await else {
+    let Ok(started) = ProxyLink::start(link.listen, link.target).await else {
         return StatusCode::CONFLICT;
     };
-    let (modes, receiver) = watch::channel(ModeState::default());
-    let bytes = Arc::<AtomicU64>::default();
-    let view = LinkView {
-        target: link.target,
-        modes: receiver,
-        bytes: Arc::clone(&bytes),
-    };
-    state
-        .links()
-        .insert(link.listen, ProxyLink { modes, bytes });
-    tokio::spawn(accept(listener, view));
+    state.links().insert(link.listen, started);
     StatusCode::OK
 }
 
@@ -167,13 +195,7 @@
     let Some(link) = links.get(&message.listen) else {
         return StatusCode::NOT_FOUND;
     };
-    link.modes.send_modify(|state| {
-        state.changes += 1;
-        state.mode = message.mode;
-        if message.mode == LinkMode::SilenceOpen {
-            state.silenced_before = state.changes;
-        }
-    });
+    link.set_mode(message.mode);
     StatusCode::OK
 }
 
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -17,7 +17,7 @@
 mod token_text;
 
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
-pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyMessage, run_proxies};
+pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyLink, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
 pub use row_store::{RowStore, StoreMode};
 pub use scripted_worker::{STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerRequest};
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -15,10 +15,13 @@
 use miette::{Result, miette};
 use tokio::{task::JoinSet, time::Instant};
 
+pub use soak_callers::recovers;
 pub use soak_faults::{FaultCounts, draw_faults};
 pub use soak_site::SoakSite;
 pub use witness::{BrokenPromise, CallRecord, MarkRecord, SoakWitness, StreamRecord};
 
+/// Looks whether an entry serves again; 20 ms apart they take half a minute.
+const RECOVER_LOOKS: u32 = 1_500;
 /// Callers at once.
 const CALLERS: u64 = 12;
 
@@ -44,7 +47,7 @@
     }
     let faults = draw_faults(&site, options.seed, end).await;
     while callers.join_next().await.is_some() {}
-    let recovered = soak_callers::recovers(&site).await;
+    let recovered = recovers(&site, RECOVER_LOOKS).await;
     let ran = site.ran();
     let mut broken = witness.broken(&ran);
     if !recovered {
--- a/xtask/src/soak/soak_callers.rs
+++ b/xtask/src/soak/soak_callers.rs
@@ -28,8 +28,7 @@
 const GAP_TIMEOUT: Duration = Duration::from_secs(4);
 /// Attempts of one caller at one stream.
 const STREAM_ATTEMPTS: u32 = 4;
-/// Looks for entries that serve again, and the pause between them.
-const RECOVER_LOOKS: u32 = 1_500;
+/// Pause between two looks whether an entry serves again.
 const RECOVER_PAUSE: Duration = Duration::from_millis(20);
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -54,11 +53,11 @@
     }
 }
 
-/// Whether every entry serves a booking again.
-pub(super) async fn recovers(site: &SoakSite) -> bool {
+/// Whether every entry serves a booking again within so many looks.
+pub async fn recovers(site: &SoakSite, looks: u32) -> bool {
     for number in 0..site.entry_count() {
         let mut served = false;
-        for _ in 0..RECOVER_LOOKS {
+        for _ in 0..looks {
             revive_all(site);
             let (listen, _) = site.entry(number);
             let response = send(listen, "/book/end", &next_id(), None).await;
--- a/xtask/src/soak/soak_faults.rs
+++ b/xtask/src/soak/soak_faults.rs
@@ -5,14 +5,16 @@
 use derive_more::Display;
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use stand_ins::StoreMode;
+use stand_ins::{LinkMode, StoreMode};
 use tokio::time::{Instant, sleep};
 
 use super::SoakSite;
 
 /// Faults of each kind that were made.
 #[derive(Clone, Copy, Debug, Default, Display)]
-#[display("kills={kills} stops={stops} pauses={pauses} store={store} versions={versions}")]
+#[display(
+    "kills={kills} stops={stops} pauses={pauses} links={links} store={store} versions={versions}"
+)]
 pub struct FaultCounts {
     /// Entries killed.
     pub kills: u32,
@@ -20,6 +22,8 @@
     pub stops: u32,
     /// Entries paused.
     pub pauses: u32,
+    /// Links between processes that were harmed.
+    pub links: u32,
     /// Changes of the store's behaviour.
     pub store: u32,
     /// Versions of the desired state.
@@ -30,10 +34,18 @@
 pub async fn draw_faults(site: &SoakSite, seed: u64, end: Instant) -> FaultCounts {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut counts = FaultCounts::default();
+    let mut harmed: Vec<(usize, Instant)> = Vec::new();
     while Instant::now() < end {
         sleep(Duration::from_millis(rng.random_range(50..600))).await;
         let number = rng.random_range(0..site.entry_count());
-        match rng.random_range(0..10) {
+        harmed.retain(|&(link, until)| {
+            let still = Instant::now() < until;
+            if !still {
+                site.set_link(link, LinkMode::Pass);
+            }
+            still
+        });
+        match rng.random_range(0..14) {
             0 => {
                 site.signal(number, Signal::SIGKILL);
                 counts.kills += 1;
@@ -55,6 +67,14 @@
                 counts.store += 1;
             }
             6 | 7 => site.store.set_mode(StoreMode::Serving),
+            8..=11 => {
+                // A link that is harmed already takes the newer harm.
+                let link = rng.random_range(0..site.link_count());
+                site.set_link(link, draw_harm(&mut rng));
+                let time = Duration::from_millis(rng.random_range(100..2_500));
+                harmed.push((link, Instant::now() + time));
+                counts.links += 1;
+            }
             _ => {
                 site.publish();
                 counts.versions += 1;
@@ -63,6 +83,9 @@
         revive_all(site);
     }
     site.store.set_mode(StoreMode::Serving);
+    for link in 0..site.link_count() {
+        site.set_link(link, LinkMode::Pass);
+    }
     for number in 0..site.entry_count() {
         site.signal(number, Signal::SIGCONT);
         site.signal(number, Signal::SIGKILL);
@@ -70,6 +93,19 @@
     counts
 }
 
+fn draw_harm(rng: &mut SmallRng) -> LinkMode {
+    match rng.random_range(0..6) {
+        0 => LinkMode::Delay {
+            ms: rng.random_range(5..300),
+        },
+        1 => LinkMode::Cut,
+        2 => LinkMode::SilenceOpen,
+        3 => LinkMode::Silence,
+        4 => LinkMode::LoseForward,
+        _ => LinkMode::LoseBackward,
+    }
+}
+
 /// Start again what has ended; one that cannot start shows as not recovered.
 pub(super) fn revive_all(site: &SoakSite) {
     for number in 0..site.entry_count() {
--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -16,7 +16,7 @@
     unistd::Pid,
 };
 use serde_json::{Value, json};
-use stand_ins::{RowStore, ScriptedWorker};
+use stand_ins::{LinkMode, ProxyLink, RowStore, ScriptedWorker};
 use tempfile::TempDir;
 
 /// Failure domains, each with an entry, a model worker and a plain one.
@@ -39,6 +39,8 @@
     /// The store.
     pub store: RowStore,
     workers: Vec<ScriptedWorker>,
+    /// The way to each worker, then that of each entry to the store.
+    links: Vec<ProxyLink>,
     entries: Vec<Mutex<SoakEntry>>,
     version: AtomicU64,
     lifetimes: AtomicU64,
@@ -50,29 +52,36 @@
     pub async fn start(seed: u64) -> Result<Self> {
         let store = RowStore::start().await.into_diagnostic()?;
         let mut workers = Vec::new();
+        let mut links = Vec::new();
         for (number, domain) in (0_u64..).zip(DOMAINS) {
             for service in ["pool", "desk"] {
                 let worker = ScriptedWorker::start("w").await.into_diagnostic()?;
                 worker.draw_faults(seed * 100 + number, FAULT_PERCENT);
+                let link = start_link(worker.address).await?;
                 store.put(
                     "servers",
                     &format!("i-{}", worker.address.port()),
-                    registration(service, &worker, domain)
+                    registration(service, link.listen, domain)
                         .to_string()
                         .as_bytes(),
                 );
                 workers.push(worker);
+                links.push(link);
             }
         }
         let folder = TempDir::new().into_diagnostic()?;
-        let entries = (0_u8..).zip(DOMAINS).map(|(number, domain)| {
-            let entry = SoakEntry::new(&folder, &store, number, domain)?;
-            Ok(Mutex::new(entry))
-        });
+        let mut entries = Vec::new();
+        for (number, domain) in (0_u8..).zip(DOMAINS) {
+            let link = start_link(store.address).await?;
+            let entry = SoakEntry::new(&folder, link.listen, number, domain)?;
+            entries.push(Mutex::new(entry));
+            links.push(link);
+        }
         let site = Self {
-            entries: entries.collect::<Result<_>>()?,
+            entries,
             store,
             workers,
+            links,
             version: AtomicU64::new(0),
             lifetimes: AtomicU64::new(0),
             _folder: folder,
@@ -102,6 +111,16 @@
         self.version.load(SeqCst)
     }
 
+    /// Number of links between processes.
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Change what a link does with bytes.
+    pub fn set_link(&self, number: usize, mode: LinkMode) {
+        self.links[number].set_mode(mode);
+    }
+
     /// Address and lifetime of an entry.
     pub fn entry(&self, number: usize) -> (SocketAddr, u64) {
         let entry = self.lock(number);
@@ -173,7 +192,7 @@
 }
 
 impl SoakEntry {
-    fn new(folder: &TempDir, store: &RowStore, number: u8, domain: &str) -> Result<Self> {
+    fn new(folder: &TempDir, store: SocketAddr, number: u8, domain: &str) -> Result<Self> {
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let host = Ipv4Addr::new(127, 110 + number, high, low);
         let address = |port: u16| SocketAddr::from((host, port));
@@ -181,7 +200,7 @@
         let text = json!({
             "name": format!("front-{domain}"), "failure_domain": domain,
             "listen": address(7_001).to_string(), "ready": address(7_002).to_string(),
-            "admin": address(7_003).to_string(), "store": store.address.to_string(),
+            "admin": address(7_003).to_string(), "store": store.to_string(),
             "apply_ms": 2_000, "grace_seconds": 4, "address_reuse_seconds": 2,
             "retry_ratio": 0.8, "retry_slack": 150,
         });
@@ -195,9 +214,14 @@
     }
 }
 
-fn registration(service: &str, worker: &ScriptedWorker, domain: &str) -> Value {
+async fn start_link(target: SocketAddr) -> Result<ProxyLink> {
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    ProxyLink::start(listen, target).await.into_diagnostic()
+}
+
+fn registration(service: &str, address: SocketAddr, domain: &str) -> Value {
     json!({
-        "service": service, "addr": worker.address.to_string(), "zone": domain, "version": "v1",
+        "service": service, "addr": address.to_string(), "zone": domain, "version": "v1",
         "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1,
     })
 }
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -1,9 +1,11 @@
 //! Each checker of the soak finds the promise that a double breaks, and a short
 //! run with a fixed seed breaks none.
 
+use nix::sys::signal::Signal;
 use rstest::rstest;
+use stand_ins::LinkMode;
 use xtask::soak::{
-    self, BrokenPromise, CallRecord, MarkRecord, SoakOptions, SoakWitness, StreamRecord,
+    self, BrokenPromise, CallRecord, MarkRecord, SoakOptions, SoakSite, SoakWitness, StreamRecord,
 };
 
 fn call(id: &str, status: u16, seal: &str, body: &str) -> CallRecord {
@@ -93,3 +95,15 @@
     };
     soak::run(options).await
 }
+
+/// Entries that never find their store again after all died are noticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_do_not_serve_again() {
+    let site = SoakSite::start(1).await.expect("a site");
+    let all_links = |mode| (0..site.link_count()).for_each(|link| site.set_link(link, mode));
+    all_links(LinkMode::Cut);
+    (0..site.entry_count()).for_each(|entry| site.signal(entry, Signal::SIGKILL));
+    assert!(!soak::recovers(&site, 25).await);
+    all_links(LinkMode::Pass);
+    assert!(soak::recovers(&site, 1_500).await);
+}
