The store may hold a question for a desired state as long as the bound for it

Change: held for the bound on a version (2 and 3 s), after which a lost answer is noticed; within the 3 and 4 s after which a machine counts as in touch again. Ruled out: 30 s with the kernel's keep-alive, since an answer can be lost on a connection that lives.

--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -26,10 +26,6 @@
     store_client::{StoreClient, StoreFailure},
 };
 
-/// Time that the store may hold a question for a desired state: the time for a
-/// version to be in force at today's sites, after which a connection that fell
-/// silent is noticed.
-const STATE_WAIT: Duration = Duration::from_millis(2_000);
 /// Time that the store may hold a question for servers.
 const SERVER_WAIT: Duration = Duration::from_millis(900);
 /// Time between two questions for servers, in percent of the time in which one
@@ -88,8 +84,9 @@
 /// One table and what its rows change.
 trait WatchedTable: Send + Sync + 'static {
     const NAME: &'static str;
-    const WAIT: Duration;
 
+    /// Time that the store may hold a question.
+    fn wait(&self, state: &FrontState) -> Duration;
     /// Take in a whole listing.
     fn listed(&self, state: &FrontState, page: RowPage);
     /// Take in changes.
@@ -113,7 +110,7 @@
         let store = state.settings.load().store;
         let answer = match since {
             None => client.list(store, T::NAME).await,
-            Some(since) => client.feed(store, T::NAME, since, T::WAIT).await,
+            Some(since) => client.feed(store, T::NAME, since, table.wait(&state)).await,
         };
         count(&state, &answer);
         match answer {
@@ -172,7 +169,12 @@
 
 impl WatchedTable for StateTable {
     const NAME: &'static str = OPERATOR_TABLE;
-    const WAIT: Duration = STATE_WAIT;
+
+    /// The time for a version to be in force: an answer that is lost is noticed
+    /// no later.
+    fn wait(&self, state: &FrontState) -> Duration {
+        state.settings.load().apply_limit
+    }
 
     fn listed(&self, state: &FrontState, page: RowPage) {
         self.changed(state, page);
@@ -228,7 +230,10 @@
 
 impl WatchedTable for ServerTable {
     const NAME: &'static str = SERVER_TABLE;
-    const WAIT: Duration = SERVER_WAIT;
+
+    fn wait(&self, _state: &FrontState) -> Duration {
+        SERVER_WAIT
+    }
 
     fn listed(&self, state: &FrontState, page: RowPage) {
         let records = page.rows.into_iter().filter_map(|row| match change(row) {
