Entries of a failure domain hand on changes of the list of servers

Change: entries announce an address of their own; in a failure domain each follows the first whose name comes before its own, over JSON-RPC. A question waits for the next news, which carry only registrations that changed; whoever hears nothing within the period, 0.3 s that the store may hold a question and 0.3 s more reads the store and follows another for 5 s. Versions are those of rows, so that two entries compare. Failed on the way: a hold of 0.9 s made quiet moments look like silence; versions of the whole store never matched those of a listing; a pause before a question kept two entries out of step for good (found by entry_cut_off_from_the_store_is_not_followed).

--- a/crates/domain/src/entry_roster.rs
+++ b/crates/domain/src/entry_roster.rs
@@ -1,36 +1,70 @@
 //! The entries that run, as they announce themselves.
 //!
 //! Each entry writes a row of its own now and then; one whose row stays as it
-//! was has gone. Only their number is used, to share what all of them may
-//! spend, so that a row too many costs a little and a row too few is bounded
-//! by the number known before.
+//! was has gone. Their number shares what all of them may spend: a row too
+//! many costs a little and a row too few is bounded by the number known before.
+//! Their addresses tell whom an entry may ask what it would else ask the store.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tokio::time::Instant;
 
+use crate::DomainName;
+
 /// Entries that are taken to run before any list is known: more than the
 /// users' largest site has.
 const UNKNOWN_COUNT: usize = 32;
 
+/// What an entry says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryRecord {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Where it answers other entries, if it does.
+    pub peer: Option<SocketAddr>,
+}
+
+/// Row of one entry as it is listed.
+#[derive(Clone, Debug)]
+pub struct EntryRow<'a> {
+    /// Name of the entry.
+    pub name: &'a str,
+    /// Version of the row.
+    pub version: u64,
+    /// What it says; none if it cannot be read.
+    pub record: Option<EntryRecord>,
+}
+
+#[derive(Clone, Debug)]
+struct KnownEntry {
+    version: u64,
+    changed: Instant,
+    record: Option<EntryRecord>,
+}
+
 /// Rows of entries with the time at which each last changed.
 #[derive(Clone, Debug, Default)]
 pub struct EntryRoster {
-    rows: HashMap<Box<str>, (u64, Instant)>,
+    rows: BTreeMap<Box<str>, KnownEntry>,
     listed: bool,
 }
 
 impl EntryRoster {
-    /// Take in a whole listing of names and row versions.
-    pub fn replace<'a>(&mut self, rows: impl Iterator<Item = (&'a str, u64)>, now: Instant) {
+    /// Take in a whole listing.
+    pub fn replace<'a>(&mut self, rows: impl Iterator<Item = EntryRow<'a>>, now: Instant) {
         let before = std::mem::take(&mut self.rows);
         self.rows = rows
-            .map(|(name, version)| {
-                let changed = match before.get(name) {
-                    Some((known, changed)) if *known == version => *changed,
+            .map(|row| {
+                let changed = match before.get(row.name) {
+                    Some(known) if known.version == row.version => known.changed,
                     _ => now,
                 };
-                (name.into(), (version, changed))
+                let known = KnownEntry {
+                    version: row.version,
+                    changed,
+                    record: row.record,
+                };
+                (row.name.into(), known)
             })
             .collect();
         self.listed = true;
@@ -41,8 +75,29 @@
         if !self.listed {
             return UNKNOWN_COUNT;
         }
-        let alive = |changed: &Instant| now.saturating_duration_since(*changed) < lifetime;
-        let count = self.rows.values().filter(|(_, changed)| alive(changed));
-        count.count().max(1)
+        self.alive(lifetime, now).count().max(1)
+    }
+
+    /// Addresses of the entries of a failure domain whose names come before one,
+    /// in their order.
+    pub fn leaders(
+        &self,
+        domain: &DomainName,
+        name: &str,
+        lifetime: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = SocketAddr> {
+        self.alive(lifetime, now)
+            .take_while(move |(other, _)| **other < *name)
+            .filter_map(|(_, known)| known.record.as_ref())
+            .filter(move |record| record.domain == *domain)
+            .filter_map(|record| record.peer)
+    }
+
+    fn alive(&self, lifetime: Duration, now: Instant) -> impl Iterator<Item = (&str, &KnownEntry)> {
+        self.rows
+            .iter()
+            .filter(move |(_, known)| now.saturating_duration_since(known.changed) < lifetime)
+            .map(|(name, known)| (name.as_ref(), known))
     }
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generation_stream;
 pub mod identity;
 pub mod kv_placement;
+pub mod list_relay;
 pub mod prompt_memory;
 pub mod release_note;
 pub mod retry_share;
--- a/crates/domain/src/server_registry/registry_fold.rs
+++ b/crates/domain/src/server_registry/registry_fold.rs
@@ -57,7 +57,7 @@
 }
 
 /// One change of the list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegistryChange {
     /// A server registered, or changed what it says.
     Present(ServerRecord),
@@ -65,6 +65,16 @@
     Absent(ServerName),
 }
 
+impl RegistryChange {
+    /// Lifetime that it is about.
+    pub fn instance(&self) -> &ServerName {
+        match self {
+            Self::Present(record) => &record.instance,
+            Self::Absent(name) => name,
+        }
+    }
+}
+
 /// Servers of one service in one failure domain.
 #[derive(Clone, Debug)]
 pub struct DomainServers {
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -14,11 +14,15 @@
     desired_state::{DesiredState, StateFreshness},
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
+    list_relay::{ChangeLog, ListNews, RelayRule},
     retry_share::RetryShare,
     server_registry::{AdoptProof, ServerRegistry, ServerSlot},
 };
 use settings::FrontSettings;
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 
 use crate::{
     drain_clock::DrainClock, front_metrics::FrontMetrics, link_pool::LinkPool,
@@ -27,7 +31,12 @@
 
 /// Time after which an entry whose row did not change counts as gone: three
 /// of its announcements, one of which may be lost.
-const ROSTER_LIFETIME: Duration = Duration::from_secs(60);
+pub(crate) const ROSTER_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Time between two questions for servers, in percent of the time in which one
+/// that leaves is to be known: registrations change all the time, so the store
+/// answers at once. What is left is for a slow answer.
+const SERVER_PERIOD_PERCENT: u32 = 55;
 
 /// State of an entry.
 pub struct FrontState {
@@ -36,6 +45,10 @@
     pub(crate) desired: ArcSwapOption<DesiredState>,
     pub(crate) registry: ArcSwap<ServerRegistry>,
     pub(crate) roster: ArcSwap<EntryRoster>,
+    /// What changed in the list of servers, for entries that follow this one.
+    pub(crate) list_log: ArcSwap<ChangeLog>,
+    /// Newest news of the list; none while the store does not tell.
+    pub(crate) list_news: watch::Sender<Option<ListNews>>,
     /// Wakes the watch of servers when a server contradicted the list.
     pub(crate) list_doubt: Notify,
     pub(crate) links: LinkPool,
@@ -58,6 +71,8 @@
             desired: ArcSwapOption::empty(),
             registry: ArcSwap::default(),
             roster: ArcSwap::default(),
+            list_log: ArcSwap::default(),
+            list_news: watch::Sender::new(None),
             list_doubt: Notify::new(),
             links: LinkPool::default(),
             finder,
@@ -105,6 +120,13 @@
         }
     }
 
+    /// When news of the list of servers are due.
+    pub(crate) fn relay_rule(&self) -> RelayRule {
+        RelayRule {
+            period: self.settings.load().drain_limit * SERVER_PERIOD_PERCENT / 100,
+        }
+    }
+
     /// Whether the entry can serve.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         self.listed.load(Relaxed)
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -5,7 +5,7 @@
 
 use front::{
     CallerListener, FrontState, PromptFinder, answer_questions, serve_admin, serve_callers,
-    watch_settings, watch_store,
+    serve_peers, watch_settings, watch_store,
 };
 use settings::FrontSettings;
 use telemetry::{DaemonSpec, LogTarget, StopSignal, run_daemon};
@@ -37,6 +37,7 @@
     answer_questions(&state, questions);
     watch_settings(&state)?;
     serve_admin(&state).await?;
+    let _peers = serve_peers(&state).await?;
     serve_callers(Arc::clone(&state), listener, stop).await?;
     log::info!(node = settings.name.as_str(); "stop");
     Ok(())
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -7,7 +7,8 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    entry_roster::EntryRoster,
+    entry_roster::{EntryRecord, EntryRoster, EntryRow},
+    list_relay::{ChangeLog, HOLD_TIME, ListNews},
     server_registry::{RegistryChange, ServerRecord, ServerRegistry},
 };
 use platform::{
@@ -19,19 +20,16 @@
     },
 };
 use rand::Rng;
+use serde_json::json;
 use tokio::time::{Instant, sleep, sleep_until};
+use wire::entry_peer::EntryMessage;
 
 use crate::{
     front_state::FrontState,
+    list_follower::ListFollower,
     store_client::{StoreClient, StoreFailure},
 };
 
-/// Time that the store may hold a question for servers.
-const SERVER_WAIT: Duration = Duration::from_millis(900);
-/// Time between two questions for servers, in percent of the time in which one
-/// that leaves is to be known: registrations change all the time, so the store
-/// answers at once. What is left is for a slow answer.
-const SERVER_PERIOD_PERCENT: u32 = 55;
 /// Time between two announcements of this entry.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(20);
 /// Least time between two questions for servers when the list is in doubt.
@@ -42,8 +40,8 @@
 
 /// Start both watches.
 pub fn watch_store(state: &Arc<FrontState>) {
-    tokio::spawn(watch(Arc::clone(state), StateTable));
-    tokio::spawn(watch(Arc::clone(state), ServerTable));
+    tokio::spawn(watch(Arc::clone(state), StateTable::default()));
+    tokio::spawn(watch(Arc::clone(state), ServerTable::default()));
     tokio::spawn(announce(Arc::clone(state)));
 }
 
@@ -52,11 +50,12 @@
     let mut client = StoreClient::default();
     loop {
         let settings = state.settings.load_full();
-        let body = write_body(
-            ENTRY_TABLE,
-            &settings.name,
-            settings.domain.as_str().as_bytes(),
-        );
+        let record = EntryRecord {
+            domain: settings.domain.clone(),
+            peer: settings.peer,
+        };
+        let value = json!(EntryMessage::from(&record)).to_string();
+        let body = write_body(ENTRY_TABLE, &settings.name, value.as_bytes());
         let written = client.write(settings.store, body).await;
         let listed = client.list(settings.store, ENTRY_TABLE).await;
         count(&state, &listed);
@@ -66,11 +65,7 @@
         let pause = match listed {
             Ok(page) => {
                 let mut roster = EntryRoster::clone(&state.roster.load());
-                let rows = page
-                    .rows
-                    .iter()
-                    .map(|row| (row.key.as_str(), row.version.0));
-                roster.replace(rows, Instant::now());
+                roster.replace(page.rows.iter().map(entry_row), Instant::now());
                 state.roster.store(Arc::new(roster));
                 ANNOUNCE_PERIOD
             }
@@ -81,16 +76,39 @@
     }
 }
 
+fn entry_row(row: &StoreRow) -> EntryRow<'_> {
+    let message = row
+        .value
+        .as_deref()
+        .and_then(|value| serde_json::from_slice::<EntryMessage>(value).ok());
+    EntryRow {
+        name: &row.key,
+        version: row.version.0,
+        record: message.map(EntryRecord::from),
+    }
+}
+
+/// What is known of a table, and news of it.
+struct TableNews<N> {
+    version: RowVersion,
+    news: N,
+}
+
 /// One table and what its rows change.
 trait WatchedTable: Send + Sync + 'static {
     const NAME: &'static str;
-
-    /// Time that the store may hold a question.
-    fn wait(&self, state: &FrontState) -> Duration;
+    type News: Send;
+
+    /// Ask for a whole listing, or for what changed after a version.
+    fn ask(
+        &mut self,
+        state: &FrontState,
+        since: Option<RowVersion>,
+    ) -> impl Future<Output = Result<TableNews<Self::News>, StoreFailure>> + Send;
     /// Take in a whole listing.
-    fn listed(&self, state: &FrontState, page: RowPage);
+    fn listed(&self, state: &FrontState, news: TableNews<Self::News>);
     /// Take in changes.
-    fn changed(&self, state: &FrontState, page: RowPage);
+    fn changed(&self, state: &FrontState, news: TableNews<Self::News>);
     /// The store answered a question asked at that moment.
     fn confirmed(&self, state: &FrontState, asked: Instant);
     /// The store does not answer.
@@ -98,36 +116,26 @@
     /// The store answers again.
     fn returned(&self, state: &FrontState);
     /// Wait until the next question may be asked.
-    fn pause(&self, state: &FrontState, asked: Instant) -> impl Future<Output = ()> + Send;
+    fn pause(&mut self, state: &FrontState, asked: Instant) -> impl Future<Output = ()> + Send;
 }
 
-async fn watch<T: WatchedTable>(state: Arc<FrontState>, table: T) {
-    let mut client = StoreClient::default();
+async fn watch<T: WatchedTable>(state: Arc<FrontState>, mut table: T) {
     let mut since: Option<RowVersion> = None;
     let mut failures = 0_u32;
     loop {
         let asked = Instant::now();
-        let store = state.settings.load().store;
-        let answer = match since {
-            None => client.list(store, T::NAME).await,
-            Some(since) => client.feed(store, T::NAME, since, table.wait(&state)).await,
-        };
-        count(&state, &answer);
-        match answer {
-            Ok(page) => {
+        match table.ask(&state, since).await {
+            Ok(news) => {
                 if failures > 0 {
                     log::info!(table = T::NAME, failures = failures; "store answers again");
                     table.returned(&state);
                     failures = 0;
                 }
-                let first = since.replace(page.version).is_none();
-                if page.unreadable > 0 {
-                    log::warn!(table = T::NAME, rows = page.unreadable; "rows cannot be read");
-                }
+                let first = since.replace(news.version).is_none();
                 if first {
-                    table.listed(&state, page);
+                    table.listed(&state, news);
                 } else {
-                    table.changed(&state, page);
+                    table.changed(&state, news);
                 }
                 table.confirmed(&state, asked);
                 table.pause(&state, asked).await;
@@ -148,6 +156,28 @@
     }
 }
 
+/// Ask the store for all rows of a table, or for those that changed.
+async fn ask_store(
+    client: &mut StoreClient,
+    state: &FrontState,
+    table: &'static str,
+    since: Option<RowVersion>,
+    wait: Duration,
+) -> Result<RowPage, StoreFailure> {
+    let store = state.settings.load().store;
+    let answer = match since {
+        None => client.list(store, table).await,
+        Some(since) => client.feed(store, table, since, wait).await,
+    };
+    count(state, &answer);
+    if let Ok(page) = &answer
+        && page.unreadable > 0
+    {
+        log::warn!(table = table, rows = page.unreadable; "rows cannot be read");
+    }
+    answer
+}
+
 fn count(state: &FrontState, answer: &Result<RowPage, StoreFailure>) {
     let outcome = match answer {
         Ok(_) => "ok".to_owned(),
@@ -165,23 +195,36 @@
     longest.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-struct StateTable;
+#[derive(Default)]
+struct StateTable {
+    client: StoreClient,
+}
 
 impl WatchedTable for StateTable {
     const NAME: &'static str = OPERATOR_TABLE;
-
-    /// The time for a version to be in force: an answer that is lost is noticed
-    /// no later.
-    fn wait(&self, state: &FrontState) -> Duration {
-        state.settings.load().apply_limit
+    type News = Vec<StoreRow>;
+
+    /// The store holds the question for the time in which a version is to be in
+    /// force: an answer that is lost is noticed no later.
+    async fn ask(
+        &mut self,
+        state: &FrontState,
+        since: Option<RowVersion>,
+    ) -> Result<TableNews<Self::News>, StoreFailure> {
+        let wait = state.settings.load().apply_limit;
+        let page = ask_store(&mut self.client, state, Self::NAME, since, wait).await?;
+        Ok(TableNews {
+            version: page.version,
+            news: page.rows,
+        })
     }
 
-    fn listed(&self, state: &FrontState, page: RowPage) {
-        self.changed(state, page);
+    fn listed(&self, state: &FrontState, news: TableNews<Self::News>) {
+        self.changed(state, news);
     }
 
-    fn changed(&self, state: &FrontState, page: RowPage) {
-        for row in page.rows {
+    fn changed(&self, state: &FrontState, news: TableNews<Self::News>) {
+        for row in news.news {
             if row.key == DESIRED_STATE_KEY {
                 take_state(state, &row);
             }
@@ -196,7 +239,7 @@
 
     fn returned(&self, _state: &FrontState) {}
 
-    async fn pause(&self, _state: &FrontState, _asked: Instant) {}
+    async fn pause(&mut self, _state: &FrontState, _asked: Instant) {}
 }
 
 fn take_state(state: &FrontState, row: &StoreRow) {
@@ -226,40 +269,87 @@
     state.desired.store(Some(Arc::new(desired)));
 }
 
-struct ServerTable;
+/// The list of servers, from an entry that is followed or from the store.
+#[derive(Default)]
+struct ServerTable {
+    client: StoreClient,
+    follower: ListFollower,
+    known: Option<ListNews>,
+    is_followed: bool,
+}
 
 impl WatchedTable for ServerTable {
     const NAME: &'static str = SERVER_TABLE;
-
-    fn wait(&self, _state: &FrontState) -> Duration {
-        SERVER_WAIT
+    type News = Vec<RegistryChange>;
+
+    async fn ask(
+        &mut self,
+        state: &FrontState,
+        since: Option<RowVersion>,
+    ) -> Result<TableNews<Self::News>, StoreFailure> {
+        if let (Some(known), true) = (self.known, since.is_some())
+            && let Some((news, changes)) = self.follow(state, known).await
+        {
+            self.known = Some(news);
+            self.is_followed = true;
+            state.metrics.list_news.with_label_values(&["entry"]).inc();
+            return Ok(TableNews {
+                version: since.max(Some(RowVersion(news.read))).unwrap_or_default(),
+                news: changes,
+            });
+        }
+        self.is_followed = false;
+        let asked = Instant::now();
+        let page = ask_store(&mut self.client, state, Self::NAME, since, HOLD_TIME).await?;
+        state.metrics.list_news.with_label_values(&["store"]).inc();
+        let newest = page.rows.iter().map(|row| row.version.0).max();
+        self.known = Some(ListNews {
+            version: newest.unwrap_or(0).max(self.newest_row()),
+            read: page.version.0,
+            said: asked,
+        });
+        Ok(TableNews {
+            version: page.version,
+            news: page.rows.into_iter().map(change).collect(),
+        })
     }
 
-    fn listed(&self, state: &FrontState, page: RowPage) {
-        let records = page.rows.into_iter().filter_map(|row| match change(row) {
-            RegistryChange::Present(record) => Some(record),
+    fn listed(&self, state: &FrontState, news: TableNews<Self::News>) {
+        let present = |change: &RegistryChange| match change {
+            RegistryChange::Present(record) => Some(record.clone()),
             RegistryChange::Absent(_) => None,
-        });
-        let records: Vec<ServerRecord> = records.collect();
+        };
+        let records: Vec<ServerRecord> = news.news.iter().filter_map(present).collect();
+        let log = ChangeLog::new(self.newest_row(), &records);
+        state.list_log.store(Arc::new(log));
         update(state, |registry, now| registry.replace(&records, now));
         state.note_listed();
+        self.tell(state);
     }
 
-    fn changed(&self, state: &FrontState, page: RowPage) {
-        let changes: Vec<RegistryChange> = page.rows.into_iter().map(change).collect();
+    fn changed(&self, state: &FrontState, news: TableNews<Self::News>) {
+        let log = state.list_log.load();
+        let changes = log.news(&news.news);
+        if !changes.is_empty() {
+            let mut log = ChangeLog::clone(&log);
+            log.apply(&changes, self.newest_row());
+            state.list_log.store(Arc::new(log));
+        }
         if state
             .registry
             .load()
-            .is_changed_by(&changes, Instant::now())
+            .is_changed_by(&news.news, Instant::now())
         {
-            update(state, |registry, now| registry.apply(&changes, now));
+            update(state, |registry, now| registry.apply(&news.news, now));
         }
+        self.tell(state);
     }
 
     fn confirmed(&self, _state: &FrontState, _asked: Instant) {}
 
     fn lost(&self, state: &FrontState) {
         state.note_list_lost(true);
+        state.list_news.send_replace(None);
     }
 
     fn returned(&self, state: &FrontState) {
@@ -267,8 +357,12 @@
         update(state, |registry, now| registry.store_returned(now));
     }
 
-    async fn pause(&self, state: &FrontState, asked: Instant) {
-        let period = state.settings.load().drain_limit * SERVER_PERIOD_PERCENT / 100;
+    async fn pause(&mut self, state: &FrontState, asked: Instant) {
+        // Another entry answers when it has news; its time runs from here.
+        if self.is_followed || self.follower.has_leader(state) {
+            return;
+        }
+        let period = state.relay_rule().period;
         tokio::select! {
             () = sleep_until(asked + period) => {}
             () = state.list_doubt.notified() => sleep_until(asked + DOUBT_PERIOD).await,
@@ -276,6 +370,33 @@
     }
 }
 
+impl ServerTable {
+    /// News of an entry that is followed; none as soon as the list is in doubt.
+    async fn follow(
+        &mut self,
+        state: &FrontState,
+        known: ListNews,
+    ) -> Option<(ListNews, Vec<RegistryChange>)> {
+        tokio::select! {
+            news = self.follower.ask(state, known) => news,
+            () = state.list_doubt.notified() => {
+                sleep_until(known.said + DOUBT_PERIOD).await;
+                None
+            }
+        }
+    }
+
+    /// Version of the newest row that was seen.
+    fn newest_row(&self) -> u64 {
+        self.known.map_or(0, |known| known.version)
+    }
+
+    /// Tell entries that follow this one.
+    fn tell(&self, state: &FrontState) {
+        state.list_news.send_replace(self.known);
+    }
+}
+
 fn change(row: StoreRow) -> RegistryChange {
     let name = row.key.as_str();
     let Some(value) = row.value else {
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -3,5 +3,6 @@
 mod beliefs;
 mod calls;
 mod entry_life;
+mod peers;
 mod streams;
 mod support;
--- a/crates/settings/src/field_reader.rs
+++ b/crates/settings/src/field_reader.rs
@@ -203,6 +203,16 @@
         address
     }
 
+    /// A listener that may be left out.
+    pub(crate) fn optional_listener(
+        &self,
+        name: &'static str,
+        ports: &impl PortProbe,
+    ) -> Option<SocketAddr> {
+        self.optional(name)?;
+        Some(self.listener(name, ports))
+    }
+
     /// Whole number in a range, or `default` when the field is absent.
     pub(crate) fn number(
         &self,
--- a/crates/settings/src/front_settings.rs
+++ b/crates/settings/src/front_settings.rs
@@ -22,6 +22,8 @@
     pub ready: SocketAddr,
     /// Where metrics and state are served.
     pub admin: SocketAddr,
+    /// Where other entries ask; none if this one answers none.
+    pub peer: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Time in which an accepted desired state is to be in force.
@@ -50,6 +52,7 @@
             listen: fields.listener("listen", ports),
             ready: fields.listener("ready", ports),
             admin: fields.listener("admin", ports),
+            peer: fields.optional_listener("peer", ports),
             store: fields.address("store"),
             apply_limit: fields.millis("apply_ms", 1..=600_000, Duration::from_millis(2_000)),
             drain_limit: fields.millis("drain_ms", 100..=600_000, Duration::from_millis(2_000)),
--- /dev/null
+++ b/crates/wire/src/entry_peer.rs
@@ -0,0 +1,156 @@
+//! Calls between entries on the users' platform, and what they announce.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+use domain::{
+    DomainName, ServerName, ServiceName,
+    entry_roster::EntryRecord,
+    server_registry::{RegistryChange, ServerRecord, ServerState},
+};
+use jsonrpsee::{core::RpcResult, proc_macros::rpc};
+use serde::{Deserialize, Serialize};
+
+/// Row with which an entry announces itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct EntryMessage {
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Where it answers other entries, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
+}
+
+/// One change of the list of servers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct ChangeMessage {
+    /// Lifetime of the server.
+    pub instance: String,
+    /// Its registration; none if it is gone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub present: Option<PresentMessage>,
+}
+
+/// A registration.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct PresentMessage {
+    /// Service that the server serves.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Requests at once.
+    pub slots: u32,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// Its start, in milliseconds of its own clock.
+    pub born_ms: u64,
+}
+
+/// What changed in the list of servers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "news")]
+pub enum ChangesReply {
+    /// All changes up to a version.
+    Changes {
+        /// Version of the newest row that was seen.
+        version: u64,
+        /// Version up to which the store was read.
+        read: u64,
+        /// Time since the store said so.
+        age_ms: u64,
+        /// The changes.
+        changes: Vec<ChangeMessage>,
+    },
+    /// The version asked for is longer ago than is known.
+    HistoryGone,
+    /// The store tells nothing new, or does not answer.
+    Nothing,
+}
+
+/// Calls that an entry answers to others.
+#[rpc(client, server, namespace = "entry")]
+pub trait EntryPeer {
+    /// Wait for the next news of the list after a version.
+    #[method(name = "changes")]
+    async fn changes(&self, since: u64) -> RpcResult<ChangesReply>;
+}
+
+/// Why a change cannot be used.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum ChangeFault {
+    /// The lifetime has no name.
+    #[display("a server without a name")]
+    NoName,
+}
+
+impl From<&EntryRecord> for EntryMessage {
+    fn from(record: &EntryRecord) -> Self {
+        Self {
+            failure_domain: record.domain.to_string(),
+            peer: record.peer,
+        }
+    }
+}
+
+impl From<EntryMessage> for EntryRecord {
+    fn from(message: EntryMessage) -> Self {
+        Self {
+            domain: DomainName::from(message.failure_domain),
+            peer: message.peer,
+        }
+    }
+}
+
+impl From<&RegistryChange> for ChangeMessage {
+    fn from(change: &RegistryChange) -> Self {
+        Self {
+            instance: change.instance().to_string(),
+            present: match change {
+                RegistryChange::Present(record) => Some(record.into()),
+                RegistryChange::Absent(_) => None,
+            },
+        }
+    }
+}
+
+impl From<&ServerRecord> for PresentMessage {
+    fn from(record: &ServerRecord) -> Self {
+        Self {
+            service: record.service.to_string(),
+            address: record.address,
+            failure_domain: record.domain.to_string(),
+            slots: record.slots,
+            draining: record.state == ServerState::Draining,
+            born_ms: record.born_ms,
+        }
+    }
+}
+
+impl TryFrom<ChangeMessage> for RegistryChange {
+    type Error = ChangeFault;
+
+    fn try_from(message: ChangeMessage) -> Result<Self, ChangeFault> {
+        if message.instance.is_empty() {
+            return Err(ChangeFault::NoName);
+        }
+        let instance = ServerName::from(message.instance);
+        let Some(present) = message.present else {
+            return Ok(Self::Absent(instance));
+        };
+        Ok(Self::Present(ServerRecord {
+            instance,
+            service: ServiceName::from(present.service),
+            address: present.address,
+            domain: DomainName::from(present.failure_domain),
+            slots: present.slots,
+            state: if present.draining {
+                ServerState::Draining
+            } else {
+                ServerState::Ready
+            },
+            born_ms: present.born_ms,
+        }))
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chat;
 mod default_field;
 pub mod engine;
+pub mod entry_peer;
 pub mod event_id;
 pub mod lease;
 pub mod note;
--- a/crates/wire/tests/small_messages.rs
+++ b/crates/wire/tests/small_messages.rs
@@ -1,9 +1,14 @@
 //! Messages that are sent all the time are small, and lose nothing.
 
-use domain::vm_membership::StopKind;
+use domain::{
+    DomainName, ServerName, ServiceName,
+    server_registry::{RegistryChange, ServerRecord, ServerState},
+    vm_membership::StopKind,
+};
 use rstest::rstest;
 use wire::{
     agent_control::{NewsMessage, OrderNews, StopNews, TellReply},
+    entry_peer::{ChangeFault, ChangeMessage},
     stream::{BeatMessage, LoadMessage, TokenMessage},
 };
 
@@ -102,3 +107,26 @@
     assert_eq!(serde_json::to_string(&reply).ok().as_deref(), Some(encoded));
     assert_eq!(serde_json::from_str(encoded).ok(), Some(reply));
 }
+
+#[rstest]
+#[case::present(RegistryChange::Present(ServerRecord {
+    instance: ServerName::from("i1"),
+    service: ServiceName::from("pool"),
+    address: ([10, 0, 0, 1], 80).into(),
+    domain: DomainName::from("a"),
+    slots: 64,
+    state: ServerState::Draining,
+    born_ms: 7,
+}))]
+#[case::gone(RegistryChange::Absent(ServerName::from("i1")))]
+fn changes_of_the_list_come_back_as_they_were(#[case] change: RegistryChange) {
+    let text = serde_json::to_string(&ChangeMessage::from(&change)).expect("plain data");
+    let message: ChangeMessage = serde_json::from_str(&text).expect("what was written");
+    assert_eq!(RegistryChange::try_from(message), Ok(change));
+}
+
+#[test]
+fn change_without_a_name_is_refused() {
+    let message: ChangeMessage = serde_json::from_str(r#"{"instance":""}"#).expect("a message");
+    assert_eq!(RegistryChange::try_from(message), Err(ChangeFault::NoName));
+}
