--- a/crates/front/src/list_follower.rs
+++ b/crates/front/src/list_follower.rs
@@ -2,63 +2,73 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use domain::{list_relay::ListNews, server_registry::RegistryChange};
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use derive_more::Display;
+use domain::{
+    list_relay::{ListNews, RelayRule},
+    server_registry::RegistryChange,
+};
+use jsonrpsee::{
+    core::ClientError,
+    http_client::{HttpClient, HttpClientBuilder},
+};
 use tokio::time::{Instant, timeout};
-use wire::entry_peer::{ChangesReply, EntryPeerClient};
+use wire::entry_peer::{ChangeFault, ChangesReply, EntryPeerClient};
 
 use crate::front_state::{FrontState, ROSTER_LIFETIME};
 
-/// Asks the entries that this one follows.
+/// Why an entry is not followed for a while.
+#[derive(Debug, Display)]
+enum FollowFault {
+    /// It told nothing in time.
+    #[display("silent")]
+    Silent,
+    /// The store tells it nothing.
+    #[display("nothing")]
+    Nothing,
+    /// It does not know that far back.
+    #[display("history_gone")]
+    HistoryGone,
+    /// Its news are too old.
+    #[display("old")]
+    Old,
+    /// Its news cannot be read.
+    #[display("{_0}")]
+    Unreadable(ChangeFault),
+    /// It cannot be asked.
+    #[display("{_0}")]
+    Call(ClientError),
+}
+
+/// News with the changes that they bring.
+type ToldNews = (ListNews, Vec<RegistryChange>);
+
+/// Asks the entry that this one follows.
 #[derive(Debug, Default)]
 pub(crate) struct ListFollower {
-    clients: HashMap<SocketAddr, Arc<HttpClient>>,
+    client: Option<(SocketAddr, Arc<HttpClient>)>,
     doubted: HashMap<SocketAddr, Instant>,
 }
 
 impl ListFollower {
     /// News after what is known, from the first entry that may be followed; none
     /// if there is no such entry or it told nothing in time.
-    pub(crate) async fn ask(
-        &mut self,
-        state: &FrontState,
-        known: ListNews,
-    ) -> Option<(ListNews, Vec<RegistryChange>)> {
+    pub(crate) async fn ask(&mut self, state: &FrontState, known: ListNews) -> Option<ToldNews> {
         let now = Instant::now();
         let leader = self.leader(state, now)?;
         let rule = state.relay_rule();
         let asked = self.request(leader, known.version);
-        let told = timeout(rule.patience(known, now), asked).await;
-        let now = Instant::now();
-        let outcome = match told {
-            Ok(Ok(ChangesReply::Changes {
-                version,
-                read,
-                age_ms,
-                changes,
-            })) => {
-                let age = Duration::from_millis(age_ms);
-                let news = ListNews {
-                    version,
-                    read,
-                    said: now.checked_sub(age).unwrap_or(now),
-                };
-                let changes: Result<Vec<_>, _> =
-                    changes.into_iter().map(RegistryChange::try_from).collect();
-                match changes {
-                    Ok(changes) if rule.is_fresh(news, now) => return Some((news, changes)),
-                    Ok(_) => "old".to_owned(),
-                    Err(error) => error.to_string(),
-                }
-            }
-            Ok(Ok(ChangesReply::HistoryGone)) => "history_gone".to_owned(),
-            Ok(Ok(ChangesReply::Nothing)) => "nothing".to_owned(),
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "silent".to_owned(),
+        let told = match timeout(rule.patience(known, now), asked).await {
+            Ok(Ok(reply)) => take_reply(reply, rule),
+            Ok(Err(error)) => Err(FollowFault::Call(error)),
+            Err(_) => Err(FollowFault::Silent),
         };
-        log::info!(peer:% = leader, reason = outcome.as_str(); "entry not followed");
-        self.doubted.insert(leader, rule.doubted_until(now));
-        None
+        told.inspect_err(|fault| {
+            log::info!(peer:% = leader, reason:% = fault; "entry not followed");
+            let now = Instant::now();
+            self.doubted.retain(|_, until| *until > now);
+            self.doubted.insert(leader, rule.doubted_until(now));
+        })
+        .ok()
     }
 
     /// Whether there is an entry that may be followed.
@@ -80,16 +90,38 @@
         &mut self,
         leader: SocketAddr,
         since: u64,
-    ) -> Result<ChangesReply, jsonrpsee::core::ClientError> {
-        let client = match self.clients.get(&leader) {
-            Some(client) => Arc::clone(client),
-            None => {
-                let client =
-                    Arc::new(HttpClientBuilder::default().build(format!("http://{leader}"))?);
-                self.clients.insert(leader, Arc::clone(&client));
-                client
-            }
+    ) -> Result<ChangesReply, ClientError> {
+        let client = match self.client.take_if(|(asked, _)| *asked == leader) {
+            Some((_, client)) => client,
+            None => Arc::new(HttpClientBuilder::default().build(format!("http://{leader}"))?),
         };
+        self.client = Some((leader, Arc::clone(&client)));
         client.changes(since).await
     }
 }
+
+fn take_reply(reply: ChangesReply, rule: RelayRule) -> Result<ToldNews, FollowFault> {
+    let (version, read, age_ms, changes) = match reply {
+        ChangesReply::Changes {
+            version,
+            read,
+            age_ms,
+            changes,
+        } => (version, read, age_ms, changes),
+        ChangesReply::HistoryGone => return Err(FollowFault::HistoryGone),
+        ChangesReply::Nothing => return Err(FollowFault::Nothing),
+    };
+    let now = Instant::now();
+    let age = Duration::from_millis(age_ms);
+    let news = ListNews {
+        version,
+        read,
+        said: now.checked_sub(age).ok_or(FollowFault::Old)?,
+    };
+    if !rule.is_fresh(news, now) {
+        return Err(FollowFault::Old);
+    }
+    let changes = changes.into_iter().map(RegistryChange::try_from);
+    let changes: Result<Vec<_>, _> = changes.collect();
+    Ok((news, changes.map_err(FollowFault::Unreadable)?))
+}
