--- a/crates/front/src/copy_keeper.rs
+++ b/crates/front/src/copy_keeper.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{task::JoinHandle, time::Instant};
 
-use crate::server_exchange::{move_memory, release_memory};
+use crate::server_call::{move_memory, release_memory};
 
 /// Copy with which a stream can go on.
 #[derive(Clone, Debug)]
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 mod prompt_finder;
 mod reply;
 mod return_watch;
+mod server_call;
 mod server_exchange;
 mod settings_watch;
 mod store_client;
--- a/crates/front/src/prompt_finder.rs
+++ b/crates/front/src/prompt_finder.rs
@@ -15,7 +15,7 @@
     time::{Instant, timeout},
 };
 
-use crate::{front_state::FrontState, server_exchange::list_held};
+use crate::{front_state::FrontState, server_call::list_held};
 
 /// Questions that wait; more than an entry of today's sites has open streams.
 const QUESTIONS_MAX: usize = 256;
--- a/crates/front/src/return_watch.rs
+++ b/crates/front/src/return_watch.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     front_state::FrontState,
-    server_exchange::{ask_instance, ask_models},
+    server_call::{ask_instance, ask_models},
 };
 
 /// Time between two questions; a crash at today's sites lasts 1.2 s.
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -1,25 +1,17 @@
 //! One send of a request to one backend server.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{
-    ModelName, PromptPart, RequestId, ServerName, event_relay::StreamPatience,
-    run_evidence::SendEnd, server_registry::ServerSlot,
-};
-use http::{Method, Request, Response, Uri, header, response::Parts};
+use domain::{event_relay::StreamPatience, run_evidence::SendEnd, server_registry::ServerSlot};
+use http::{Request, Response, Uri, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use miette::IntoDiagnostic;
 use platform::{
     worker_answer::{closes, decode_head, decode_instance, decode_load, idle_time},
-    worker_call::{
-        HELD_PATH, MOVE_PATH, REPORT_PATH, decode_handle, decode_held, decode_models, move_body,
-        release_path,
-    },
     worker_request::WorkerOrder,
 };
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     backend_link::BackendLink, call_task::CallTask, front_state::FrontState, link_pool::LinkTrust,
@@ -27,15 +19,10 @@
 
 /// Largest answer that is held whole, in bytes; answers of plain services are
 /// some kilobytes.
-const ANSWER_MAX: usize = 8 << 20;
-/// Time for a copy of a run's memory: some 1.5 GB over 100 GB/s, and others
-/// before it.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const ANSWER_MAX: usize = 8 << 20;
 /// Time after which a silent server is blamed although the request's time is
 /// over: some times the work of a plain request.
 const FAIR_WAIT: Duration = Duration::from_millis(200);
-/// Time for an answer on the health of a server, which takes a millisecond.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a server that failed is avoided at first. A crash of today's
 /// sites lasts 1.2 s; three failures in a row reach beyond it.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
@@ -234,137 +221,6 @@
     }
 }
 
-/// Copy the memory of a run to another server while the run goes on; gives the
-/// name of the copy.
-pub(crate) async fn move_memory(
-    slot: &ServerSlot,
-    run: &RequestId,
-    target: SocketAddr,
-) -> Option<String> {
-    let moved = timeout(MOVE_TIMEOUT, request_move(slot, run, target)).await;
-    let outcome = match &moved {
-        Ok(Ok(_)) => "moved",
-        Ok(Err(_)) => "refused",
-        Err(_) => "silent",
-    };
-    log::info!(
-        request = run.as_str(),
-        server = slot.record().instance.as_str(),
-        holder:% = target,
-        outcome = outcome;
-        "memory copied"
-    );
-    moved.ok()?.ok()
-}
-
-async fn request_move(
-    slot: &ServerSlot,
-    run: &RequestId,
-    target: SocketAddr,
-) -> miette::Result<String> {
-    let body = move_body(run, target);
-    let body = call_server(slot, Method::POST, MOVE_PATH, body).await?;
-    decode_handle(&body).into_diagnostic()
-}
-
-/// Give up the copy of a move that nobody needs any more.
-pub(crate) async fn release_memory(slot: &ServerSlot, handle: &str) {
-    let path = release_path(handle);
-    let released = call_server(slot, Method::DELETE, &path, Vec::new());
-    match timeout(MOVE_TIMEOUT, released).await {
-        Ok(Ok(_)) => {}
-        // The server gives it up by itself after some seconds.
-        Ok(Err(error)) => log::debug!(error:%; "copy not released"),
-        Err(_) => log::debug!("copy not released in time"),
-    }
-}
-
-/// Lifetime that answers for its health at a server's address.
-pub(crate) async fn ask_instance(slot: &ServerSlot, path: &str) -> Option<ServerName> {
-    let asked = async {
-        let mut link = open_own(slot).await?;
-        exchange_own(&mut link, slot, Method::GET, path, Vec::new()).await
-    };
-    let (parts, _) = timeout(ASK_TIMEOUT, asked).await.ok()?.ok()?;
-    decode_instance(&parts.headers)
-}
-
-/// Models that the server at an address serves; none if it is no model server.
-pub(crate) async fn ask_models(slot: &ServerSlot) -> Vec<ModelName> {
-    let asked = call_server(slot, Method::GET, REPORT_PATH, Vec::new());
-    let answered = match timeout(ASK_TIMEOUT, asked).await {
-        Ok(answered) => answered.and_then(|body| decode_models(&body).into_diagnostic()),
-        Err(_) => Err(miette::miette!("no answer in time")),
-    };
-    answered.unwrap_or_else(|error| {
-        log::debug!(address:% = slot.record().address, error:%; "server did not tell its models");
-        Vec::new()
-    })
-}
-
-/// Parts of prompts that a server holds, with their tokens.
-pub(crate) async fn list_held(
-    state: &FrontState,
-    slot: &ServerSlot,
-) -> miette::Result<Vec<(PromptPart, u64)>> {
-    let kept = state.links.take(slot, LinkTrust::Open, Instant::now());
-    let mut link = match kept {
-        Some(link) => link,
-        None => open_own(slot).await?,
-    };
-    let (parts, body) = exchange_own(&mut link, slot, Method::GET, HELD_PATH, Vec::new()).await?;
-    if !parts.status.is_success() {
-        return Err(miette::miette!("status {}", parts.status));
-    }
-    let held = decode_held(&body).into_diagnostic()?;
-    keep_link(state, slot, &parts, link);
-    Ok(held)
-}
-
-/// A call of our own to a server that must succeed.
-async fn call_server(
-    slot: &ServerSlot,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
-) -> miette::Result<Bytes> {
-    let mut link = open_own(slot).await?;
-    let (parts, body) = exchange_own(&mut link, slot, method, path, body).await?;
-    if !parts.status.is_success() {
-        return Err(miette::miette!("status {}", parts.status));
-    }
-    Ok(body)
-}
-
-async fn open_own(slot: &ServerSlot) -> miette::Result<BackendLink> {
-    BackendLink::open(slot.record().address)
-        .await
-        .into_diagnostic()
-}
-
-/// A call of our own to a server.
-async fn exchange_own(
-    link: &mut BackendLink,
-    slot: &ServerSlot,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
-) -> miette::Result<(Parts, Bytes)> {
-    let address = slot.record().address;
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::from(body))
-        .into_diagnostic()?;
-    let response = link.sender.send_request(request).await.into_diagnostic()?;
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, ANSWER_MAX).collect().await;
-    let body = body.map_err(|error| miette::miette!("{error}"))?.to_bytes();
-    Ok((parts, body))
-}
-
 /// Wait until a silent server is lost: its machine does not take a new
 /// connection any more, or the silence lasts too long. A connection that came
 /// about is kept for a later request.
--- a/xtask/tests/log_names.rs
+++ b/xtask/tests/log_names.rs
@@ -13,12 +13,19 @@
 
 fn source_files() -> Vec<PathBuf> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    let folders = SOURCES.iter().map(|folder| root.join(folder));
-    folders
-        .flat_map(|folder| fs::read_dir(folder).expect("a folder of sources"))
-        .map(|entry| entry.expect("a file").path())
-        .filter(|path| path.extension().is_some_and(|kind| kind == "rs"))
-        .collect()
+    let mut files = Vec::new();
+    let mut folders: Vec<PathBuf> = SOURCES.iter().map(|folder| root.join(folder)).collect();
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).expect("a folder of sources") {
+            let path = entry.expect("a file or folder").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|kind| kind == "rs") {
+                files.push(path);
+            }
+        }
+    }
+    files
 }
 
 /// Names before `=` in the fields of one log macro.
