--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -19,8 +19,10 @@
 use stand_ins::{LinkMode, ProxyLink, RowStore, ScriptedWorker};
 use tempfile::TempDir;
 
-/// Failure domains, each with an entry, a model worker and a plain one.
+/// Failure domains, each with a model worker and a plain one.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Failure domains of the entries; those of one domain follow each other.
+const ENTRY_DOMAINS: [&str; 4] = ["a", "a", "b", "c"];
 /// Share of requests that a worker spoils, in percent.
 const FAULT_PERCENT: u32 = 12;
 
@@ -71,7 +73,7 @@
         }
         let folder = TempDir::new().into_diagnostic()?;
         let mut entries = Vec::new();
-        for (number, domain) in (0_u8..).zip(DOMAINS) {
+        for (number, domain) in (0_u8..).zip(ENTRY_DOMAINS) {
             let link = start_link(store.address).await?;
             let entry = SoakEntry::new(&folder, link.listen, number, domain)?;
             entries.push(Mutex::new(entry));
@@ -196,9 +198,10 @@
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let host = Ipv4Addr::new(127, 110 + number, high, low);
         let address = |port: u16| SocketAddr::from((host, port));
-        let settings = folder.path().join(format!("{domain}.json"));
+        let name = format!("front-{domain}-{number}");
+        let settings = folder.path().join(format!("{name}.json"));
         let text = json!({
-            "name": format!("front-{domain}"), "failure_domain": domain,
+            "name": name, "failure_domain": domain, "peer": address(7_004).to_string(),
             "listen": address(7_001).to_string(), "ready": address(7_002).to_string(),
             "admin": address(7_003).to_string(), "store": store.to_string(),
             "apply_ms": 2_000, "grace_seconds": 4, "address_reuse_seconds": 2,
