--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -6,7 +6,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering::SeqCst},
+        atomic::{AtomicU16, AtomicU64, Ordering::SeqCst},
     },
 };
 
@@ -23,6 +23,9 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Failure domains of the entries; those of one domain follow each other.
 const ENTRY_DOMAINS: [&str; 4] = ["a", "a", "b", "c"];
+/// Ports of the first site of this process, and those that each site takes.
+const FIRST_PORT: u16 = 7_000;
+const SITE_PORTS: u16 = 10;
 /// Share of requests that a worker spoils, in percent.
 const FAULT_PERCENT: u32 = 12;
 
@@ -72,10 +75,13 @@
             }
         }
         let folder = TempDir::new().into_diagnostic()?;
+        // Sites of one process must not meet at the addresses of their entries.
+        static SITES: AtomicU16 = AtomicU16::new(0);
+        let ports = FIRST_PORT + SITES.fetch_add(1, SeqCst) * SITE_PORTS;
         let mut entries = Vec::new();
         for (number, domain) in (0_u8..).zip(ENTRY_DOMAINS) {
             let link = start_link(store.address).await?;
-            let entry = SoakEntry::new(&folder, link.listen, number, domain)?;
+            let entry = SoakEntry::new(&folder, link.listen, number, domain, ports)?;
             entries.push(Mutex::new(entry));
             links.push(link);
         }
@@ -194,22 +200,28 @@
 }
 
 impl SoakEntry {
-    fn new(folder: &TempDir, store: SocketAddr, number: u8, domain: &str) -> Result<Self> {
+    fn new(
+        folder: &TempDir,
+        store: SocketAddr,
+        number: u8,
+        domain: &str,
+        ports: u16,
+    ) -> Result<Self> {
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let host = Ipv4Addr::new(127, 110 + number, high, low);
         let address = |port: u16| SocketAddr::from((host, port));
         let name = format!("front-{domain}-{number}");
         let settings = folder.path().join(format!("{name}.json"));
         let text = json!({
-            "name": name, "failure_domain": domain, "peer": address(7_004).to_string(),
-            "listen": address(7_001).to_string(), "ready": address(7_002).to_string(),
-            "admin": address(7_003).to_string(), "store": store.to_string(),
+            "name": name, "failure_domain": domain, "peer": address(ports + 4).to_string(),
+            "listen": address(ports + 1).to_string(), "ready": address(ports + 2).to_string(),
+            "admin": address(ports + 3).to_string(), "store": store.to_string(),
             "apply_ms": 2_000, "grace_seconds": 4, "address_reuse_seconds": 2,
             "retry_ratio": 0.8, "retry_slack": 150,
         });
         std::fs::write(&settings, text.to_string()).into_diagnostic()?;
         Ok(Self {
-            listen: address(7_001),
+            listen: address(ports + 1),
             settings,
             process: None,
             lifetime: 0,
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -107,3 +107,14 @@
     all_links(LinkMode::Pass);
     assert!(soak::recovers(&site, 1_500).await);
 }
+
+/// Two sites of one process have entries of their own.
+#[tokio::test(flavor = "multi_thread")]
+async fn sites_do_not_meet() {
+    let sites = [SoakSite::start(1).await, SoakSite::start(2).await];
+    let sites = sites.map(|site| site.expect("a site"));
+    for number in 0..sites[0].entry_count() {
+        let [first, second] = sites.each_ref().map(|site| site.entry(number).0);
+        assert_ne!(first, second);
+    }
+}
