A listing tells followers nothing of removals before it

Found by reading the change again: an entry that lists the servers anew, at its start or when the store's history is gone, did not see what was removed before. A follower that had read less, but had the same newest row, was told that nothing changed and took over the version read, so that it kept a server that was gone until the next listing. Change: a log begins at the version up to which the listing was read, and a question says up to which version the follower read. listing_tells_nothing_of_earlier_removals fails with the log begun at the newest row.

--- a/crates/domain/src/list_relay.rs
+++ b/crates/domain/src/list_relay.rs
@@ -38,14 +38,16 @@
 }
 
 impl ChangeLog {
-    /// A log that begins with a whole listing at a version.
-    pub fn new(version: u64, records: &[ServerRecord]) -> Self {
+    /// A log that begins with a whole listing. It shows nothing of what was
+    /// removed before the version `read`, which may be later than that of the
+    /// newest row.
+    pub fn new(read: u64, newest_row: u64, records: &[ServerRecord]) -> Self {
         let present = |record: &ServerRecord| {
             let change = RegistryChange::Present(record.clone());
-            (record.instance.clone(), (version, change))
+            (record.instance.clone(), (newest_row, change))
         };
         Self {
-            start: version,
+            start: read,
             changes: records.iter().map(present).collect(),
         }
     }
@@ -73,12 +75,13 @@
         self.forget_gone();
     }
 
-    /// What changed after a version; none if that is longer ago than is known.
-    pub fn since(&self, version: u64) -> Option<Vec<&RegistryChange>> {
-        if version < self.start {
+    /// What changed after the version up to which a follower read; none if that is
+    /// longer ago than is known.
+    pub fn since(&self, read: u64) -> Option<Vec<&RegistryChange>> {
+        if read < self.start {
             return None;
         }
-        let newer = self.changes.values().filter(|(at, _)| *at > version);
+        let newer = self.changes.values().filter(|(at, _)| *at > read);
         Some(newer.map(|(_, change)| change).collect())
     }
 
--- a/crates/domain/tests/list_relay.rs
+++ b/crates/domain/tests/list_relay.rs
@@ -59,7 +59,7 @@
         record("s1", ServerState::Ready),
         record("s2", ServerState::Ready),
     ];
-    let mut log = ChangeLog::new(10, &listed);
+    let mut log = ChangeLog::new(10, 10, &listed);
     assert_eq!(
         take(&mut log, &[ready("s1"), ready("s2")], 12),
         0,
@@ -77,11 +77,21 @@
     check(&log, 20, Some(&[]));
 }
 
+/// A listing does not show what was removed before it: a follower that read less
+/// has to ask the store, though it saw the same newest row.
+#[test]
+fn listing_tells_nothing_of_earlier_removals() {
+    let newest_row = 40;
+    let log = ChangeLog::new(55, newest_row, &[record("s1", ServerState::Ready)]);
+    check(&log, 45, None);
+    check(&log, 55, Some(&[]));
+}
+
 /// Servers that are gone are remembered for a bounded time; who knows less has
 /// to ask the store.
 #[test]
 fn long_history_is_forgotten() {
-    let mut log = ChangeLog::new(1, &[]);
+    let mut log = ChangeLog::new(1, 1, &[]);
     for number in 0..2_000 {
         let name = format!("s{number}");
         take(&mut log, &[ready(&name)], 10 + 2 * number);
--- a/crates/front/src/list_follower.rs
+++ b/crates/front/src/list_follower.rs
@@ -56,7 +56,7 @@
         let now = Instant::now();
         let leader = self.leader(state, now)?;
         let rule = state.relay_rule();
-        let asked = self.request(leader, known.version);
+        let asked = self.request(leader, known);
         let told = match timeout(rule.patience(known, now), asked).await {
             Ok(Ok(reply)) => take_reply(reply, rule),
             Ok(Err(error)) => Err(FollowFault::Call(error)),
@@ -89,14 +89,14 @@
     async fn request(
         &mut self,
         leader: SocketAddr,
-        since: u64,
+        known: ListNews,
     ) -> Result<ChangesReply, ClientError> {
         let client = match self.client.take_if(|(asked, _)| *asked == leader) {
             Some((_, client)) => client,
             None => Arc::new(HttpClientBuilder::default().build(format!("http://{leader}"))?),
         };
         self.client = Some((leader, Arc::clone(&client)));
-        client.changes(since).await
+        client.changes(known.version, known.read).await
     }
 }
 
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -41,11 +41,11 @@
 
 #[async_trait]
 impl EntryPeerServer for PeerFront {
-    async fn changes(&self, since: u64) -> RpcResult<ChangesReply> {
+    async fn changes(&self, since: u64, read: u64) -> RpcResult<ChangesReply> {
         let patience = self.state.relay_rule().period * 2;
         let found = timeout(patience, self.next_news(since)).await;
         let news = found.ok().flatten();
-        Ok(news.map_or(ChangesReply::Nothing, |news| self.reply(since, news)))
+        Ok(news.map_or(ChangesReply::Nothing, |news| self.reply(read, news)))
     }
 }
 
@@ -67,9 +67,9 @@
         }
     }
 
-    fn reply(&self, since: u64, news: ListNews) -> ChangesReply {
+    fn reply(&self, read: u64, news: ListNews) -> ChangesReply {
         let log = self.state.list_log.load();
-        let Some(changes) = log.since(since) else {
+        let Some(changes) = log.since(read) else {
             return ChangesReply::HistoryGone;
         };
         let age = Instant::now().saturating_duration_since(news.said);
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -73,7 +73,7 @@
             RegistryChange::Absent(_) => None,
         };
         let records: Vec<ServerRecord> = news.news.iter().filter_map(present).collect();
-        let log = ChangeLog::new(self.newest_row(), &records);
+        let log = ChangeLog::new(news.version.0, self.newest_row(), &records);
         state.list_log.store(Arc::new(log));
         update(state, |registry, now| registry.replace(&records, now));
         state.note_listed();
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -72,9 +72,10 @@
 /// Calls that an entry answers to others.
 #[rpc(client, server, namespace = "entry")]
 pub trait EntryPeer {
-    /// Wait for the next news of the list after a version.
+    /// Wait for the next news of the list after a newest row, and tell what
+    /// changed after the version up to which the list was read.
     #[method(name = "changes")]
-    async fn changes(&self, since: u64) -> RpcResult<ChangesReply>;
+    async fn changes(&self, since: u64, read: u64) -> RpcResult<ChangesReply>;
 }
 
 /// Why a change cannot be used.
