--- a/crates/domain/src/entry_roster.rs
+++ b/crates/domain/src/entry_roster.rs
@@ -72,13 +72,16 @@
         self.is_listed = true;
     }
 
-    /// Number of entries whose rows changed within `lifetime`, but at least 1 for this
-    /// entry. Before the first listing, `ASSUMED_COUNT`.
+    /// Number of entries whose rows can be decoded and changed within `lifetime`, but
+    /// at least 1 for this entry. Before the first listing, `ASSUMED_COUNT`.
     pub fn count(&self, lifetime: Duration, now: Instant) -> usize {
         if !self.is_listed {
             return ASSUMED_COUNT;
         }
-        self.live(lifetime, now).count().max(1)
+        self.live(lifetime, now)
+            .filter(|(_, known)| known.record.is_some())
+            .count()
+            .max(1)
     }
 
     /// Addresses of the live entries in `domain` whose names sort before `name`, in
--- a/crates/domain/src/kv_placement.rs
+++ b/crates/domain/src/kv_placement.rs
@@ -8,14 +8,21 @@
 //! requests in flight, because all processes see the same reports and would
 //! otherwise pick the same server. Traffic between failure domains has a price, so the process's own
 //! domain is preferred by a margin. Servers that failed recently, and failure
-//! domains with several such servers, come last. A prompt in a server's KV cache
+//! domains with several such servers, come last. Servers that are leaving or asked
+//! for a pause get nothing, and [`ServiceOutlook`] tells when that holds for all. A prompt in a server's KV cache
 //! needs no prefill there.
 
 mod copy_state;
 mod server_pick;
+mod service_outlook;
 
 pub use copy_state::{CopyState, CopyStep};
 pub use server_pick::{PlacementQuery, pick_backup, pick_server};
+pub use service_outlook::ServiceOutlook;
+
+/// Largest token count that is used; the counts of all requests of a process are
+/// added up, so each stays far below the range of the sum.
+const TOKENS_MAX: u64 = 1 << 32;
 
 /// Token counts of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,6 +34,14 @@
 }
 
 impl TokenCounts {
+    /// Creates counts from a caller's statement; implausibly large ones are reduced.
+    pub fn new(prompt: u64, output: u64) -> Self {
+        Self {
+            prompt: prompt.min(TOKENS_MAX),
+            output: output.min(TOKENS_MAX),
+        }
+    }
+
     /// KV cache that the request needs at its end, in tokens.
     pub fn total(self) -> u64 {
         self.prompt + self.output
--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -162,7 +162,7 @@
         let domain_suspect_cost = suspect_domain_cost(sample(), query.now);
         let cost_of_domain = domain_cost(&domain_servers.domain);
         for server in sample() {
-            if server.is_superseded() || query.tried.contains(&server.record().address) {
+            if !server.is_available(query.now) || query.tried.contains(&server.record().address) {
                 continue;
             }
             let suspect_cost = if server.is_suspect(query.now) {
--- /dev/null
+++ b/crates/domain/src/kv_placement/service_outlook.rs
@@ -0,0 +1,39 @@
+//! Whether a service can take a request now, judged from what its servers announced.
+
+use tokio::time::Instant;
+
+use crate::server_registry::DomainServers;
+
+/// Outlook for a request that no server took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceOutlook {
+    /// At least one server wants requests, or none is known.
+    Open,
+    /// All servers that stay asked for a pause; the first one ends at this time.
+    Paused(Instant),
+    /// All servers are leaving.
+    Leaving,
+}
+
+impl ServiceOutlook {
+    /// Judges the servers of one service.
+    pub fn new(domains: &[DomainServers], now: Instant) -> Self {
+        let mut first_return: Option<Instant> = None;
+        let mut has_servers = false;
+        for server in domains.iter().flat_map(|domain| &domain.servers) {
+            has_servers = true;
+            if server.is_leaving() {
+                continue;
+            }
+            let Some(end) = server.paused_until(now) else {
+                return Self::Open;
+            };
+            first_return = Some(first_return.map_or(end, |first| first.min(end)));
+        }
+        match first_return {
+            Some(end) => Self::Paused(end),
+            None if has_servers => Self::Leaving,
+            None => Self::Open,
+        }
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -3,10 +3,11 @@
 //! Callers connect to an entry, the process that admits requests and forwards them
 //! to backend servers. There are two entry programs:
 //! - `bamboocross-front` sends requests directly to servers that register
-//!   themselves in the platform's store. In [`desired_state`], [`entry_drain`],
-//!   [`entry_roster`], [`event_relay`], [`kv_placement`], [`list_relay`],
-//!   [`prompt_cache`], [`retry_share`], [`run_evidence`] and [`server_registry`],
-//!   an entry is a process of this program.
+//!   themselves in the platform's store. In [`buffer_budget`], [`desired_state`],
+//!   [`entry_drain`], [`entry_roster`], [`event_relay`], [`kv_placement`],
+//!   [`list_relay`], [`prompt_cache`], [`reachability`], [`retry_advice`],
+//!   [`retry_share`], [`run_evidence`] and [`server_registry`], an entry is a process
+//!   of this program.
 //! - `bamboocross-entry` reaches each server through its agent, a process of
 //!   `bamboocross-agent` beside the server. In the other modules, an entry is a
 //!   process of this program.
@@ -18,6 +19,7 @@
 //! current time and the source of random numbers as arguments.
 
 pub mod backend_server;
+pub mod buffer_budget;
 pub mod class_counts;
 pub mod desired_state;
 pub mod entry_drain;
@@ -29,6 +31,8 @@
 pub mod list_relay;
 pub mod pool_lease;
 pub mod prompt_cache;
+pub mod reachability;
+pub mod retry_advice;
 pub mod retry_share;
 pub mod run_evidence;
 pub mod server_registry;
--- a/crates/domain/src/list_relay.rs
+++ b/crates/domain/src/list_relay.rs
@@ -108,6 +108,16 @@
     }
 }
 
+/// Instance that announced that it is leaving. The servers announce it in their
+/// answers, so it has no version; an entry hands on all that it knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingServer {
+    /// Name of the instance.
+    pub instance: ServerName,
+    /// Its start time, which distinguishes it from others of that name.
+    pub started_ms: u64,
+}
+
 /// Position up to which an entry has read the server list, from the store or from
 /// another entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/domain/src/prompt_cache.rs
+++ b/crates/domain/src/prompt_cache.rs
@@ -74,7 +74,7 @@
 }
 
 /// Returns the servers to query for cached prompts: a limited number per failure
-/// domain, without suspect servers.
+/// domain, without suspect servers and those that are leaving or paused.
 pub fn servers_to_query(
     domains: &[DomainServers],
     now: Instant,
@@ -83,7 +83,7 @@
         domain
             .servers
             .iter()
-            .filter(move |server| !server.is_superseded() && !server.is_suspect(now))
+            .filter(move |server| server.is_available(now) && !server.is_suspect(now))
             .take(SERVERS_PER_DOMAIN_MAX)
     })
 }
--- a/crates/domain/src/server_registry.rs
+++ b/crates/domain/src/server_registry.rs
@@ -14,11 +14,20 @@
 //! address has a new holder. The registered instance is then marked as superseded,
 //! and selection skips it. The new instance is adopted in its place before the list
 //! contains it, if an [`AdoptionProof`] shows that it provides the same service.
+//!
+//! A server may say in any answer that it is leaving, or ask for a pause when it
+//! rejects a request. Both are facts of the instance: they outlive changes of its
+//! registration, and a new instance at the same address starts without them. A
+//! leaving instance is remembered after its removal, because its registration may
+//! come back after an outage of the store.
 
 mod registered_server;
 mod registry_state;
 
-pub use registered_server::{RegisteredServer, ServerStats, WorkGuard, WorkSize};
+pub use registered_server::{
+    PAUSE_MAX, RegisteredServer, ServerNotice, ServerStats, WorkGuard, WorkSize,
+};
 pub use registry_state::{
-    AdoptionProof, DomainServers, RegistryChange, ServerRecord, ServerRegistry, ServerState,
+    AdoptionProof, DomainServers, RecordFault, RegistryChange, ServerRecord, ServerRegistry,
+    ServerState,
 };
--- a/crates/domain/src/server_registry/registered_server.rs
+++ b/crates/domain/src/server_registry/registered_server.rs
@@ -13,9 +13,15 @@
 use super::{ServerRecord, registry_state::STARTED_MS_UNKNOWN};
 use crate::kv_placement::LoadReport;
 
+/// Longest pause that a server is granted; a longer one is shortened to it.
+pub const PAUSE_MAX: Duration = Duration::from_secs(600);
+
 /// Counters and timestamps of one instance, updated by requests. They are shared
 /// by all versions of its registration. Times are in milliseconds since
 /// `created_at`, and 0 stands for never.
+///
+/// Each is read and written by itself, and no other memory is published through
+/// it, so relaxed ordering suffices on every processor.
 #[derive(Debug)]
 pub struct ServerStats {
     created_at: Instant,
@@ -26,6 +32,8 @@
     last_failure_ms: AtomicU64,
     last_activity_ms: AtomicU64,
     is_superseded: AtomicBool,
+    is_leaving: AtomicBool,
+    paused_until_ms: AtomicU64,
     is_watched: AtomicBool,
     consecutive_failures: AtomicU32,
     packed_report: AtomicU64,
@@ -43,6 +51,8 @@
             last_failure_ms: AtomicU64::new(0),
             last_activity_ms: AtomicU64::new(0),
             is_superseded: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
+            paused_until_ms: AtomicU64::new(0),
             is_watched: AtomicBool::new(false),
             consecutive_failures: AtomicU32::new(0),
             packed_report: AtomicU64::new(0),
@@ -51,6 +61,15 @@
     }
 }
 
+/// What a server says about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// The server is leaving: it is to get no new requests.
+    pub is_leaving: bool,
+    /// Time for which the server wants nothing from this process.
+    pub pause: Option<Duration>,
+}
+
 /// One registered instance of a server.
 #[derive(Debug)]
 pub struct RegisteredServer {
@@ -167,6 +186,39 @@
         self.stats.is_watched.store(false, Relaxed);
     }
 
+    /// Records what the server said about itself in an answer. Returns whether it
+    /// was not known to be leaving before.
+    pub fn note_notice(&self, notice: ServerNotice, now: Instant) -> bool {
+        if let Some(pause) = notice.pause {
+            let until = self.elapsed_ms(now + pause.min(PAUSE_MAX));
+            self.stats.paused_until_ms.fetch_max(until, Relaxed);
+        }
+        notice.is_leaving && !self.stats.is_leaving.swap(true, Relaxed)
+    }
+
+    /// Whether the server announced that it is leaving. This is final for the
+    /// instance.
+    pub fn is_leaving(&self) -> bool {
+        self.stats.is_leaving.load(Relaxed)
+    }
+
+    /// End of the pause that the server asked for; `None` if nothing keeps this
+    /// process from sending to it.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.stats.paused_until_ms.load(Relaxed);
+        if until == 0 {
+            return None;
+        }
+        let end = self.stats.created_at + Duration::from_millis(until);
+        (end > now).then_some(end)
+    }
+
+    /// Whether new work may be sent to the server: it is not leaving, did not ask
+    /// for a pause, and still holds its address.
+    pub fn is_available(&self, now: Instant) -> bool {
+        !self.is_superseded() && !self.is_leaving() && self.paused_until(now).is_none()
+    }
+
     /// Records that another instance holds the address.
     pub fn note_superseded(&self) {
         self.stats.is_superseded.store(true, Relaxed);
--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -1,20 +1,25 @@
 //! The set of known instances and the changes of the server list that update it.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
+use derive_more::{Display, Error};
 use tokio::time::Instant;
 
 use super::RegisteredServer;
-use crate::{FailureDomain, ServerName, ServiceName};
+use crate::{FailureDomain, ServerName, ServiceName, reachability::is_reachable};
 
 /// Time within which running servers register again after a store outage.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Maximum number of leaving instances that are remembered after their removal:
+/// some hours of server replacements in a large deployment.
+const DEPARTED_MAX: usize = 1_024;
+
 /// Start time of an instance that has not registered yet.
 pub(super) const STARTED_MS_UNKNOWN: u64 = 0;
 
@@ -47,6 +52,33 @@
     pub started_ms: u64,
 }
 
+/// Why no request can be sent to a registered server.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum RecordFault {
+    /// The name cannot be sent in a header.
+    #[display("unusable name")]
+    UnusableName,
+    /// No other process can listen at the address.
+    #[display("unusable address")]
+    UnusableAddress,
+}
+
+impl ServerRecord {
+    /// Checks that requests can be sent to the server by a process that listens at
+    /// the addresses `own`. The name addresses each request to the instance, so it
+    /// must consist of visible ASCII characters.
+    pub fn validate(&self, own: &[SocketAddr]) -> Result<(), RecordFault> {
+        let name = self.instance.as_str();
+        if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(RecordFault::UnusableName);
+        }
+        if !is_reachable(self.address, own) {
+            return Err(RecordFault::UnusableAddress);
+        }
+        Ok(())
+    }
+}
+
 /// Proof that the instance now at an address provides the same service as the
 /// instance that held the address before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,6 +128,9 @@
     address_holders: HashMap<SocketAddr, ServerName>,
     removal_deadlines: HashMap<ServerName, Instant>,
     store_recovered_at: Option<Instant>,
+    /// Removed instances that had announced that they are leaving, the oldest first.
+    /// A registration that returns meets its mark again.
+    departed: VecDeque<Arc<RegisteredServer>>,
 }
 
 impl ServerRegistry {
@@ -151,6 +186,28 @@
         self.servers_by_name.values()
     }
 
+    /// Instances that announced that they are leaving, including removed ones.
+    pub fn leaving_servers(&self) -> impl Iterator<Item = &Arc<RegisteredServer>> {
+        self.servers_by_name
+            .values()
+            .filter(|server| server.is_leaving())
+            .chain(&self.departed)
+    }
+
+    /// Finds the instance of this name and start time, also if it was removed after
+    /// it had announced that it is leaving.
+    pub fn find_instance(
+        &self,
+        name: &ServerName,
+        started_ms: u64,
+    ) -> Option<&Arc<RegisteredServer>> {
+        let known = self.servers_by_name.get(name).into_iter();
+        known.chain(&self.departed).find(|server| {
+            let record = server.record();
+            record.instance == *name && record.started_ms == started_ms
+        })
+    }
+
     /// Whether `server` is still the known instance under its name, ready or not.
     pub fn is_current(&self, server: &RegisteredServer) -> bool {
         self.servers_by_name
@@ -188,16 +245,13 @@
             }
         }
         let is_expired = |deadline: &Instant| *deadline <= now;
-        for (name, _) in self
+        let expired: Vec<ServerName> = self
             .removal_deadlines
             .extract_if(|_, deadline| is_expired(deadline))
-        {
-            if let Some(server) = self.servers_by_name.remove(&name) {
-                let address = &server.record().address;
-                if self.address_holders.get(address) == Some(&name) {
-                    self.address_holders.remove(address);
-                }
-            }
+            .map(|(name, _)| name)
+            .collect();
+        for name in expired {
+            self.remove_server(&name);
         }
         self.rebuild();
     }
@@ -217,7 +271,11 @@
             AdoptionProof::RecentLife(reuse_time) => old.silence(now) < reuse_time,
             AdoptionProof::OnlyModel => true,
         };
-        if !is_proven || self.servers_by_name.contains_key(&instance) {
+        let has_departed = self
+            .departed
+            .iter()
+            .any(|departed| departed.record().instance == instance);
+        if !is_proven || has_departed || self.servers_by_name.contains_key(&instance) {
             return false;
         }
         self.insert_unless_older(ServerRecord {
@@ -231,6 +289,13 @@
     }
 
     fn insert_unless_older(&mut self, record: ServerRecord) {
+        if let Some(known) = self.servers_by_name.get(&record.instance)
+            && record.started_ms != STARTED_MS_UNKNOWN
+            && record.started_ms < known.record().started_ms
+        {
+            // A late registration of the instance's earlier start.
+            return;
+        }
         self.removal_deadlines.remove(&record.instance);
         // An address has one holder: the instance with the later start time. An
         // instance whose start time is unknown replaces the holder and is itself
@@ -247,14 +312,37 @@
                 self.address_holders.insert(record.address, holder);
                 return;
             }
-            self.servers_by_name.remove(&holder);
+            self.remove_server(&holder);
         }
         let name = record.instance.clone();
-        let server = match self.servers_by_name.get(&name) {
-            Some(known) if known.is_same_instance(&record) => Arc::new(known.updated(record)),
-            _ => Arc::new(RegisteredServer::new(record)),
+        let known = self.servers_by_name.get(&name).into_iter();
+        let server = known
+            .chain(&self.departed)
+            .find(|known| known.record().instance == name && known.is_same_instance(&record))
+            .map_or_else(
+                || RegisteredServer::new(record.clone()),
+                |known| known.updated(record.clone()),
+            );
+        self.servers_by_name.insert(name, Arc::new(server));
+    }
+
+    fn remove_server(&mut self, name: &ServerName) {
+        let Some(server) = self.servers_by_name.remove(name) else {
+            return;
         };
-        self.servers_by_name.insert(name, server);
+        let address = server.record().address;
+        if self.address_holders.get(&address) == Some(name) {
+            self.address_holders.remove(&address);
+        }
+        if !server.is_leaving() {
+            return;
+        }
+        self.departed
+            .retain(|departed| departed.record().instance != *name);
+        self.departed.push_back(server);
+        if self.departed.len() > DEPARTED_MAX {
+            self.departed.pop_front();
+        }
     }
 
     fn mark_absent(&mut self, name: ServerName, now: Instant) {
--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -5,10 +5,13 @@
 use domain::{
     FailureDomain, ServerName, ServiceName,
     kv_placement::{
-        CopyState, CopyStep, LoadReport, PlacementQuery, TokenCounts, pick_backup, pick_server,
+        CopyState, CopyStep, LoadReport, PlacementQuery, ServiceOutlook, TokenCounts, pick_backup,
+        pick_server,
     },
     prompt_cache::CachedPrompt,
-    server_registry::{RegisteredServer, ServerRecord, ServerRegistry, ServerState, WorkSize},
+    server_registry::{
+        RegisteredServer, ServerNotice, ServerRecord, ServerRegistry, ServerState, WorkSize,
+    },
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -266,3 +269,101 @@
     assert_eq!(failed.next_step(false, now), CopyStep::Wait);
     assert_eq!(failed.next_step(false, after), CopyStep::Place);
 }
+
+fn notice(is_leaving: bool, pause_ms: Option<u64>) -> ServerNotice {
+    ServerNotice {
+        is_leaving,
+        pause: pause_ms.map(Duration::from_millis),
+    }
+}
+
+/// Servers `a0` to `a2` and what each announced: leaving, or a pause in milliseconds.
+#[rstest]
+#[case::none(&[], ServiceOutlook::Open, "a0 a1 a2")]
+#[case::one_leaves(&[("a0", true, None)], ServiceOutlook::Open, "a1 a2")]
+#[case::one_stays(&[("a0", true, None), ("a2", false, Some(50))], ServiceOutlook::Open, "a1")]
+#[case::all_leave(
+    &[("a0", true, None), ("a1", true, None), ("a2", true, Some(900))],
+    ServiceOutlook::Leaving,
+    ""
+)]
+#[tokio::test(start_paused = true)]
+async fn announcements_decide_who_gets_requests(
+    #[case] announced: &[(&str, bool, Option<u64>)],
+    #[case] expected: ServiceOutlook,
+    #[case] picked: &str,
+) {
+    let registry = servers(&[3]);
+    let now = Instant::now();
+    for (name, is_leaving, pause_ms) in announced {
+        server(&registry, name).note_notice(notice(*is_leaving, *pause_ms), now);
+    }
+    let service = ServiceName::from("pool");
+    let outlook = ServiceOutlook::new(registry.ready_servers(&service), now);
+    assert_eq!(outlook, expected);
+    let own_domain = FailureDomain::from("a");
+    let mut found = std::collections::BTreeSet::new();
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for tokens in [None, Some(PROMPT)] {
+            let query = query(&own_domain, tokens, now);
+            let server = pick_server(registry.ready_servers(&service), &query, &mut rng);
+            found.extend(server.map(|server| server.record().instance.to_string()));
+        }
+    }
+    let found: Vec<String> = found.into_iter().collect();
+    assert_eq!(found.join(" "), picked);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outlook_names_the_first_end_of_all_pauses() {
+    let registry = servers(&[2, 2]);
+    let now = Instant::now();
+    for (name, pause_ms) in [("a0", 900), ("a1", 400), ("b0", 700)] {
+        server(&registry, name).note_notice(notice(false, Some(pause_ms)), now);
+    }
+    server(&registry, "b1").note_notice(notice(true, Some(1)), now);
+    let service = ServiceName::from("pool");
+    let outlook = |at| ServiceOutlook::new(registry.ready_servers(&service), at);
+    let first = now + Duration::from_millis(400);
+    assert_eq!(outlook(now), ServiceOutlook::Paused(first));
+    assert_eq!(outlook(first), ServiceOutlook::Open);
+    let none = ServiceName::from("none");
+    let servers = registry.ready_servers(&none);
+    assert_eq!(ServiceOutlook::new(servers, now), ServiceOutlook::Open);
+}
+
+/// A server that is leaving or paused holds no copy either.
+#[tokio::test(start_paused = true)]
+async fn backup_is_not_placed_at_a_paused_server() {
+    let registry = servers(&[1, 2]);
+    let now = Instant::now();
+    server(&registry, "b0").note_notice(notice(false, Some(900)), now);
+    let primary = server(&registry, "a0");
+    let own_domain = FailureDomain::from("a");
+    let query = query(&own_domain, Some(PROMPT), now);
+    let servers = registry.ready_servers(&ServiceName::from("pool"));
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let backup = pick_backup(servers, &query, &primary, &mut rng).expect("a server");
+        assert_eq!(backup.record().instance.as_str(), "b1");
+    }
+}
+
+/// The sums of several requests stay within their range, whatever callers state.
+#[tokio::test(start_paused = true)]
+async fn implausible_token_counts_do_not_overflow() {
+    let registry = servers(&[1]);
+    let huge = TokenCounts::new(u64::MAX, u64::MAX);
+    let holder = server(&registry, "a0");
+    let _guards: Vec<_> = (0..10_000)
+        .map(|_| {
+            holder.reserve(WorkSize {
+                requests: 1,
+                prompt_tokens: huge.prompt,
+                kv_tokens: huge.total(),
+            })
+        })
+        .collect();
+    assert_eq!(pick(&registry, Some(huge), Instant::now()), "a0");
+}
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -6,9 +6,11 @@
     FailureDomain, ServerName, ServiceName,
     kv_placement::LoadReport,
     server_registry::{
-        AdoptionProof, RegistryChange, ServerRecord, ServerRegistry, ServerState, WorkSize,
+        AdoptionProof, PAUSE_MAX, RecordFault, RegisteredServer, RegistryChange, ServerNotice,
+        ServerRecord, ServerRegistry, ServerState, WorkSize,
     },
 };
+use rstest::rstest;
 use tokio::time::Instant;
 
 fn record(instance: &str, port: u16, started_ms: u64) -> ServerRecord {
@@ -214,3 +216,144 @@
     let age = Duration::from_millis(70);
     assert_eq!(server.report(now + age), Some((report, age)));
 }
+
+fn leaving_notice() -> ServerNotice {
+    ServerNotice {
+        is_leaving: true,
+        pause: None,
+    }
+}
+
+fn pause_notice(seconds: u64) -> ServerNotice {
+    ServerNotice {
+        is_leaving: false,
+        pause: Some(Duration::from_secs(seconds)),
+    }
+}
+
+/// Whether an instance of this name may get requests.
+fn is_available(registry: &ServerRegistry, name: &str, now: Instant) -> bool {
+    registry
+        .find(&ServerName::from(name))
+        .is_some_and(|server| server.is_available(now))
+}
+
+/// The announcement holds through new registrations, removal and return, whatever
+/// the list says.
+#[tokio::test(start_paused = true)]
+async fn leaving_is_final_for_the_instance() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    let server = registry.find(&ServerName::from("i1")).expect("registered");
+    assert!(server.note_notice(leaving_notice(), now));
+    assert!(!server.note_notice(leaving_notice(), now), "known already");
+    server.note_notice(ServerNotice::default(), now);
+    server.note_response(now);
+    for _ in 0..3 {
+        registry.apply(&[present(record("i1", 1, 5))], now);
+        assert!(!is_available(&registry, "i1", now));
+        registry.apply(&[absent("i1")], now);
+        assert!(registry.is_empty());
+        assert_eq!(registry.leaving_servers().count(), 1);
+        registry.replace(&[record("i1", 1, 5)], now);
+        assert!(!is_available(&registry, "i1", now));
+    }
+    // Another start is another instance, at the same address or under the same name.
+    registry.apply(&[present(record("i1", 1, 6))], now);
+    assert!(is_available(&registry, "i1", now));
+    registry.apply(&[present(record("i2", 1, 7))], now);
+    assert!(is_available(&registry, "i2", now));
+}
+
+/// An instance that left is not taken for a new one when it answers once more.
+#[tokio::test(start_paused = true)]
+async fn departed_instance_is_not_adopted() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    let old = registry.find(&ServerName::from("i2")).cloned();
+    let old = old.expect("registered");
+    let leaving = registry.find(&ServerName::from("i1")).expect("registered");
+    leaving.note_notice(leaving_notice(), now);
+    registry.apply(&[absent("i1")], now);
+    let name = ServerName::from("i1");
+    assert!(!registry.adopt(&old, name, AdoptionProof::OnlyModel, now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn departed_instances_are_bounded() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    for number in 0..3_000_u16 {
+        let name = format!("i{number}");
+        registry.apply(&[present(record(&name, number, 5))], now);
+        let server = registry.find(&ServerName::from(name.as_str()));
+        server
+            .expect("registered")
+            .note_notice(leaving_notice(), now);
+        registry.apply(&[absent(&name)], now);
+    }
+    assert!(registry.leaving_servers().count() <= 1_024);
+    let last = ServerName::from("i2999");
+    assert!(registry.find_instance(&last, 5).is_some());
+}
+
+/// A late registration of an earlier start does not replace the present one.
+#[tokio::test(start_paused = true)]
+async fn earlier_start_of_the_same_name_is_ignored() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 6)], now);
+    let mut old = record("i1", 9, 5);
+    old.state = ServerState::Draining;
+    registry.apply(&[present(old)], now);
+    check(&registry, &["i1"]);
+    let known = registry.find(&ServerName::from("i1")).expect("registered");
+    assert_eq!(known.record(), &record("i1", 1, 6));
+}
+
+#[tokio::test(start_paused = true)]
+async fn longer_pause_replaces_a_shorter_one_only() {
+    let start = Instant::now();
+    let server = RegisteredServer::new(record("i1", 1, 5));
+    assert_eq!(server.paused_until(start), None);
+    server.note_notice(pause_notice(10), start);
+    server.note_notice(pause_notice(2), start);
+    let later = start + Duration::from_secs(9);
+    assert!(server.paused_until(later).is_some());
+    assert!(!server.is_available(later));
+    let end = start + Duration::from_secs(10);
+    assert_eq!(server.paused_until(end), None);
+    assert!(server.is_available(end));
+    server.note_notice(pause_notice(u64::MAX), end);
+    assert!(
+        server
+            .paused_until(end + PAUSE_MAX - Duration::from_secs(1))
+            .is_some()
+    );
+    assert_eq!(server.paused_until(end + PAUSE_MAX), None);
+}
+
+#[rstest]
+#[case("i1", "10.0.0.1:80", None)]
+#[case("", "10.0.0.1:80", Some(RecordFault::UnusableName))]
+#[case("i 1", "10.0.0.1:80", Some(RecordFault::UnusableName))]
+#[case("i\r\n1", "10.0.0.1:80", Some(RecordFault::UnusableName))]
+#[case("ï1", "10.0.0.1:80", Some(RecordFault::UnusableName))]
+#[case("i1", "10.0.0.1:0", Some(RecordFault::UnusableAddress))]
+#[case("i1", "0.0.0.0:80", Some(RecordFault::UnusableAddress))]
+#[case("i1", "224.0.0.1:80", Some(RecordFault::UnusableAddress))]
+#[case("i1", "255.255.255.255:80", Some(RecordFault::UnusableAddress))]
+#[case("i1", "[::1]:80", Some(RecordFault::UnusableAddress))]
+#[case("i1", "10.0.0.9:8227", Some(RecordFault::UnusableAddress))]
+fn unusable_registrations_are_found(
+    #[case] name: &str,
+    #[case] address: &str,
+    #[case] expected: Option<RecordFault>,
+) {
+    let own = ["10.0.0.9:8227".parse().expect("an address")];
+    let mut record = record(name, 1, 5);
+    record.address = address.parse().expect("an address");
+    assert_eq!(record.validate(&own).err(), expected);
+}
