Hand on leaving servers between entries and restart background tasks that panic

Cause: an entry's knowledge of a leaving server stayed with it; a panic ended the task that follows the list, and with it the list. Change: replies to followers carry all leaving instances (older builds send none); telemetry::supervise.

--- a/crates/settings/src/front_settings.rs
+++ b/crates/settings/src/front_settings.rs
@@ -45,6 +45,14 @@
 }
 
 impl FrontSettings {
+    /// Addresses at which the process itself listens.
+    pub fn own_addresses(&self) -> Vec<SocketAddr> {
+        [self.listen, self.ready, self.admin]
+            .into_iter()
+            .chain(self.peer)
+            .collect()
+    }
+
     fn from_fields(fields: &FieldReader<'_>, ports: &impl PortProbe) -> Self {
         Self {
             name: fields.text("name"),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,6 +10,7 @@
 mod log_setup;
 mod metric_set;
 mod stop_signal;
+mod task_supervisor;
 
 pub use bounded_writer::{BoundedWriter, ROUTINE_TARGET, dropped_lines};
 pub use daemon_command::{DaemonArgs, ExitStatus, report_and_exit};
@@ -17,3 +18,4 @@
 pub use log_setup::{LogTarget, start_logs};
 pub use metric_set::{MetricDescription, MetricSet};
 pub use stop_signal::StopSignal;
+pub use task_supervisor::supervise;
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -6,6 +6,7 @@
 use domain::{
     FailureDomain, ServerName, ServiceName,
     entry_roster::EntryRecord,
+    list_relay::LeavingServer,
     server_registry::{RegistryChange, ServerRecord, ServerState},
 };
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
@@ -48,6 +49,15 @@
     pub born_ms: u64,
 }
 
+/// A server that announced to an entry that it is leaving.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct LeavingMessage {
+    /// Lifetime of the server.
+    pub instance: String,
+    /// Its start, in milliseconds of its own clock.
+    pub born_ms: u64,
+}
+
 /// What changed in the list of servers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "news")]
@@ -62,6 +72,9 @@
         age_ms: u64,
         /// The changes.
         changes: Vec<ChangeMessage>,
+        /// All servers that announced that they are leaving.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        leaving: Vec<LeavingMessage>,
     },
     /// The version asked for is longer ago than is known.
     HistoryGone,
@@ -116,6 +129,24 @@
     }
 }
 
+impl From<&ServerRecord> for LeavingMessage {
+    fn from(record: &ServerRecord) -> Self {
+        Self {
+            instance: record.instance.to_string(),
+            born_ms: record.started_ms,
+        }
+    }
+}
+
+impl From<LeavingMessage> for LeavingServer {
+    fn from(message: LeavingMessage) -> Self {
+        Self {
+            instance: ServerName::from(message.instance),
+            started_ms: message.born_ms,
+        }
+    }
+}
+
 impl From<&ServerRecord> for PresentMessage {
     fn from(record: &ServerRecord) -> Self {
         Self {
--- a/crates/wire/tests/small_messages.rs
+++ b/crates/wire/tests/small_messages.rs
@@ -2,13 +2,14 @@
 
 use domain::{
     FailureDomain, ServerName, ServiceName,
+    list_relay::LeavingServer,
     server_registry::{RegistryChange, ServerRecord, ServerState},
     vm_membership::StopKind,
 };
 use rstest::rstest;
 use wire::{
     agent_control::{NewsMessage, OrderNews, StopNews, TellReply},
-    entry_peer::{ChangeFault, ChangeMessage},
+    entry_peer::{ChangeFault, ChangeMessage, ChangesReply},
     stream::{BeatMessage, LoadMessage, TokenMessage},
 };
 
@@ -130,3 +131,57 @@
     let message: ChangeMessage = serde_json::from_str(r#"{"instance":""}"#).expect("a message");
     assert_eq!(RegistryChange::try_from(message), Err(ChangeFault::NoName));
 }
+
+/// Entries of an earlier build send no leaving servers.
+#[rstest]
+#[case::earlier_build(
+    r#"{"news":"changes","version":3,"read":4,"age_ms":5,"changes":[]}"#,
+    &[]
+)]
+#[case::leaving(
+    r#"{"news":"changes","version":3,"read":4,"age_ms":5,"changes":[],"leaving":[{"instance":"i1","born_ms":7}]}"#,
+    &[("i1", 7)]
+)]
+fn leaving_servers_are_handed_on(#[case] text: &str, #[case] expected: &[(&str, u64)]) {
+    let reply: ChangesReply = serde_json::from_str(text).expect("a reply");
+    assert_eq!(serde_json::to_string(&reply).expect("JSON"), text);
+    let ChangesReply::Changes { leaving, .. } = reply else {
+        panic!("another reply");
+    };
+    let found: Vec<LeavingServer> = leaving.into_iter().map(LeavingServer::from).collect();
+    let expected: Vec<LeavingServer> = expected
+        .iter()
+        .map(|(instance, started_ms)| LeavingServer {
+            instance: ServerName::from(*instance),
+            started_ms: *started_ms,
+        })
+        .collect();
+    assert_eq!(found, expected);
+}
+
+/// A reply with a change that cannot be decoded is an error and nothing more.
+#[rstest]
+#[case::port(r#""127.0.0.1:70000""#)]
+#[case::negative_port(r#""127.0.0.1:-1""#)]
+#[case::number("1e999")]
+#[case::null("null")]
+fn odd_address_in_a_reply_is_an_error(#[case] address: &str) {
+    let text = format!(
+        r#"{{"news":"changes","version":3,"read":4,"age_ms":5,"changes":[{{"instance":"i1",
+        "present":{{"service":"s","address":{address},"failure_domain":"a","slots":1,
+        "draining":false,"born_ms":1}}}}]}}"#
+    );
+    assert!(serde_json::from_str::<ChangesReply>(&text).is_err());
+}
+
+/// Depth does not exhaust the stack.
+#[test]
+fn deeply_nested_reply_is_an_error() {
+    let depth = 100_000;
+    let text = format!(
+        r#"{{"news":"changes","version":{}1{}}}"#,
+        "[".repeat(depth),
+        "]".repeat(depth)
+    );
+    assert!(serde_json::from_str::<ChangesReply>(&text).is_err());
+}
