--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -119,6 +119,10 @@
         "kv_tokens": server.kv_tokens(),
         "suspect": server.is_suspect(now),
         "misdirected": server.is_superseded(),
+        "leaving": server.is_leaving(),
+        "pause_ms": server
+            .paused_until(now)
+            .map(|end| saturating_i64(end.duration_since(now).as_millis() as u64)),
     })
 }
 
--- /dev/null
+++ b/crates/front/src/answer_body.rs
@@ -0,0 +1,72 @@
+//! Reading of whole answers of backend servers into memory.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use domain::buffer_budget::{BufferBudget, BufferShare};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+/// Maximum size of an answer, in bytes. Answers of plain services are a few
+/// kilobytes.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// Maximum size of all large answers together, in bytes: a fifth of the memory of
+/// the users' smallest VM.
+pub(crate) const LARGE_ANSWERS_BYTES_MAX: usize = 16 << 20;
+
+/// Why an answer could not be read.
+#[derive(Debug, Display, Error)]
+pub(crate) enum BodyError {
+    /// The answer is larger than any answer may be.
+    #[display("answer exceeds {ANSWER_BYTES_MAX} bytes")]
+    TooLarge,
+    /// Other large answers occupy the memory for them.
+    #[display("large answers exceed {LARGE_ANSWERS_BYTES_MAX} bytes together")]
+    NoMemory,
+    /// The answer ended before its announced end.
+    #[display("{_0}")]
+    Broken(hyper::Error),
+}
+
+/// Reads a whole body. The memory of a large one is charged to `budget` until the
+/// returned bytes are dropped.
+pub(crate) async fn read_body(
+    budget: &Arc<BufferBudget>,
+    mut body: Incoming,
+) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > ANSWER_BYTES_MAX as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let mut buffer = ChargedBuffer {
+        bytes: Vec::new(),
+        share: budget.share(),
+    };
+    while let Some(frame) = body.frame().await {
+        // Trailers are not relayed.
+        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        let size = buffer.bytes.len() + data.len();
+        if size > ANSWER_BYTES_MAX {
+            return Err(BodyError::TooLarge);
+        }
+        if !buffer.share.grow_to(size) {
+            return Err(BodyError::NoMemory);
+        }
+        buffer.bytes.extend_from_slice(&data);
+    }
+    Ok(Bytes::from_owner(buffer))
+}
+
+/// Bytes of an answer, with the share of the budget that they occupy.
+struct ChargedBuffer {
+    bytes: Vec<u8>,
+    share: BufferShare,
+}
+
+impl AsRef<[u8]> for ChargedBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/front/src/backend_connection.rs
+++ b/crates/front/src/backend_connection.rs
@@ -26,6 +26,9 @@
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Time for which sent data may stay unacknowledged.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum size of the read buffer of a connection in bytes, and thereby of the head
+/// of an answer.
+const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Idle timeout of a connection whose peer states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -50,7 +53,9 @@
         if let Err(error) = set_options(&stream) {
             log::debug!(peer:% = address, error:%; "cannot set socket options");
         }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
-    kv_placement::{PlacementQuery, pick_server},
+    kv_placement::{PlacementQuery, ServiceOutlook, pick_server},
+    retry_advice::RefusedRequest,
     run_evidence::{NextStep, SendBudget, SendOutcome, next_step},
     server_registry::{RegisteredServer, WorkSize},
 };
@@ -209,8 +210,15 @@
 ) -> CallerReply {
     record_reply(state, request, reason);
     if reason.is_refusal() {
-        let remaining = request.remaining(Instant::now());
-        refusal_reply(reason, request.route.kind.is_stream(), remaining)
+        let now = Instant::now();
+        let registry = state.registry.load();
+        let servers = registry.ready_servers(&request.service);
+        let refused = RefusedRequest {
+            is_stream: request.route.kind.is_stream(),
+            remaining: request.remaining(now),
+            outlook: ServiceOutlook::new(servers, now),
+        };
+        refusal_reply(reason, refused)
     } else {
         problem_reply(reason)
     }
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    panic::AssertUnwindSafe,
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
@@ -10,7 +11,10 @@
 use domain::{
     desired_state::{CallerLimits, DesiredState, RouteDecision, RouteQuery},
     entry_drain::DrainPhase,
+    kv_placement::ServiceOutlook,
+    retry_advice::RefusedRequest,
 };
+use futures_util::FutureExt;
 use http::{HeaderValue, Request, header, request::Parts, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -21,7 +25,8 @@
 use telemetry::StopSignal;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{Instant, sleep},
+    sync::Notify,
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -42,6 +47,12 @@
 const REMAINING_DEFAULT: Duration = Duration::from_millis(600);
 /// Time between two checks whether all connections are closed.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Time without a new connection after which a drained process exits. Callers that
+/// the load balancer still sends here are answered until then.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+/// Time that a connection without a request has for its first one when the entry
+/// closes connections.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Part of the grace period after which the process exits even if connections are
 /// open, in percent.
 const EXIT_PERCENT: u32 = 95;
@@ -64,56 +75,69 @@
     listener: CallerListener,
     mut stop: StopSignal,
 ) -> miette::Result<()> {
-    tokio::spawn(accept_callers(Arc::clone(&state), listener.0));
+    let accepting = tokio::spawn(accept_callers(Arc::clone(&state), listener.0));
     stop.stopped().await;
     let stopped_at = Instant::now();
     state.drain.start(stopped_at);
     log::info!(connections = state.connections.load(Relaxed); "drain");
     let times = state.drain_times();
     let exit_at = stopped_at + times.grace * EXIT_PERCENT / 100;
-    while Instant::now() < exit_at {
+    let mut accepted = state.accepted.load(Relaxed);
+    let mut quiet_since = stopped_at;
+    loop {
         let now = Instant::now();
+        let accepted_now = state.accepted.load(Relaxed);
+        if accepted_now != accepted {
+            accepted = accepted_now;
+            quiet_since = now;
+        }
         let closing = state.phase(now) >= DrainPhase::Closing;
-        if closing && state.connections.load(Relaxed) == 0 {
+        let quiet = now.duration_since(quiet_since) >= QUIET_TIME;
+        if now >= exit_at || (closing && quiet && state.connections.load(Relaxed) == 0) {
             break;
         }
         sleep(DRAIN_CHECK_PERIOD).await;
     }
+    accepting.abort();
     Ok(())
 }
 
 async fn accept_callers(state: Arc<FrontState>, listener: TcpListener) {
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_connection(Arc::clone(&state), stream));
+        // Counted before the task first runs, so that a drain does not miss it.
+        let guard = ConnectionGuard::new(Arc::clone(&state));
+        tokio::spawn(serve_connection(guard, stream));
     }
 }
 
 /// Guard that counts a connection while it is open.
-struct ConnectionGuard<'a>(&'a FrontState);
+struct ConnectionGuard(Arc<FrontState>);
 
-impl<'a> ConnectionGuard<'a> {
-    fn new(state: &'a FrontState) -> Self {
+impl ConnectionGuard {
+    fn new(state: Arc<FrontState>) -> Self {
+        state.accepted.fetch_add(1, Relaxed);
         state.connections.fetch_add(1, Relaxed);
         state.metrics.open_connections.inc();
         Self(state)
     }
 }
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.connections.fetch_sub(1, Relaxed);
         self.0.metrics.open_connections.dec();
     }
 }
 
-async fn serve_connection(state: Arc<FrontState>, stream: TcpStream) {
-    let _guard = ConnectionGuard::new(&state);
-    let limits = caller_limits(&state);
-    let shared = Arc::clone(&state);
-    let service = service_fn(move |request| {
-        let state = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(serve_request(state, request).await) }
+async fn serve_connection(guard: ConnectionGuard, stream: TcpStream) {
+    let state = &guard.0;
+    let limits = caller_limits(state);
+    let first_request = Notify::new();
+    let service = service_fn(|request| {
+        first_request.notify_one();
+        let state = Arc::clone(state);
+        async move { Ok::<_, Infallible>(serve_or_report(state, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -121,9 +145,13 @@
         .max_buf_size(limits.header_bytes_max.max(HEAD_BUFFER_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let closing = state
-        .drain
-        .wait_elapsed(state.drain_times().closing_after());
+    let closing = async {
+        let closing_after = state.drain_times().closing_after();
+        state.drain.wait_elapsed(closing_after).await;
+        // The first request may be on its way. Hyper would close the connection
+        // without reading it.
+        let _ = timeout(FIRST_REQUEST_TIMEOUT, first_request.notified()).await;
+    };
     let served = tokio::select! {
         served = connection.as_mut() => served,
         () = closing => {
@@ -144,6 +172,16 @@
         .map_or_else(CallerLimits::default, |desired| desired.limits())
 }
 
+/// Serves a request. A panic is reported to its caller and ends neither the
+/// connection nor the process.
+async fn serve_or_report(state: Arc<FrontState>, request: Request<Incoming>) -> CallerReply {
+    let served = AssertUnwindSafe(serve_request(Arc::clone(&state), request)).catch_unwind();
+    match served.await {
+        Ok(reply) => reply,
+        Err(_) => local_reply(&state, ReplyReason::OutcomeUnknown, ""),
+    }
+}
+
 async fn serve_request(state: Arc<FrontState>, request: Request<Incoming>) -> CallerReply {
     let received = Instant::now();
     let phase = state.phase(received);
@@ -270,7 +308,12 @@
     log::info!(request = id, reason = label.as_str(); "answered by the entry");
     match reason {
         ReplyReason::StateUnsure | ReplyReason::Closing | ReplyReason::NoServer => {
-            refusal_reply(reason, false, REMAINING_DEFAULT)
+            let refused = RefusedRequest {
+                is_stream: false,
+                remaining: REMAINING_DEFAULT,
+                outlook: ServiceOutlook::Open,
+            };
+            refusal_reply(reason, refused)
         }
         _ => problem_reply(reason),
     }
--- a/crates/front/src/copy_manager.rs
+++ b/crates/front/src/copy_manager.rs
@@ -10,7 +10,10 @@
 };
 use tokio::{task::JoinHandle, time::Instant};
 
-use crate::server_call::{copy_kv_cache, release_copy};
+use crate::{
+    front_state::FrontState,
+    server_call::{copy_kv_cache, release_copy},
+};
 
 /// Copy of a KV cache from which a stream can be resumed.
 #[derive(Clone, Debug)]
@@ -25,6 +28,7 @@
 
 /// Maintains a copy while the run continues at its server.
 pub(crate) struct CopyManager {
+    front: Arc<FrontState>,
     run: RequestId,
     primary: Arc<RegisteredServer>,
     state: CopyState,
@@ -37,6 +41,7 @@
     /// Creates the manager of a run whose server backs up its KV cache to
     /// `holder`, if there is one.
     pub(crate) fn new(
+        front: &Arc<FrontState>,
         run: &RequestId,
         primary: &Arc<RegisteredServer>,
         holder: Option<(Arc<RegisteredServer>, WorkGuard)>,
@@ -47,6 +52,7 @@
             name: run.to_string(),
         });
         Self {
+            front: Arc::clone(front),
             run: run.clone(),
             primary: Arc::clone(primary),
             state: if copy.is_some() {
@@ -107,8 +113,8 @@
             return;
         };
         if matches!(self.state, CopyState::Copied(_)) {
-            let primary = Arc::clone(&self.primary);
-            tokio::spawn(async move { release_copy(&primary, &copy.name).await });
+            let (front, primary) = (self.front, self.primary);
+            tokio::spawn(async move { release_copy(&front, &primary, &copy.name).await });
         }
     }
 
@@ -118,10 +124,10 @@
             return;
         };
         let target = holder.record().address;
-        let primary = Arc::clone(&self.primary);
+        let (front, primary) = (Arc::clone(&self.front), Arc::clone(&self.primary));
         let run = self.run.clone();
         self.pending_move = Some(tokio::spawn(async move {
-            let name = copy_kv_cache(&primary, &run, target).await?;
+            let name = copy_kv_cache(&front, &primary, &run, target).await?;
             Some(KvCopy {
                 holder: target,
                 named_at: primary.record().address,
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) prompt_searches: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) list_updates: IntCounterVec,
+    pub(crate) odd_rows: IntCounterVec,
     pub(crate) call_seconds: Histogram,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) event_gap_seconds: Histogram,
@@ -74,6 +75,11 @@
                 "News of the list of servers, by where they came from",
                 "source",
             ),
+            odd_rows: set.counters(
+                "bamboocross_front_odd_rows_total",
+                "Rows of the store, or of another entry, that cannot be used, by table",
+                "table",
+            ),
             call_seconds: set.seconds(
                 "bamboocross_front_call_seconds",
                 "Time from a plain request to its answer",
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -11,6 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use domain::{
     ServerName, ServiceName,
+    buffer_budget::BufferBudget,
     desired_state::{DesiredState, StateFreshness},
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
@@ -25,8 +26,8 @@
 };
 
 use crate::{
-    connection_pool::ConnectionPool, drain_clock::DrainClock, front_metrics::FrontMetrics,
-    prompt_finder::PromptFinder,
+    answer_body::LARGE_ANSWERS_BYTES_MAX, connection_pool::ConnectionPool, drain_clock::DrainClock,
+    front_metrics::FrontMetrics, prompt_finder::PromptFinder,
 };
 
 /// Time without a change of its row after which an entry counts as gone: three
@@ -55,10 +56,14 @@
     /// contradicts it.
     pub(crate) list_refresh: Notify,
     pub(crate) connection_pool: ConnectionPool,
+    /// Memory for buffered answers of servers.
+    pub(crate) answer_memory: Arc<BufferBudget>,
     pub(crate) finder: PromptFinder,
     pub(crate) metrics: FrontMetrics,
     pub(crate) drain: DrainClock,
     pub(crate) connections: AtomicUsize,
+    /// Callers' connections since the start.
+    pub(crate) accepted: AtomicU64,
     servers_listed: AtomicBool,
     server_list_stale: AtomicBool,
     start: Instant,
@@ -78,10 +83,12 @@
             list_cursor: watch::Sender::new(None),
             list_refresh: Notify::new(),
             connection_pool: ConnectionPool::default(),
+            answer_memory: Arc::new(BufferBudget::new(LARGE_ANSWERS_BYTES_MAX)),
             finder,
             metrics: FrontMetrics::new(),
             drain: DrainClock::new(),
             connections: AtomicUsize::new(0),
+            accepted: AtomicU64::new(0),
             servers_listed: AtomicBool::new(false),
             server_list_stale: AtomicBool::new(false),
             start: Instant::now(),
@@ -191,6 +198,13 @@
         share.try_spend(entries, now)
     }
 
+    /// Returns whether a service's budget has a retry left.
+    pub(crate) fn has_retry(&self, share: &RetryShare) -> bool {
+        let now = Instant::now();
+        let entries = self.roster.load().count(ENTRY_LIFETIME, now);
+        share.remaining(entries, now) >= 1.0
+    }
+
     /// Returns the remaining retries of the service that has the fewest left; 0 if no
     /// service has had a request yet.
     pub(crate) fn retries_left(&self, now: Instant) -> i64 {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 //! by one task.
 
 mod admin_front;
+mod answer_body;
 mod backend_connection;
 mod call_run;
 mod caller_front;
--- a/crates/front/src/list_follower.rs
+++ b/crates/front/src/list_follower.rs
@@ -4,7 +4,8 @@
 
 use derive_more::Display;
 use domain::{
-    list_relay::{ListCursor, RelayRule},
+    list_relay::{LeavingServer, ListCursor, RelayRule},
+    reachability::is_reachable,
     server_registry::RegistryChange,
 };
 use jsonrpsee::{
@@ -39,8 +40,16 @@
     Call(ClientError),
 }
 
-/// Cursor after an update, with the changes up to it.
-type ListUpdate = (ListCursor, Vec<RegistryChange>);
+/// Update of the server list from another entry.
+#[derive(Debug)]
+pub(crate) struct ListUpdate {
+    /// Position after the update.
+    pub(crate) cursor: ListCursor,
+    /// Changes up to it.
+    pub(crate) changes: Vec<RegistryChange>,
+    /// Servers that announced that they are leaving.
+    pub(crate) leaving: Vec<LeavingServer>,
+}
 
 /// Requests updates from the entry that this one follows.
 #[derive(Debug, Default)]
@@ -86,9 +95,11 @@
         let settings = state.settings.load();
         // An entry that does not serve other entries follows none either.
         settings.peer?;
+        let own = settings.own_addresses();
         let roster = state.roster.load();
         roster
             .leaders(&settings.domain, &settings.name, ENTRY_LIFETIME, now)
+            .filter(|leader| is_reachable(*leader, &own))
             .find(|leader| self.backoffs.get(leader).is_none_or(|until| *until <= now))
     }
 
@@ -109,15 +120,18 @@
 }
 
 fn decode_reply(reply: ChangesReply, rule: RelayRule) -> Result<ListUpdate, FollowError> {
-    let (version, read, age_ms, changes) = match reply {
-        ChangesReply::Changes {
-            version,
-            read,
-            age_ms,
-            changes,
-        } => (version, read, age_ms, changes),
-        ChangesReply::HistoryGone => return Err(FollowError::HistoryGone),
-        ChangesReply::Nothing => return Err(FollowError::NoUpdate),
+    let ChangesReply::Changes {
+        version,
+        read,
+        age_ms,
+        changes,
+        leaving,
+    } = reply
+    else {
+        return Err(match reply {
+            ChangesReply::HistoryGone => FollowError::HistoryGone,
+            _ => FollowError::NoUpdate,
+        });
     };
     let now = Instant::now();
     let age = Duration::from_millis(age_ms);
@@ -131,5 +145,9 @@
     }
     let changes = changes.into_iter().map(RegistryChange::try_from);
     let changes: Result<Vec<_>, _> = changes.collect();
-    Ok((cursor, changes.map_err(FollowError::InvalidChange)?))
+    Ok(ListUpdate {
+        cursor,
+        changes: changes.map_err(FollowError::InvalidChange)?,
+        leaving: leaving.into_iter().map(LeavingServer::from).collect(),
+    })
 }
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -14,7 +14,7 @@
 };
 use miette::{Context, IntoDiagnostic};
 use tokio::time::{Instant, timeout};
-use wire::entry_peer::{ChangeMessage, ChangesReply, EntryPeerServer};
+use wire::entry_peer::{ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage};
 
 use crate::front_state::FrontState;
 
@@ -84,6 +84,13 @@
             read: cursor.read_version,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             changes: changes.into_iter().map(ChangeMessage::from).collect(),
+            leaving: self
+                .state
+                .registry
+                .load()
+                .leaving_servers()
+                .map(|server| LeavingMessage::from(server.record()))
+                .collect(),
         }
     }
 }
--- a/crates/front/src/prompt_finder.rs
+++ b/crates/front/src/prompt_finder.rs
@@ -3,13 +3,13 @@
 //! One task owns the index of the servers' cached prompts and rebuilds it when
 //! it is too old. Streams that resume at the same time share one rebuild.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
 use domain::{
     PromptPart, ServiceName,
     prompt_cache::{CachedPrompt, PromptIndex, servers_to_query},
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout},
@@ -79,7 +79,9 @@
     while let Some(query) = queries.recv().await {
         let index = indexes.entry(query.service.clone()).or_default();
         if !index.is_fresh(Instant::now()) {
-            *index = build_index(state, &query.service).await;
+            // A panic costs this index only; the task goes on with the next query.
+            let built = AssertUnwindSafe(build_index(state, &query.service)).catch_unwind();
+            *index = built.await.unwrap_or_default();
         }
         // Fails if the caller has disconnected in the meantime.
         let _ = query.reply.send(index.find(&query.part));
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -3,28 +3,17 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use domain::retry_advice::RefusedRequest;
 use http::{HeaderValue, Response, StatusCode, header, response::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use platform::server_request::strip_connection_headers;
-use rand::Rng;
 use serde_json::json;
-use tokio::sync::mpsc;
-
-/// Limit of the `Retry-After` time for a plain request: several times its usual
-/// duration.
-const CALL_RETRY_AFTER_MAX: Duration = Duration::from_millis(150);
-/// Limit of the `Retry-After` time for a stream: about the time in which a crashed
-/// server at the users' sites is running again.
-const STREAM_RETRY_AFTER_MAX: Duration = Duration::from_millis(1_500);
-/// Divisor that limits `Retry-After` to a part of the caller's remaining time.
-/// Callers honour no more than a third of that time.
-const RETRY_AFTER_DIVISOR: u32 = 4;
+use tokio::{sync::mpsc, time::Instant};
 
 /// Part of a streamed reply.
 #[derive(Debug)]
@@ -162,22 +151,11 @@
     reply
 }
 
-/// Creates a refusal with a `Retry-After` time, which varies by up to a half so that
-/// callers refused together do not retry together.
-pub(crate) fn refusal_reply(
-    reason: ReplyReason,
-    is_stream: bool,
-    remaining: Duration,
-) -> CallerReply {
+/// Creates a refusal that tells the caller when to send the request again.
+pub(crate) fn refusal_reply(reason: ReplyReason, refused: RefusedRequest) -> CallerReply {
     let mut reply = problem_reply(reason);
-    let wait_max = if is_stream {
-        STREAM_RETRY_AFTER_MAX
-    } else {
-        CALL_RETRY_AFTER_MAX
-    };
-    let wait = wait_max.min(remaining / RETRY_AFTER_DIVISOR).as_secs_f64()
-        * rand::rng().random_range(0.5..1.0);
-    if let Ok(value) = HeaderValue::from_str(&format!("{wait:.3}")) {
+    let wait = refused.retry_after(Instant::now(), &mut rand::rng());
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
         reply.headers_mut().insert(header::RETRY_AFTER, value);
     }
     reply
--- a/crates/front/src/return_watch.rs
+++ b/crates/front/src/return_watch.rs
@@ -12,7 +12,7 @@
     ServerName,
     server_registry::{AdoptionProof, RegisteredServer},
 };
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     front_state::FrontState,
@@ -67,15 +67,22 @@
     };
     let end = Instant::now() + WATCH_TIME;
     while state.is_server_list_stale() && Instant::now() < end {
-        match query_instance(server, &health_path).await {
+        if let Some(pause_end) = server.paused_until(Instant::now()) {
+            sleep_until(pause_end.min(end)).await;
+            continue;
+        }
+        match query_instance(state, server, &health_path).await {
             Some(instance) if instance == server.record().instance => {
                 server.note_activity(Instant::now());
                 return;
             }
             Some(instance) => {
                 server.note_superseded();
-                adopt_instance(state, server, &instance).await;
-                return;
+                if adopt_instance(state, server, &instance).await {
+                    return;
+                }
+                // The models may be unknown because one query was lost.
+                sleep(POLL_INTERVAL).await;
             }
             None => sleep(POLL_INTERVAL).await,
         }
@@ -83,17 +90,33 @@
 }
 
 /// Adopts the instance that now holds a server's address, if it is proven to
-/// belong to the same service.
-async fn adopt_instance(state: &FrontState, server: &RegisteredServer, instance: &ServerName) {
+/// belong to the same service. Returns whether nothing is left to do.
+async fn adopt_instance(
+    state: &FrontState,
+    server: &RegisteredServer,
+    instance: &ServerName,
+) -> bool {
     if state.adopt_recent(server, instance) {
-        return;
+        return true;
+    }
+    let desired = state.desired.load_full();
+    let has_models = desired.as_ref().is_some_and(|desired| {
+        desired
+            .service(&server.record().service)
+            .is_some_and(|service| service.engine.is_some())
+    });
+    if !has_models {
+        return true;
+    }
+    let models = query_models(state, server).await;
+    if models.is_empty() {
+        return false;
     }
-    let models = query_models(server).await;
-    let desired = state.desired.load();
     let is_proven = desired
         .as_ref()
         .is_some_and(|desired| desired.models_identify_service(&server.record().service, &models));
     if is_proven {
         state.adopt(server, instance, AdoptionProof::OnlyModel);
     }
+    true
 }
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use domain::{ModelName, PromptPart, RequestId, ServerName, server_registry::RegisteredServer};
 use http::{Method, Request, header, response::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use miette::IntoDiagnostic;
 use platform::{
     server_call::{
@@ -18,10 +18,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
+    answer_body::read_body,
     backend_connection::BackendConnection,
     connection_pool::ConnectionReuse,
     front_state::FrontState,
-    server_exchange::{MAX_ANSWER_BYTES, recycle_connection},
+    server_exchange::{record_notice, recycle_connection},
 };
 
 /// Time limit for copying a run's KV cache, and for releasing the copy. A copy is
@@ -33,11 +34,12 @@
 /// Copies the KV cache of a run to another server while the run continues.
 /// Returns the handle of the copy.
 pub(crate) async fn copy_kv_cache(
+    state: &FrontState,
     server: &RegisteredServer,
     run: &RequestId,
     target: SocketAddr,
 ) -> Option<String> {
-    let copied = timeout(MOVE_TIMEOUT, request_move(server, run, target)).await;
+    let copied = timeout(MOVE_TIMEOUT, request_move(state, server, run, target)).await;
     let outcome = match &copied {
         Ok(Ok(_)) => "moved",
         Ok(Err(_)) => "refused",
@@ -54,19 +56,20 @@
 }
 
 async fn request_move(
+    state: &FrontState,
     server: &RegisteredServer,
     run: &RequestId,
     target: SocketAddr,
 ) -> miette::Result<String> {
     let body = kv_move_body(run, target);
-    let body = call_server(server, Method::POST, KV_MOVE_PATH, body).await?;
+    let body = call_server(state, server, Method::POST, KV_MOVE_PATH, body).await?;
     decode_kv_handle(&body).into_diagnostic()
 }
 
 /// Releases a copy made by [`copy_kv_cache`] that is no longer needed.
-pub(crate) async fn release_copy(server: &RegisteredServer, handle: &str) {
+pub(crate) async fn release_copy(state: &FrontState, server: &RegisteredServer, handle: &str) {
     let path = kv_handle_path(handle);
-    let released = call_server(server, Method::DELETE, &path, Vec::new());
+    let released = call_server(state, server, Method::DELETE, &path, Vec::new());
     match timeout(MOVE_TIMEOUT, released).await {
         Ok(Ok(_)) => {}
         // The server releases the copy by itself after a few seconds.
@@ -76,10 +79,22 @@
 }
 
 /// Queries which server instance answers health checks at a server's address.
-pub(crate) async fn query_instance(server: &RegisteredServer, path: &str) -> Option<ServerName> {
+pub(crate) async fn query_instance(
+    state: &FrontState,
+    server: &RegisteredServer,
+    path: &str,
+) -> Option<ServerName> {
     let queried = async {
         let mut connection = connect(server).await?;
-        exchange(&mut connection, server, Method::GET, path, Vec::new()).await
+        exchange(
+            state,
+            &mut connection,
+            server,
+            Method::GET,
+            path,
+            Vec::new(),
+        )
+        .await
     };
     let (parts, _) = timeout(QUERY_TIMEOUT, queried).await.ok()?.ok()?;
     decode_instance(&parts.headers)
@@ -87,8 +102,8 @@
 
 /// Queries the models of the server at an address. Returns an empty list if it is
 /// not a model server or does not answer in time.
-pub(crate) async fn query_models(server: &RegisteredServer) -> Vec<ModelName> {
-    let queried = call_server(server, Method::GET, REPORT_PATH, Vec::new());
+pub(crate) async fn query_models(state: &FrontState, server: &RegisteredServer) -> Vec<ModelName> {
+    let queried = call_server(state, server, Method::GET, REPORT_PATH, Vec::new());
     let answered = match timeout(QUERY_TIMEOUT, queried).await {
         Ok(answered) => answered.and_then(|body| decode_models(&body).into_diagnostic()),
         Err(_) => Err(miette::miette!("no answer within the time limit")),
@@ -112,6 +127,7 @@
         None => connect(server).await?,
     };
     let (parts, body) = exchange(
+        state,
         &mut connection,
         server,
         Method::GET,
@@ -133,13 +149,14 @@
 /// Calls a server on a new connection. Any status other than success is an
 /// error.
 async fn call_server(
+    state: &FrontState,
     server: &RegisteredServer,
     method: Method,
     path: &str,
     body: Vec<u8>,
 ) -> miette::Result<Bytes> {
     let mut connection = connect(server).await?;
-    let (parts, body) = exchange(&mut connection, server, method, path, body).await?;
+    let (parts, body) = exchange(state, &mut connection, server, method, path, body).await?;
     if !parts.status.is_success() {
         return Err(miette::miette!(
             "server answered with status {}",
@@ -149,7 +166,11 @@
     Ok(body)
 }
 
+/// Opens a connection, unless the server asked for a pause.
 async fn connect(server: &RegisteredServer) -> miette::Result<BackendConnection> {
+    if server.paused_until(Instant::now()).is_some() {
+        return Err(miette::miette!("server asked for a pause"));
+    }
     BackendConnection::open(server.record().address)
         .await
         .into_diagnostic()
@@ -157,6 +178,7 @@
 
 /// Sends a request on a connection and reads the complete answer.
 async fn exchange(
+    state: &FrontState,
     connection: &mut BackendConnection,
     server: &RegisteredServer,
     method: Method,
@@ -177,7 +199,9 @@
         .await
         .into_diagnostic()?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| miette::miette!("{error}"))?.to_bytes();
+    record_notice(server, &parts);
+    let body = read_body(&state.answer_memory, body)
+        .await
+        .into_diagnostic()?;
     Ok((parts, body))
 }
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -1,30 +1,28 @@
 //! One send of a caller's request to one backend server.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use domain::{
     event_relay::StreamTimeouts, run_evidence::SendOutcome, server_registry::RegisteredServer,
 };
 use http::{Request, Response, Uri, response::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::{
     server_request::ServerHeaders,
     server_response::{
-        closes_connection, decode_head, decode_instance, decode_load, keep_alive_timeout,
+        closes_connection, decode_head, decode_instance, decode_load, decode_notice,
+        keep_alive_timeout,
     },
 };
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    backend_connection::BackendConnection, connection_pool::ConnectionReuse,
-    front_state::FrontState, routed_request::RoutedRequest,
+    answer_body::read_body, backend_connection::BackendConnection,
+    connection_pool::ConnectionReuse, front_state::FrontState, routed_request::RoutedRequest,
 };
 
-/// Maximum size of a buffered answer, in bytes. Answers of plain services are a
-/// few kilobytes.
-pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Wait after which a send that ended at the request's deadline counts as a
 /// failure of the server: several times the duration of a plain request.
 const MIN_WAIT_FOR_FAILURE: Duration = Duration::from_millis(200);
@@ -167,6 +165,9 @@
 ) -> Result<ServerAnswer, SendOutcome> {
     let (parts, body) = response.into_parts();
     let head = decode_head(parts.status, &parts.headers, &request.id);
+    if !head.misdirected {
+        record_notice(server, &parts);
+    }
     if head.is_rejection() {
         if head.misdirected {
             server.note_superseded();
@@ -208,19 +209,18 @@
         server: &RegisteredServer,
         limit: Instant,
     ) -> Result<BufferedAnswer, SendOutcome> {
-        let collected =
-            timeout_at(limit, Limited::new(self.body, MAX_ANSWER_BYTES).collect()).await;
-        let body = match collected {
+        let read = timeout_at(limit, read_body(&state.answer_memory, self.body)).await;
+        let body = match read {
             Err(_) => return Err(SendOutcome::Silent),
             Ok(Err(error)) => {
                 log::info!(
                     server = server.record().instance.as_str(),
                     error:%;
-                    "answer ended prematurely"
+                    "answer cannot be read"
                 );
                 return Err(SendOutcome::Broken);
             }
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
         };
         recycle_connection(state, server, &self.parts, self.connection);
         if !self.server_error {
@@ -239,40 +239,65 @@
     }
 }
 
-/// Waits until a silent server counts as lost: its machine no longer accepts
-/// connections, or the silence reaches the hang timeout. Each probe connection
-/// that was established is kept for a later request.
+/// Records what the answer of a server says about the server itself.
+pub(crate) fn record_notice(server: &RegisteredServer, parts: &Parts) {
+    let notice = decode_notice(parts.status, &parts.headers);
+    if let Some(pause) = notice.pause {
+        log::info!(
+            server = server.record().instance.as_str(),
+            pause_ms = pause.as_millis() as u64;
+            "server asked for a pause"
+        );
+    }
+    if server.note_notice(notice, Instant::now()) {
+        log::info!(server = server.record().instance.as_str(); "server is leaving");
+    }
+}
+
+/// Why a server without new events counts as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServerLoss {
+    /// Its machine no longer accepts connections.
+    Unreachable,
+    /// It is reachable, but the silence reached the hang timeout.
+    Hung,
+}
+
+/// Waits until a server that is silent since `silent_since` counts as lost. Each
+/// probe connection that was established is kept for a later request. A server that
+/// asked for a pause is not probed.
 pub(crate) async fn wait_until_lost(
     state: &FrontState,
     server: &RegisteredServer,
     timeouts: StreamTimeouts,
-) {
-    let started = Instant::now();
+    silent_since: Instant,
+) -> ServerLoss {
     loop {
         sleep(timeouts.probe_interval).await;
-        match BackendConnection::open(server.record().address).await {
-            Ok(connection) => state.connection_pool.put(server, connection),
-            Err(error) => {
-                log::info!(
-                    server = server.record().instance.as_str(),
-                    silent_ms = started.elapsed().as_millis() as u64,
-                    error:%;
-                    "silent server is unreachable"
-                );
-                return;
-            }
-        }
-        if started.elapsed() >= timeouts.hang_timeout {
+        let silence = silent_since.elapsed();
+        if server.paused_until(Instant::now()).is_none()
+            && let Err(error) = probe(state, server).await
+        {
             log::info!(
                 server = server.record().instance.as_str(),
-                silent_ms = started.elapsed().as_millis() as u64;
-                "silence exceeded the hang timeout"
+                silent_ms = silence.as_millis() as u64,
+                error:%;
+                "silent server is unreachable"
             );
-            return;
+            return ServerLoss::Unreachable;
+        }
+        if silence >= timeouts.hang_timeout {
+            return ServerLoss::Hung;
         }
     }
 }
 
+async fn probe(state: &FrontState, server: &RegisteredServer) -> io::Result<()> {
+    let connection = BackendConnection::open(server.record().address).await?;
+    state.connection_pool.put(server, connection);
+    Ok(())
+}
+
 /// Returns a connection to the pool after its answer was read completely, unless
 /// the server closes it.
 pub(crate) fn recycle_connection(
--- a/crates/front/src/store_client.rs
+++ b/crates/front/src/store_client.rs
@@ -46,12 +46,13 @@
     ) -> Result<RowPage, StoreError> {
         let mut listed: Option<RowPage> = None;
         loop {
-            let from = listed
-                .as_ref()
-                .and_then(|page| page.rows.last())
-                .map(|row| row.key.clone());
+            let from = listed.as_ref().and_then(|page| page.last_key.clone());
             let path = rows_path(table, from.as_deref());
             let mut page = self.read(store, &path, RESPONSE_TIMEOUT).await?;
+            if page.has_more && page.last_key <= from {
+                log::warn!(table = table; "store listing does not advance");
+                return Err(StoreError::Unreachable);
+            }
             if let Some(before) = listed {
                 // The feed that follows starts at the version of the first page and
                 // repeats any change made since.
@@ -59,7 +60,7 @@
                 page.unreadable += before.unreadable;
                 page.rows.splice(0..0, before.rows);
             }
-            if !page.has_more || page.rows.is_empty() {
+            if !page.has_more {
                 return Ok(page);
             }
             listed = Some(page);
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -11,8 +11,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::store_call::{RowPage, RowVersion};
+use platform::store_call::{ENTRY_TABLE, RowPage, RowVersion};
 use rand::Rng;
+use telemetry::supervise;
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -32,9 +33,17 @@
 
 /// Starts both watches and the periodic announcement of this entry.
 pub fn watch_store(state: &Arc<FrontState>) {
-    tokio::spawn(watch(Arc::clone(state), StateTable::default()));
-    tokio::spawn(watch(Arc::clone(state), ServerTable::default()));
-    tokio::spawn(announce(Arc::clone(state)));
+    spawn_watch::<StateTable>(state);
+    spawn_watch::<ServerTable>(state);
+    let state = Arc::clone(state);
+    tokio::spawn(async move { supervise(ENTRY_TABLE, || announce(Arc::clone(&state))).await });
+}
+
+fn spawn_watch<T: WatchedTable + Default>(state: &Arc<FrontState>) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        supervise(T::NAME, || watch(Arc::clone(&state), T::default())).await;
+    });
 }
 
 /// Result of one poll of a table.
@@ -128,11 +137,17 @@
     if let Ok(page) = &result
         && page.unreadable > 0
     {
+        count_odd_rows(state, table, page.unreadable);
         log::warn!(table = table, rows = page.unreadable; "rows cannot be decoded");
     }
     result
 }
 
+fn count_odd_rows(state: &FrontState, table: &str, rows: usize) {
+    let counter = state.metrics.odd_rows.with_label_values(&[table]);
+    counter.inc_by(u64::try_from(rows).unwrap_or(u64::MAX));
+}
+
 fn count_store_call(state: &FrontState, result: &Result<RowPage, StoreError>) {
     let outcome = match result {
         Ok(_) => "ok".to_owned(),
--- a/crates/front/src/store_watch/entry_announcer.rs
+++ b/crates/front/src/store_watch/entry_announcer.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 use wire::entry_peer::EntryMessage;
 
-use super::count_store_call;
+use super::{count_odd_rows, count_store_call};
 use crate::{front_state::FrontState, store_client::StoreClient};
 
 /// Longest time between two announcements, which jitter shortens: a third of
@@ -36,8 +36,14 @@
         }
         let period = match listed {
             Ok(page) => {
+                let rows: Vec<EntryRow<'_>> = page.rows.iter().map(entry_row).collect();
+                let odd = rows.iter().filter(|row| row.record.is_none()).count();
+                if odd > 0 {
+                    count_odd_rows(&state, ENTRY_TABLE, odd);
+                    log::warn!(table = ENTRY_TABLE, rows = odd; "rows cannot be decoded");
+                }
                 let mut roster = EntryRoster::clone(&state.roster.load());
-                roster.replace(page.rows.iter().map(entry_row), Instant::now());
+                roster.replace(rows.into_iter(), Instant::now());
                 state.roster.store(Arc::new(roster));
                 ANNOUNCE_PERIOD
             }
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    list_relay::{ChangeLog, LONG_POLL_HOLD, ListCursor},
-    server_registry::{RegistryChange, ServerRecord, ServerRegistry},
+    ServerName,
+    list_relay::{ChangeLog, LONG_POLL_HOLD, LeavingServer, ListCursor},
+    server_registry::{RegistryChange, ServerNotice, ServerRecord, ServerRegistry},
 };
 use platform::{
     server_row::decode_server,
@@ -12,10 +13,10 @@
 };
 use tokio::time::{Instant, sleep_until};
 
-use super::{TableUpdate, WatchedTable, read_store};
+use super::{TableUpdate, WatchedTable, count_odd_rows, read_store};
 use crate::{
     front_state::FrontState,
-    list_follower::ListFollower,
+    list_follower::{ListFollower, ListUpdate},
     store_client::{StoreClient, StoreError},
 };
 
@@ -33,9 +34,16 @@
     is_following: bool,
 }
 
+/// One update of the server list.
+pub(super) struct ListChanges {
+    registry: Vec<RegistryChange>,
+    /// Servers that announced to another entry that they are leaving.
+    leaving: Vec<LeavingServer>,
+}
+
 impl WatchedTable for ServerTable {
     const NAME: &'static str = SERVER_TABLE;
-    type Changes = Vec<RegistryChange>;
+    type Changes = ListChanges;
 
     async fn poll(
         &mut self,
@@ -43,8 +51,9 @@
         since: Option<RowVersion>,
     ) -> Result<TableUpdate<Self::Changes>, StoreError> {
         if let (Some(known), true) = (self.known, since.is_some())
-            && let Some((cursor, changes)) = self.read_leader(state, known).await
+            && let Some(update) = self.read_leader(state, known).await
         {
+            let cursor = update.cursor;
             self.known = Some(cursor);
             self.is_following = true;
             state
@@ -56,7 +65,10 @@
                 version: since
                     .max(Some(RowVersion(cursor.read_version)))
                     .unwrap_or_default(),
-                changes,
+                changes: ListChanges {
+                    registry: usable_changes(state, update.changes.into_iter().map(Ok)),
+                    leaving: update.leaving,
+                },
             });
         }
         self.is_following = false;
@@ -75,7 +87,10 @@
         });
         Ok(TableUpdate {
             version: page.version,
-            changes: page.rows.into_iter().map(decode_change).collect(),
+            changes: ListChanges {
+                registry: usable_changes(state, page.rows.into_iter().map(decode_change)),
+                leaving: Vec::new(),
+            },
         })
     }
 
@@ -84,7 +99,8 @@
             RegistryChange::Present(record) => Some(record.clone()),
             RegistryChange::Absent(_) => None,
         };
-        let records: Vec<ServerRecord> = update.changes.iter().filter_map(present).collect();
+        let changes = &update.changes.registry;
+        let records: Vec<ServerRecord> = changes.iter().filter_map(present).collect();
         let log = ChangeLog::new(update.version.0, self.newest_row(), &records);
         state.change_log.store(Arc::new(log));
         update_registry(state, |registry, now| registry.replace(&records, now));
@@ -94,19 +110,20 @@
 
     fn apply_changes(&self, state: &FrontState, update: TableUpdate<Self::Changes>) {
         let log = state.change_log.load();
-        let changes = log.new_changes(&update.changes);
+        let ListChanges {
+            registry: seen,
+            leaving,
+        } = &update.changes;
+        let changes = log.new_changes(seen);
         if !changes.is_empty() {
             let mut log = ChangeLog::clone(&log);
             log.record(&changes, self.newest_row());
             state.change_log.store(Arc::new(log));
         }
-        if state
-            .registry
-            .load()
-            .is_changed_by(&update.changes, Instant::now())
-        {
-            update_registry(state, |registry, now| registry.apply(&update.changes, now));
+        if state.registry.load().is_changed_by(seen, Instant::now()) {
+            update_registry(state, |registry, now| registry.apply(seen, now));
         }
+        mark_leaving(state, leaving);
         self.publish_cursor(state);
     }
 
@@ -139,11 +156,7 @@
     /// Reads an update from the entry that this one follows. Returns `None` if there
     /// is none, or if a backend server's response contradicts the list; the caller
     /// then reads the store.
-    async fn read_leader(
-        &mut self,
-        state: &FrontState,
-        known: ListCursor,
-    ) -> Option<(ListCursor, Vec<RegistryChange>)> {
+    async fn read_leader(&mut self, state: &FrontState, known: ListCursor) -> Option<ListUpdate> {
         tokio::select! {
             update = self.follower.request_update(state, known) => update,
             () = state.list_refresh.notified() => {
@@ -164,16 +177,81 @@
     }
 }
 
-fn decode_change(row: StoreRow) -> RegistryChange {
+/// A change that cannot be used; the instance counts as absent.
+struct OddChange {
+    instance: ServerName,
+    reason: String,
+}
+
+fn decode_change(row: StoreRow) -> Result<RegistryChange, OddChange> {
     let name = row.key.as_str();
     let Some(value) = row.value else {
-        return RegistryChange::Absent(name.into());
+        return Ok(RegistryChange::Absent(name.into()));
     };
     match decode_server(name, &value) {
-        Ok(record) => RegistryChange::Present(record),
-        Err(error) => {
-            log::warn!(server = name, error:%; "registration cannot be decoded");
-            RegistryChange::Absent(name.into())
+        Ok(record) => Ok(RegistryChange::Present(record)),
+        Err(error) => Err(OddChange {
+            instance: name.into(),
+            reason: error.to_string(),
+        }),
+    }
+}
+
+/// Returns the changes with each unusable registration replaced by its absence. All
+/// of an update are counted, and the first is logged.
+fn usable_changes(
+    state: &FrontState,
+    changes: impl Iterator<Item = Result<RegistryChange, OddChange>>,
+) -> Vec<RegistryChange> {
+    let own = state.settings.load().own_addresses();
+    let mut odd: Vec<OddChange> = Vec::new();
+    let usable = changes
+        .map(|change| {
+            let checked = change.and_then(|change| match &change {
+                RegistryChange::Present(record) => match record.validate(&own) {
+                    Ok(()) => Ok(change),
+                    Err(fault) => Err(OddChange {
+                        instance: record.instance.clone(),
+                        reason: fault.to_string(),
+                    }),
+                },
+                RegistryChange::Absent(_) => Ok(change),
+            });
+            checked.unwrap_or_else(|change| {
+                let absent = RegistryChange::Absent(change.instance.clone());
+                odd.push(change);
+                absent
+            })
+        })
+        .collect();
+    if let Some(first) = odd.first() {
+        count_odd_rows(state, SERVER_TABLE, odd.len());
+        log::warn!(
+            server = first.instance.as_str(),
+            reason = first.reason.as_str(),
+            rows = odd.len();
+            "registrations cannot be used"
+        );
+    }
+    usable
+}
+
+/// Marks servers as leaving that announced it to another entry.
+fn mark_leaving(state: &FrontState, leaving: &[LeavingServer]) {
+    let registry = state.registry.load();
+    let notice = ServerNotice {
+        is_leaving: true,
+        pause: None,
+    };
+    for LeavingServer {
+        instance,
+        started_ms,
+    } in leaving
+    {
+        if let Some(server) = registry.find_instance(instance, *started_ms)
+            && server.note_notice(notice, Instant::now())
+        {
+            log::info!(server = instance.as_str(); "server is leaving, as another entry says");
         }
     }
 }
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -31,7 +31,7 @@
     reply::{CallerReply, ReplyReason, StreamChunk, buffered_reply, stream_reply},
     return_watch::watch_for_return,
     routed_request::RoutedRequest,
-    server_exchange::{ServerAnswer, send, wait_until_lost},
+    server_exchange::{ServerAnswer, ServerLoss, send, wait_until_lost},
 };
 
 /// Capacity of the channel to the caller. A chunk holds the events that arrived
@@ -244,16 +244,43 @@
         let _ = head.send(StreamHead::Buffered(Box::new(reply)));
     }
 
-    /// Waits until a silent server counts as lost. A stream that runs at most
-    /// once is not ended because of silence alone.
-    async fn wait_until_lost(&self, server: &RegisteredServer, timeouts: StreamTimeouts) {
-        if self.request.route.kind.is_idempotent() {
-            wait_until_lost(&self.state, server, timeouts).await;
-        } else {
-            std::future::pending().await
+    /// Waits until a server that is silent since `silent_since` counts as lost. A
+    /// stream that runs at most once is not ended because of silence alone. One that
+    /// no other server may continue stays at a silent server that is reachable.
+    async fn wait_until_lost(
+        &self,
+        server: &RegisteredServer,
+        timeouts: StreamTimeouts,
+        silent_since: Instant,
+    ) {
+        if !self.request.route.kind.is_idempotent() {
+            return std::future::pending().await;
+        }
+        loop {
+            match wait_until_lost(&self.state, server, timeouts, silent_since).await {
+                ServerLoss::Unreachable => return,
+                ServerLoss::Hung if self.may_move() => {
+                    log::info!(
+                        request = self.request.id.as_str(),
+                        server = server.record().instance.as_str(),
+                        silent_ms = silent_since.elapsed().as_millis() as u64;
+                        "silence exceeded the hang timeout"
+                    );
+                    return;
+                }
+                ServerLoss::Hung => {}
+            }
         }
     }
 
+    /// Whether another server may continue the stream if this one is given up.
+    fn may_move(&self) -> bool {
+        let mut budget = self.budget;
+        budget.record(SendOutcome::Silent);
+        next_step(self.request.route.kind, SendOutcome::Silent, &budget) == NextStep::Retry
+            && self.state.has_retry(&self.share)
+    }
+
     fn tokens(&self) -> TokenCounts {
         self.request.tokens.unwrap_or(DEFAULT_TOKENS)
     }
@@ -307,7 +334,7 @@
         let timeouts = StreamTimeouts::before_first_event(request.route.latency_target);
         let sent = tokio::select! {
             sent = send(&self.state, server, &request, &order, request.deadline) => sent,
-            () = self.wait_until_lost(server, timeouts) => {
+            () = self.wait_until_lost(server, timeouts, now) => {
                 server.note_failure(Instant::now(), SUSPECT_BASE);
                 Err(SendOutcome::Silent)
             }
@@ -315,7 +342,7 @@
         match sent {
             Err(outcome) => AttemptEnd::Ended(outcome),
             Ok(answer) if answer.success => {
-                let copies = CopyManager::new(&request.id, server, holder);
+                let copies = CopyManager::new(&self.state, &request.id, server, holder);
                 self.relay(server, answer, &mut work, copies).await
             }
             Ok(answer) => self.handle_error_answer(server, answer).await,
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -20,6 +20,13 @@
     server_exchange::{ServerAnswer, recycle_connection},
 };
 
+/// Events that the caller has not received yet.
+struct FilteredEvents {
+    bytes: Bytes,
+    /// Whether one of them is more than a comment.
+    has_progress: bool,
+}
+
 impl StreamRun {
     pub(super) async fn relay(
         &mut self,
@@ -37,8 +44,11 @@
         }
         let mut cutter = EventSplitter::default();
         let mut has_started = false;
+        let mut progress_at = Instant::now();
         loop {
-            let bytes = match self.read_bytes(server, &mut body, has_started).await {
+            let timeouts = self.timeouts(has_started);
+            let read = self.read_bytes(server, &mut body, timeouts, progress_at);
+            let bytes = match read.await {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(outcome) => {
@@ -47,13 +57,23 @@
                 }
             };
             server.note_response(Instant::now());
-            let Some(events) = self.filter_events(&mut cutter, &bytes) else {
+            let Some(FilteredEvents {
+                bytes: events,
+                has_progress,
+            }) = self.filter_events(&mut cutter, &bytes)
+            else {
                 return AttemptEnd::Ended(SendOutcome::Broken);
             };
+            if has_progress {
+                progress_at = Instant::now();
+            } else if self.is_stalled(timeouts, progress_at) {
+                server.note_failure(Instant::now(), SUSPECT_BASE);
+                return AttemptEnd::Ended(SendOutcome::Silent);
+            }
             if events.is_empty() {
                 continue;
             }
-            if !has_started {
+            if has_progress && !has_started {
                 has_started = true;
                 work.finish_prefill();
             }
@@ -76,23 +96,36 @@
         AttemptEnd::Complete
     }
 
+    fn timeouts(&self, has_started: bool) -> StreamTimeouts {
+        let route = &self.request.route;
+        if has_started {
+            StreamTimeouts::between_events(route.gap_target)
+        } else {
+            StreamTimeouts::before_first_event(route.latency_target)
+        }
+    }
+
+    /// Returns whether the server sends bytes but has completed no new event for so
+    /// long that another server is to continue.
+    fn is_stalled(&self, timeouts: StreamTimeouts, progress_at: Instant) -> bool {
+        progress_at.elapsed() >= timeouts.hang_timeout
+            && self.request.route.kind.is_idempotent()
+            && self.may_move()
+    }
+
     /// Reads the next bytes of a server's answer; `None` at its end.
     async fn read_bytes(
         &self,
         server: &RegisteredServer,
         body: &mut Incoming,
-        has_started: bool,
+        timeouts: StreamTimeouts,
+        progress_at: Instant,
     ) -> Result<Option<Bytes>, SendOutcome> {
-        let route = &self.request.route;
-        let timeouts = if has_started {
-            StreamTimeouts::between_events(route.gap_target)
-        } else {
-            StreamTimeouts::before_first_event(route.latency_target)
-        };
         loop {
+            let lost = self.wait_until_lost(server, timeouts, progress_at);
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = self.wait_until_lost(server, timeouts) => return Err(SendOutcome::Silent),
+                () = lost => return Err(SendOutcome::Silent),
             };
             return match frame {
                 None => Ok(None),
@@ -110,26 +143,39 @@
     }
 
     /// Returns the events in these bytes that the caller has not received, or
-    /// `None` if an event is missing.
-    fn filter_events(&mut self, cutter: &mut EventSplitter, bytes: &[u8]) -> Option<Bytes> {
+    /// `None` if an event is missing or the bytes are no events.
+    fn filter_events(
+        &mut self,
+        cutter: &mut EventSplitter,
+        bytes: &[u8],
+    ) -> Option<FilteredEvents> {
         let mut accepted = BytesMut::with_capacity(bytes.len());
         let mut has_gap = false;
+        let mut has_progress = false;
         let cursor = &mut self.cursor;
         let events = &self.state.metrics.events;
-        cutter.push(bytes, |event| {
+        let split = cutter.push(bytes, |event| {
             if has_gap {
                 return;
             }
             match cursor.accept(event.position) {
                 EventVerdict::Deliver => {
                     events.inc();
+                    has_progress |= !event.is_comment;
                     accepted.extend_from_slice(event.bytes);
                 }
                 EventVerdict::Duplicate => {}
                 EventVerdict::Gap => has_gap = true,
             }
         });
-        (!has_gap).then(|| accepted.freeze())
+        if let Err(error) = split {
+            log::warn!(request = self.request.id.as_str(), error:%; "stream is not readable");
+            return None;
+        }
+        (!has_gap).then(|| FilteredEvents {
+            bytes: accepted.freeze(),
+            has_progress,
+        })
     }
 
     fn record_chunk(&mut self) {
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -6,7 +6,7 @@
 use domain::{
     FailureDomain,
     desired_state::{EngineSpec, RouteKind},
-    kv_placement::{PlacementQuery, pick_backup, pick_server},
+    kv_placement::{PlacementQuery, ServiceOutlook, pick_backup, pick_server},
     server_registry::{RegisteredServer, WorkGuard, WorkSize},
 };
 use tokio::time::{Instant, sleep};
@@ -35,13 +35,23 @@
                 return Some(server);
             }
             self.tried.clear();
-            if now >= limit {
+            if now >= limit || !self.is_worth_waiting(now, limit) {
                 return None;
             }
             sleep(SEARCH_PAUSE).await;
         }
     }
 
+    /// Whether a server may become available before `limit`.
+    fn is_worth_waiting(&self, now: Instant, limit: Instant) -> bool {
+        let registry = self.state.registry.load();
+        match ServiceOutlook::new(registry.ready_servers(&self.request.service), now) {
+            ServiceOutlook::Open => true,
+            ServiceOutlook::Paused(end) => end < limit,
+            ServiceOutlook::Leaving => false,
+        }
+    }
+
     /// Searches for a server that has the prompt in its KV cache.
     pub(super) async fn search_prompt(&mut self) {
         let Some(part) = &self.request.prompt else {
@@ -67,7 +77,11 @@
             let holder = servers
                 .iter()
                 .flat_map(|domain| &domain.servers)
-                .find(|server| server.record().address == copy.holder && !server.is_suspect(now));
+                .find(|server| {
+                    server.record().address == copy.holder
+                        && server.is_available(now)
+                        && !server.is_suspect(now)
+                });
             if let Some(holder) = holder {
                 return Some(Arc::clone(holder));
             }
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -1,8 +1,12 @@
 //! Tests of the entry process with a failing store and failing backend servers.
 
 mod calls;
+mod endless;
 mod entry_process;
+mod leaving;
+mod odd_rows;
 mod peers;
+mod reported;
 mod store_faults;
 mod streams;
 mod support;
--- a/crates/front/tests/site/store_faults.rs
+++ b/crates/front/tests/site/store_faults.rs
@@ -157,24 +157,31 @@
     for worker in [&first, &second] {
         worker.script([Reset, Events(9, StreamEnd::Complete)]);
     }
-    let target = |worker: &ScriptedWorker| {
-        let last = worker.requests().pop();
-        let name = last.and_then(|last| {
-            last.header("x-bamboocross-target-instance")
-                .map(str::to_owned)
-        });
-        name.unwrap_or_default()
-    };
-    let mut is_adopted = false;
-    for number in 0..6 {
-        site.call("/report/1", &format!("r{number}")).await;
-        is_adopted = target(&first) == "i1" && target(&second) == "i2";
-        if is_adopted {
-            break;
+    let names = ["\"instance\":\"i1\"", "\"instance\":\"i2\""];
+    if !expected {
+        for number in 0..6 {
+            site.call("/report/1", &format!("r{number}")).await;
+            sleep(Duration::from_millis(20)).await;
         }
-        sleep(Duration::from_millis(20)).await;
+        site.wait_state(|text| names.iter().all(|name| !text.contains(name)))
+            .await;
+        return;
     }
-    assert_eq!(is_adopted, expected);
+    site.call("/report/1", "r0").await;
+    site.wait_state(|text| names.iter().all(|name| text.contains(name)))
+        .await;
+    // Both get requests under their new names. Each request goes to either of them
+    // at random, so their number is not fixed.
+    let target = |worker: &ScriptedWorker| {
+        let last = worker.requests().pop()?;
+        let name = last.header("x-bamboocross-target-instance")?;
+        Some(name.to_owned())
+    };
+    wait_for("requests to both instances", async || {
+        site.call("/report/1", "r1").await;
+        target(&first).as_deref() == Some("i1") && target(&second).as_deref() == Some("i2")
+    })
+    .await;
 }
 
 #[tokio::test]
--- a/crates/front/tests/site/support.rs
+++ b/crates/front/tests/site/support.rs
@@ -258,6 +258,30 @@
     sender.send_request(request).await.expect("a response")
 }
 
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// The entry accepts no connection.
+    NotConnected,
+    /// The connection ended before an answer began.
+    NoAnswer,
+}
+
+/// Sends a request on a new connection and reads the response.
+pub async fn try_send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<TestResponse, SendError> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.map_err(|_| SendError::NotConnected)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| SendError::NoAnswer)?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await;
+    Ok(read_response(response.map_err(|_| SendError::NoAnswer)?).await)
+}
+
 pub async fn read_response(response: Response<Incoming>) -> TestResponse {
     let (parts, mut body) = response.into_parts();
     let mut text = String::new();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 //! (tokens produced, calls run) is the witness of the measurements, which never
 //! trust the counters of the product.
 
+mod endless_bytes;
 mod engine_server;
 mod fault_proxy;
 mod front;
@@ -16,6 +17,7 @@
 mod token_stamps;
 mod token_text;
 
+pub use endless_bytes::{EndlessPace, EndlessPart};
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
 pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyLink, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
--- a/crates/stand-ins/src/row_store.rs
+++ b/crates/stand-ins/src/row_store.rs
@@ -21,6 +21,11 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::watch, time::timeout};
 
+/// Largest number of rows of one page.
+const PAGE_ROWS: usize = 500;
+/// Size of the values after which a page ends.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreMode {
@@ -154,7 +159,7 @@
                 .to_owned()
         };
         match (&parts.method, parts.uri.path()) {
-            (&Method::GET, "/v1/rows-get") => self.listing(&field("table")),
+            (&Method::GET, "/v1/rows-get") => self.listing(&field("table"), &field("from")),
             (&Method::GET, "/v1/rows-feed") => {
                 if mode == StoreMode::HistoryGone {
                     self.state().mode = StoreMode::Serving;
@@ -172,14 +177,25 @@
         }
     }
 
-    fn listing(&self, table: &str) -> Response<Full<Bytes>> {
+    /// Rows from a key on, up to a page's size.
+    fn listing(&self, table: &str, from: &str) -> Response<Full<Bytes>> {
+        let from = percent_decode(from);
         let state = self.state();
         let rows = state.tables.get(table).into_iter().flatten();
-        let rows: Vec<Value> = rows
-            .filter(|(_, row)| row.value.is_some())
-            .map(|(key, row)| encode(table, key, row))
-            .collect();
-        page(rows, state.version)
+        let mut present = rows
+            .filter(|(key, row)| row.value.is_some() && key.as_bytes() >= from.as_slice())
+            .peekable();
+        let mut rows = Vec::new();
+        let mut bytes = 0;
+        while let Some((key, row)) = present.next_if(|_| rows.len() < PAGE_ROWS) {
+            bytes += row.value.as_ref().map_or(0, Vec::len);
+            rows.push(encode(table, key, row));
+            if bytes > PAGE_BYTES {
+                break;
+            }
+        }
+        let has_more = present.peek().is_some();
+        page(rows, state.version, has_more)
     }
 
     async fn feed(&self, table: &str, since: u64, wait: Duration) -> Response<Full<Bytes>> {
@@ -194,7 +210,7 @@
         // Without a change the answer is an empty page.
         let _ = timeout(wait, newer).await;
         let (rows, version) = self.rows_after(table, since);
-        page(rows, version)
+        page(rows, version, false)
     }
 
     fn rows_after(&self, table: &str, since: u64) -> (Vec<Value>, u64) {
@@ -239,8 +255,24 @@
     }
 }
 
-fn page(rows: Vec<Value>, version: u64) -> Response<Full<Bytes>> {
-    json_answer(&json!({"rows": rows, "has-more": false, "ver": version, "now-ms": 0}))
+fn page(rows: Vec<Value>, version: u64, has_more: bool) -> Response<Full<Bytes>> {
+    json_answer(&json!({"rows": rows, "has-more": has_more, "ver": version, "now-ms": 0}))
+}
+
+fn percent_decode(text: &str) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte != b'%' {
+            decoded.push(byte);
+            continue;
+        }
+        let mut digit = || char::from(bytes.next()?).to_digit(16);
+        if let (Some(high), Some(low)) = (digit(), digit()) {
+            decoded.push(u8::try_from(high * 16 + low).unwrap_or(b'?'));
+        }
+    }
+    decoded
 }
 
 fn json_answer(value: &Value) -> Response<Full<Bytes>> {
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -19,6 +19,8 @@
     time::sleep,
 };
 
+use crate::endless_bytes::{EndlessPace, EndlessPart, send_endless};
+
 /// What the worker does with one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerAct {
@@ -44,6 +46,14 @@
     Junk,
     /// Events after the position asked for, up to this one, then this end.
     Events(u64, StreamEnd),
+    /// The worker's word that it did not run, with this `Retry-After`.
+    Pause(&'static str),
+    /// A whole answer with this header line.
+    AnswerWith(&'static str),
+    /// A whole answer, and its second copy when the next request has arrived.
+    LateCopy,
+    /// An answer that never ends.
+    Endless(EndlessPart, EndlessPace),
 }
 
 /// How a stream ends.
@@ -57,6 +67,8 @@
     Torn,
     /// Silent for good.
     Hang,
+    /// This text again and again, without end.
+    Dribble(&'static str),
 }
 
 /// One request as the worker got it.
@@ -114,6 +126,13 @@
     held: Vec<(String, u64)>,
     listings: usize,
     mute: bool,
+    mute_reports: usize,
+    is_leaving: bool,
+    own_questions: usize,
+    late: String,
+    endless_listings: Option<EndlessPart>,
+    event_pause: Option<Duration>,
+    endless_bytes: u64,
     closed: usize,
 }
 
@@ -128,6 +147,8 @@
 
 /// Events of a whole stream of a worker without a script.
 pub const STREAM_EVENTS: u64 = 30;
+/// Pause between two pieces of a stream that makes no progress.
+const DRIBBLE_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two events: long enough that they come as pieces.
 const EVENT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -167,6 +188,36 @@
         self.state().mute = true;
     }
 
+    /// Answer the question what the worker holds without end.
+    pub fn answer_listings_endlessly(&self, part: EndlessPart) {
+        self.state().endless_listings = Some(part);
+    }
+
+    /// Pause between two events of a stream.
+    pub fn set_event_pause(&self, pause: Duration) {
+        self.state().event_pause = Some(pause);
+    }
+
+    /// Leave the next questions for the report without an answer.
+    pub fn mute_reports(&self, count: usize) {
+        self.state().mute_reports = count;
+    }
+
+    /// Say in every answer that the worker leaves.
+    pub fn leave(&self) {
+        self.state().is_leaving = true;
+    }
+
+    /// How often the system asked something on its own account.
+    pub fn own_questions(&self) -> usize {
+        self.state().own_questions
+    }
+
+    /// Bytes that were taken of answers that never end.
+    pub fn endless_bytes(&self) -> u64 {
+        self.state().endless_bytes
+    }
+
     /// How often the worker was asked what it holds.
     pub fn listings(&self) -> usize {
         self.state().listings
@@ -202,9 +253,16 @@
     /// Answer a question that is no request of a caller; none if it stays open.
     fn answer_question(&self, question: OwnQuestion) -> Option<String> {
         let mut state = self.state();
+        state.own_questions += 1;
         let body = match question {
             OwnQuestion::Health => String::new(),
-            OwnQuestion::Report => r#"{"models":[{"name":"m","version":1}]}"#.to_owned(),
+            OwnQuestion::Report => {
+                if state.mute_reports > 0 {
+                    state.mute_reports -= 1;
+                    return None;
+                }
+                r#"{"models":[{"name":"m","version":1}]}"#.to_owned()
+            }
             OwnQuestion::Held => {
                 state.listings += 1;
                 if state.mute {
@@ -214,7 +272,8 @@
             }
         };
         Some(format!(
-            "HTTP/1.1 200 OK\r\nx-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\n{}x-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            state.leaving_line(),
             self.instance,
             body.len()
         ))
@@ -224,6 +283,13 @@
         let mut held = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut held).await? {
             if let Some(question) = OwnQuestion::of(&request) {
+                let endless = self.state().endless_listings;
+                if let (OwnQuestion::Held, Some(part)) = (question, endless) {
+                    self.state().listings += 1;
+                    let sent = send_endless(&mut stream, "", part, EndlessPace::Fast).await?;
+                    self.state().endless_bytes += sent;
+                    return Ok(());
+                }
                 let Some(answer) = self.answer_question(question) else {
                     self.wait_for_close(&mut stream).await?;
                     return Ok(());
@@ -235,7 +301,7 @@
                 let mut state = self.state();
                 state.requests.push(request.clone());
                 let act = state.next_act(&request);
-                if !matches!(act, WorkerAct::Rejected | WorkerAct::Misdirected(_)) {
+                if !act.is_rejection() {
                     let id = request.header("x-bamboocross-request-id").unwrap_or("");
                     state.ran.push(id.to_owned());
                 }
@@ -256,10 +322,15 @@
         act: WorkerAct,
     ) -> io::Result<bool> {
         let id = request.header("x-bamboocross-request-id").unwrap_or("");
+        let (leaving, late) = {
+            let mut state = self.state();
+            (state.leaving_line(), std::mem::take(&mut state.late))
+        };
+        stream.write_all(late.as_bytes()).await?;
         let whole = |id: &str, status: u16, body: &str| {
             let length = body.len();
             format!(
-                "HTTP/1.1 {status} X\r\nx-bamboocross-request-id: {id}\r\n\
+                "HTTP/1.1 {status} X\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
                  x-bamboocross-server-seal: seal-{id}\r\n\
                  x-bamboocross-instance: {}\r\ncontent-length: {length}\r\n\r\n{body}",
                 self.instance
@@ -268,9 +339,26 @@
         let text = match act {
             WorkerAct::Answer(status, body) => whole(id, status, body),
             WorkerAct::Rejected => format!(
-                "HTTP/1.1 503 X\r\nx-bamboocross-request-id: {id}\r\n\
+                "HTTP/1.1 503 X\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
                  x-bamboocross-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             ),
+            WorkerAct::Pause(text) => format!(
+                "HTTP/1.1 503 X\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
+                 x-bamboocross-not-run: 1\r\nretry-after: {text}\r\ncontent-length: 0\r\n\r\n"
+            ),
+            WorkerAct::AnswerWith(line) => {
+                whole(id, 200, "ok").replacen("\r\n", &format!("\r\n{line}\r\n"), 1)
+            }
+            WorkerAct::LateCopy => {
+                let text = whole(id, 200, "ok");
+                self.state().late = text.clone();
+                text
+            }
+            WorkerAct::Endless(part, pace) => {
+                let sent = send_endless(stream, id, part, pace).await?;
+                self.state().endless_bytes += sent;
+                return Ok(false);
+            }
             WorkerAct::Misdirected(other) => format!(
                 "HTTP/1.1 421 X\r\nx-bamboocross-request-id: {id}\r\n\
                  x-bamboocross-instance: {other}\r\ncontent-length: 0\r\n\r\n"
@@ -303,17 +391,20 @@
     ) -> io::Result<bool> {
         let id = request.header("x-bamboocross-request-id").unwrap_or("");
         let after = request.header("last-event-id");
-        let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+        let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let first = first.saturating_add(1);
+        let leaving = self.state().leaving_line();
         let head = format!(
-            "HTTP/1.1 200 OK\r\nx-bamboocross-request-id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
              x-bamboocross-server-seal: {}\r\ncontent-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n",
             self.instance
         );
         stream.write_all(head.as_bytes()).await?;
+        let pause = self.state().event_pause.unwrap_or(EVENT_PAUSE);
         for position in first..=last {
             write_chunk(stream, &format!("id: {position}\ndata: e{position}\n\n")).await?;
-            sleep(EVENT_PAUSE).await;
+            sleep(pause).await;
         }
         match end {
             StreamEnd::Complete => {
@@ -327,6 +418,13 @@
                 reset(stream)
             }
             StreamEnd::Hang => self.wait_for_close(stream).await,
+            StreamEnd::Dribble(text) => {
+                while write_chunk(stream, text).await.is_ok() {
+                    sleep(DRIBBLE_PAUSE).await;
+                }
+                self.state().closed += 1;
+                Ok(false)
+            }
         }
     }
 
@@ -338,7 +436,21 @@
     }
 }
 
+impl WorkerAct {
+    fn is_rejection(&self) -> bool {
+        matches!(self, Self::Rejected | Self::Pause(_) | Self::Misdirected(_))
+    }
+}
+
 impl WorkerState {
+    fn leaving_line(&self) -> &'static str {
+        if self.is_leaving {
+            "server-leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     fn list_held(&mut self) -> String {
         let held: Vec<String> = self
             .held
