Place streams by the present load of four candidates

Cause: with 103 entries before 320 servers an entry sends each server a stream every seven minutes, so neither its own counts nor reports of 400 ms tell it where prompts wait: streams waited behind others' prefill while most servers were idle. Running requests whose tokens a prefill delays count. Prefill rate and prompt size are estimated online (EngineEstimate) in place of constants. A load answer clears no suspicion. Stand-in workers answer health checks under their registered name until a test restarts them.

--- a/crates/domain/benches/server_pick.rs
+++ b/crates/domain/benches/server_pick.rs
@@ -7,7 +7,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use domain::{
     FailureDomain, ServerName, ServiceName,
-    kv_placement::{PlacementQuery, TokenCounts, pick_server},
+    kv_placement::{EngineRates, PlacementQuery, TokenCounts, pick_candidates, pick_server},
     server_registry::{ServerRecord, ServerRegistry, ServerState},
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -48,6 +48,7 @@
                     output: 900,
                 }),
                 kv_capacity: 88_000,
+                rates: EngineRates::default(),
                 cached: None,
                 own_domain: &own_domain,
                 tried: &[],
--- a/crates/domain/src/kv_placement.rs
+++ b/crates/domain/src/kv_placement.rs
@@ -6,18 +6,25 @@
 //! placed where the fewest prompt tokens are waiting for prefill and enough KV
 //! cache is free. In addition to the load reports, a process counts its own
 //! requests in flight, because all processes see the same reports and would
-//! otherwise pick the same server. Traffic between failure domains has a price, so the process's own
+//! otherwise pick the same server. In a large deployment a process sends each server
+//! so few requests that it knows neither its load nor its life. A stream is therefore
+//! placed in two steps: a few candidates are drawn, and the one whose present load
+//! is the least gets the request. Traffic between failure domains has a price, so the process's own
 //! domain is preferred by a margin. Servers that failed recently, and failure
 //! domains with several such servers, come last. Servers that are leaving or asked
 //! for a pause get nothing, and [`ServiceOutlook`] tells when that holds for all. A prompt in a server's KV cache
 //! needs no prefill there.
 
 mod copy_state;
+mod engine_estimate;
 mod server_pick;
 mod service_outlook;
 
 pub use copy_state::{CopyState, CopyStep};
-pub use server_pick::{PlacementQuery, pick_backup, pick_server};
+pub use engine_estimate::{EngineEstimate, EngineRates};
+pub use server_pick::{
+    CANDIDATE_COUNT, PlacementQuery, pick_backup, pick_candidates, pick_reported, pick_server,
+};
 pub use service_outlook::ServiceOutlook;
 
 /// Largest token count that is used; the counts of all requests of a process are
--- /dev/null
+++ b/crates/domain/src/kv_placement/engine_estimate.rs
@@ -0,0 +1,109 @@
+//! How fast the model servers of a service prefill, as seen by this process.
+//!
+//! A first event arrives after the prefill of its own prompt and of those ahead of
+//! it. A low quantile of the times per token is therefore the time of a prefill on
+//! a server that has nothing else to do.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering::Relaxed},
+    time::Duration,
+};
+
+/// Start value of the time per prompt token: that of the users' sites.
+const PREFILL_NS_START: u64 = 125_000;
+/// Bounds of the time per prompt token.
+const PREFILL_NS_RANGE: std::ops::RangeInclusive<u64> = 2_000..=5_000_000;
+/// The quantile that is tracked, in percent.
+const PREFILL_QUANTILE_PERCENT: u64 = 20;
+/// Largest change of the time per token by one first event, in percent.
+const PREFILL_STEP_PERCENT: u64 = 5;
+/// Prompts below this size say little: other delays dominate their time.
+const SIGNIFICANT_TOKENS: u64 = 1_000;
+/// Start value of the mean size of a prompt.
+const MEAN_TOKENS_START: u64 = 4_000;
+/// Weight of the mean against one more prompt.
+const MEAN_WEIGHT: u64 = 31;
+
+/// Estimate that requests update and read without locks. Each value stands for
+/// itself, so relaxed ordering suffices.
+#[derive(Debug)]
+pub struct EngineEstimate {
+    prefill_ns_per_token: AtomicU64,
+    mean_prompt_tokens: AtomicU64,
+}
+
+/// Values of an estimate at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineRates {
+    /// Time to prefill one prompt token, in nanoseconds.
+    pub prefill_ns_per_token: u64,
+    /// Mean size of the prompts, in tokens.
+    pub mean_prompt_tokens: u64,
+}
+
+impl Default for EngineRates {
+    fn default() -> Self {
+        Self {
+            prefill_ns_per_token: PREFILL_NS_START,
+            mean_prompt_tokens: MEAN_TOKENS_START,
+        }
+    }
+}
+
+impl Default for EngineEstimate {
+    fn default() -> Self {
+        let rates = EngineRates::default();
+        Self {
+            prefill_ns_per_token: AtomicU64::new(rates.prefill_ns_per_token),
+            mean_prompt_tokens: AtomicU64::new(rates.mean_prompt_tokens),
+        }
+    }
+}
+
+impl EngineEstimate {
+    /// The present values.
+    pub fn rates(&self) -> EngineRates {
+        EngineRates {
+            prefill_ns_per_token: self.prefill_ns_per_token.load(Relaxed),
+            mean_prompt_tokens: self.mean_prompt_tokens.load(Relaxed),
+        }
+    }
+
+    /// Records the prompt of a request that is sent.
+    pub fn record_prompt(&self, tokens: u64) {
+        update(&self.mean_prompt_tokens, |mean| {
+            (mean * MEAN_WEIGHT + tokens) / (MEAN_WEIGHT + 1)
+        });
+    }
+
+    /// Records that the first event arrived `elapsed` after a request whose server
+    /// had to prefill `tokens`.
+    pub fn record_prefill(&self, tokens: u64, elapsed: Duration) {
+        if tokens < SIGNIFICANT_TOKENS {
+            return;
+        }
+        let nanos = u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX) / tokens;
+        update(&self.prefill_ns_per_token, |known| {
+            // The steps up and down are in balance at the quantile.
+            let step = known * PREFILL_STEP_PERCENT / 100;
+            let moved = if nanos < known {
+                known - step * (100 - PREFILL_QUANTILE_PERCENT) / 100
+            } else {
+                known + step * PREFILL_QUANTILE_PERCENT / 100
+            };
+            moved.clamp(*PREFILL_NS_RANGE.start(), *PREFILL_NS_RANGE.end())
+        });
+    }
+}
+
+fn update(value: &AtomicU64, change: impl Fn(u64) -> u64) {
+    // The closure always returns a value, so the update cannot fail.
+    let _ = value.fetch_update(Relaxed, Relaxed, |known| Some(change(known)));
+}
+
+impl EngineRates {
+    /// Time to prefill a number of tokens, in milliseconds.
+    pub fn prefill_ms(&self, tokens: u64) -> u64 {
+        tokens.saturating_mul(self.prefill_ns_per_token) / 1_000_000
+    }
+}
--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -5,19 +5,23 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::TokenCounts;
+use super::{EngineRates, TokenCounts};
 use crate::{
     FailureDomain,
     prompt_cache::CachedPrompt,
     server_registry::{DomainServers, RegisteredServer},
 };
 
-/// Prefill rate of model servers in prompt tokens per millisecond. All deployments
-/// specify the same rate.
-const PREFILL_TOKENS_PER_MS: u64 = 8;
+/// Number of candidates whose present load is queried before a stream is sent. A
+/// random choice among the best of a few comes close to the best of all.
+pub const CANDIDATE_COUNT: usize = 4;
 /// Delay that a running request causes to each other one. It adds about 0.02 ms
 /// to every decoding step, which is 16 ms over a generation of 800 tokens.
 const RUNNING_REQUEST_COST_MS: u64 = 16;
+/// Part of a prefill that counts for each request whose tokens it delays, in
+/// percent. The delay of others weighs less than that of the request itself, whose
+/// caller has seen nothing yet.
+const INTERFERENCE_PERCENT: u64 = 15;
 /// Delay of a call to a plain service per call ahead of it: a third of the 15 ms
 /// service time rather than all of it, because a server runs six calls
 /// concurrently.
@@ -66,6 +70,8 @@
     pub tokens: Option<TokenCounts>,
     /// KV cache capacity of a model server, in tokens.
     pub kv_capacity: u64,
+    /// Speed of the model servers.
+    pub rates: EngineRates,
     /// Server that has the prompt in its KV cache, if known.
     pub cached: Option<CachedPrompt>,
     /// Failure domain of this process.
@@ -92,18 +98,67 @@
     query: &PlacementQuery<'_>,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<RegisteredServer>> {
-    let domain_cost = |domain: &FailureDomain| {
-        if domain == query.own_domain {
-            0
-        } else {
-            cross_domain_cost(query)
-        }
-    };
+    let domain_cost = |domain: &FailureDomain| own_domain_cost(domain, query);
     pick_cheapest(servers, query, rng, domain_cost, |server| {
         load_cost(server, query)
     })
 }
 
+/// Draws up to [`CANDIDATE_COUNT`] servers for a request, the best known one first.
+pub fn pick_candidates<'a>(
+    servers: &'a [DomainServers],
+    query: &PlacementQuery<'_>,
+    rng: &mut impl Rng,
+) -> Vec<&'a Arc<RegisteredServer>> {
+    let domain_cost = |domain: &FailureDomain| own_domain_cost(domain, query);
+    let mut best: Vec<(u64, &Arc<RegisteredServer>)> = Vec::with_capacity(CANDIDATE_COUNT + 1);
+    visit_costs(
+        servers,
+        query,
+        rng,
+        domain_cost,
+        |server| load_cost(server, query),
+        |cost, server| {
+            let index = best.partition_point(|(other, _)| *other <= cost);
+            if index < CANDIDATE_COUNT {
+                best.insert(index, (cost, server));
+                best.truncate(CANDIDATE_COUNT);
+            }
+        },
+    );
+    best.into_iter().map(|(_, server)| server).collect()
+}
+
+/// Picks the best of several candidates, whose load was reported just now.
+pub fn pick_reported<'a>(
+    candidates: &[&'a Arc<RegisteredServer>],
+    query: &PlacementQuery<'_>,
+) -> Option<&'a Arc<RegisteredServer>> {
+    candidates
+        .iter()
+        .filter(|server| server.is_available(query.now))
+        .min_by_key(|server| {
+            let suspect_cost = if server.is_suspect(query.now) {
+                SUSPECT_SERVER_COST_MS
+            } else {
+                0
+            };
+            own_domain_cost(&server.record().domain, query)
+                + load_cost(server, query)
+                + kv_space_cost(server, query)
+                + suspect_cost
+        })
+        .copied()
+}
+
+fn own_domain_cost(domain: &FailureDomain, query: &PlacementQuery<'_>) -> u64 {
+    if domain == query.own_domain {
+        0
+    } else {
+        cross_domain_cost(query)
+    }
+}
+
 /// Picks the backup server for the KV cache of a run at `primary`. Another
 /// failure domain is preferred, so that both are not lost at once.
 pub fn pick_backup<'a>(
@@ -125,7 +180,7 @@
     // running requests.
     let cost = |server: &RegisteredServer| {
         let is_primary = server.record().address == primary_address;
-        server.kv_tokens() / PREFILL_TOKENS_PER_MS
+        query.rates.prefill_ms(server.kv_tokens())
             + u64::from(server.running()) * RUNNING_REQUEST_COST_MS
             + if is_primary {
                 PRIMARY_AS_BACKUP_COST_MS
@@ -146,6 +201,24 @@
     cost: impl Fn(&RegisteredServer) -> u64,
 ) -> Option<&'a Arc<RegisteredServer>> {
     let mut best: Option<(u64, &Arc<RegisteredServer>)> = None;
+    visit_costs(servers, query, rng, domain_cost, cost, |total, server| {
+        if best.is_none_or(|(least, _)| total < least) {
+            best = Some((total, server));
+        }
+    });
+    best.map(|(_, server)| server)
+}
+
+/// Calls `visit` for the available servers of the sample with the sum of all costs of
+/// each.
+fn visit_costs<'a>(
+    servers: &'a [DomainServers],
+    query: &PlacementQuery<'_>,
+    rng: &mut impl Rng,
+    domain_cost: impl Fn(&FailureDomain) -> u64,
+    cost: impl Fn(&RegisteredServer) -> u64,
+    mut visit: impl FnMut(u64, &'a Arc<RegisteredServer>),
+) {
     for domain_servers in servers {
         let sample_size = if domain_servers.domain == *query.own_domain {
             OWN_DOMAIN_SERVERS_MAX
@@ -171,12 +244,9 @@
                 domain_suspect_cost
             };
             let total = cost_of_domain + cost(server) + kv_space_cost(server, query) + suspect_cost;
-            if best.is_none_or(|(least, _)| total < least) {
-                best = Some((total, server));
-            }
+            visit(total, server);
         }
     }
-    best.map(|(_, server)| server)
 }
 
 /// Cost of a failure domain that appears to be down: at least two servers and at
@@ -216,10 +286,19 @@
         u64::from(report.running + report.waiting).saturating_sub(own_requests)
     });
     if let Some(tokens) = query.tokens {
+        let rates = query.rates;
         let uncached = tokens.prompt.saturating_sub(query.cached_tokens(server));
-        let prefill = server.prompt_tokens() + uncached;
-        return prefill / PREFILL_TOKENS_PER_MS
-            + (own_requests + other_requests) * RUNNING_REQUEST_COST_MS;
+        // A request waits until its prefill is finished. The reported ones include
+        // those of this process.
+        let reported_waiting = report.map_or(0, |report| u64::from(report.waiting));
+        let waiting_tokens = server
+            .prompt_tokens()
+            .max(reported_waiting * rates.mean_prompt_tokens);
+        let own_prefill_ms = rates.prefill_ms(uncached);
+        let interference_ms = own_prefill_ms * INTERFERENCE_PERCENT / 100;
+        return rates.prefill_ms(waiting_tokens)
+            + own_prefill_ms
+            + (own_requests + other_requests) * (RUNNING_REQUEST_COST_MS + interference_ms);
     }
     let service_time_percent =
         report.map_or(100, |report| u64::from(report.service_time_percent.max(1)));
--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -5,7 +5,8 @@
 use domain::{
     FailureDomain, ServerName, ServiceName,
     kv_placement::{
-        CopyState, CopyStep, LoadReport, PlacementQuery, ServiceOutlook, TokenCounts, pick_backup,
+        CANDIDATE_COUNT, CopyState, CopyStep, EngineEstimate, EngineRates, LoadReport,
+        PlacementQuery, ServiceOutlook, TokenCounts, pick_backup, pick_candidates, pick_reported,
         pick_server,
     },
     prompt_cache::CachedPrompt,
@@ -61,6 +62,7 @@
     PlacementQuery {
         tokens,
         kv_capacity: KV_CAPACITY,
+        rates: EngineRates::default(),
         cached: None,
         own_domain,
         tried: &[],
@@ -130,11 +132,13 @@
 #[tokio::test(start_paused = true)]
 async fn other_domain_is_used_only_for_a_shorter_wait() {
     let registry = servers(&[1, 1]);
-    let mut work = server(&registry, "a0").reserve(prefill(3_000));
+    let mut work = server(&registry, "a0").reserve(prefill(1_000));
     assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a0");
-    let _more = server(&registry, "a0").reserve(prefill(2_500));
+    let mut more = server(&registry, "a0").reserve(prefill(2_500));
     assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "b0");
     work.finish_prefill();
+    assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "b0");
+    more.finish_prefill();
     assert_eq!(pick(&registry, Some(PROMPT), Instant::now()), "a0");
 }
 
@@ -367,3 +371,110 @@
         .collect();
     assert_eq!(pick(&registry, Some(huge), Instant::now()), "a0");
 }
+
+fn report(running: u32, waiting: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: 64,
+        service_time_percent: 100,
+    }
+}
+
+/// Candidates are drawn without repetition from the process's own domain, and from
+/// others when that one has too few.
+#[rstest]
+#[case(&[40, 40], "aaaa")]
+#[case(&[2, 40], "aabb")]
+#[case(&[1, 1], "ab")]
+#[case(&[0, 0], "")]
+#[tokio::test(start_paused = true)]
+async fn candidates_are_distinct_and_near(#[case] counts: &[u16], #[case] domains: &str) {
+    let registry = servers(counts);
+    let own_domain = FailureDomain::from("a");
+    let query = query(&own_domain, Some(PROMPT), Instant::now());
+    let service = ServiceName::from("pool");
+    let mut drawn = std::collections::HashSet::new();
+    for seed in 0..100 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let candidates = pick_candidates(registry.ready_servers(&service), &query, &mut rng);
+        let names: Vec<&str> = candidates
+            .iter()
+            .map(|server| server.record().instance.as_str())
+            .collect();
+        let found: String = names.iter().map(|name| &name[..1]).collect();
+        assert_eq!(found, domains);
+        let distinct: std::collections::HashSet<&&str> = names.iter().collect();
+        assert_eq!(distinct.len(), names.len());
+        drawn.extend(names.iter().map(|name| (*name).to_owned()));
+    }
+    let all: usize = counts.iter().map(|count| usize::from(*count)).sum();
+    if all > 2 * CANDIDATE_COUNT {
+        assert!(drawn.len() > all / 3, "{} of {all}", drawn.len());
+    }
+}
+
+/// Reported loads, as running and waiting requests, of `a0`, `a1`, `a2` and `b0`.
+#[rstest]
+#[case::idle([(3, 1), (0, 0), (1, 0), (0, 0)], "a1")]
+#[case::waiting_counts_more_than_running([(0, 1), (4, 0), (0, 1), (9, 9)], "a1")]
+#[case::fewest_running([(3, 0), (2, 0), (1, 0), (0, 0)], "a2")]
+#[case::other_domain_when_all_wait([(1, 2), (0, 2), (2, 1), (0, 0)], "b0")]
+#[tokio::test(start_paused = true)]
+async fn least_loaded_candidate_is_picked(#[case] loads: [(u32, u32); 4], #[case] expected: &str) {
+    let registry = servers(&[3, 1]);
+    let now = Instant::now();
+    let candidates: Vec<Arc<RegisteredServer>> = ["a0", "a1", "a2", "b0"]
+        .iter()
+        .map(|name| server(&registry, name))
+        .collect();
+    for (candidate, (running, waiting)) in candidates.iter().zip(loads) {
+        candidate.note_report(report(running, waiting), now);
+    }
+    let own_domain = FailureDomain::from("a");
+    let query = query(&own_domain, Some(PROMPT), now);
+    let candidates: Vec<&Arc<RegisteredServer>> = candidates.iter().collect();
+    let picked = pick_reported(&candidates, &query).expect("a server");
+    assert_eq!(picked.record().instance.as_str(), expected);
+}
+
+/// Time per token of the engine, in nanoseconds; every third first event waits for
+/// other prompts, too.
+#[rstest]
+#[case::as_assumed(125_000)]
+#[case::three_times_slower(375_000)]
+#[case::twice_as_fast(62_500)]
+#[test]
+fn engine_speed_is_estimated_from_first_events(#[case] actual_ns: u64) {
+    let estimate = EngineEstimate::default();
+    for number in 0..300_u64 {
+        let tokens = 4_000 + number % 7 * 1_000;
+        let others = if number % 3 == 0 { 8_000 } else { 0 };
+        let elapsed = Duration::from_nanos((tokens + others) * actual_ns);
+        estimate.record_prefill(tokens, elapsed);
+        estimate.record_prefill(10, Duration::from_secs(9));
+        estimate.record_prompt(tokens);
+    }
+    let rates = estimate.rates();
+    let deviation = rates.prefill_ns_per_token.abs_diff(actual_ns);
+    assert!(deviation * 100 < actual_ns * 15, "{rates:?}");
+    assert!(
+        (6_000..8_000).contains(&rates.mean_prompt_tokens),
+        "{rates:?}"
+    );
+}
+
+#[test]
+fn engine_speed_stays_within_its_bounds() {
+    let estimate = EngineEstimate::default();
+    for _ in 0..2_000 {
+        estimate.record_prefill(u64::MAX, Duration::ZERO);
+    }
+    assert_eq!(estimate.rates().prefill_ns_per_token, 2_000);
+    for _ in 0..2_000 {
+        estimate.record_prefill(1_000, Duration::MAX);
+    }
+    assert_eq!(estimate.rates().prefill_ns_per_token, 5_000_000);
+    estimate.record_prompt(u64::MAX >> 6);
+    assert!(estimate.rates().prefill_ms(u64::MAX) > 0);
+}
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
-    kv_placement::{PlacementQuery, ServiceOutlook, pick_server},
+    kv_placement::{EngineRates, PlacementQuery, ServiceOutlook, pick_server},
     retry_advice::RefusedRequest,
     run_evidence::{NextStep, SendBudget, SendOutcome, next_step},
     server_registry::{RegisteredServer, WorkSize},
@@ -138,6 +138,7 @@
     let query = PlacementQuery {
         tokens: None,
         kv_capacity: 0,
+        rates: EngineRates::default(),
         cached: None,
         own_domain: &settings.domain,
         tried,
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -15,6 +15,7 @@
     desired_state::{DesiredState, StateFreshness},
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
+    kv_placement::EngineEstimate,
     list_relay::{ChangeLog, ListCursor, RelayRule},
     retry_share::RetryShare,
     server_registry::{AdoptionProof, RegisteredServer, ServerRegistry},
@@ -69,6 +70,7 @@
     start: Instant,
     confirmed_ms: AtomicU64,
     retry_shares: papaya::HashMap<ServiceName, Arc<RetryShare>>,
+    engine_estimates: papaya::HashMap<ServiceName, Arc<EngineEstimate>>,
 }
 
 impl FrontState {
@@ -94,6 +96,7 @@
             start: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
             retry_shares: papaya::HashMap::new(),
+            engine_estimates: papaya::HashMap::new(),
         }
     }
 
@@ -216,6 +219,12 @@
         remaining.min().unwrap_or(0)
     }
 
+    /// Returns this entry's estimate of a service's engines.
+    pub(crate) fn engine_estimate(&self, service: &ServiceName) -> Arc<EngineEstimate> {
+        let estimates = self.engine_estimates.pin();
+        Arc::clone(estimates.get_or_insert_with(service.clone(), Arc::default))
+    }
+
     /// Returns this entry's share of a service's retry budget.
     pub(crate) fn retry_share(&self, service: &ServiceName) -> Arc<RetryShare> {
         let retry_shares = self.retry_shares.pin();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod front_state;
 mod http_server;
 mod list_follower;
+mod load_query;
 mod peer_front;
 mod prompt_finder;
 mod reply;
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -1,7 +1,7 @@
 //! Calls of the entry itself to backend servers, which don't carry a caller's
 //! request.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use domain::{ModelName, PromptPart, RequestId, ServerName, server_registry::RegisteredServer};
@@ -13,7 +13,7 @@
         KV_LIST_PATH, KV_MOVE_PATH, REPORT_PATH, decode_kv_handle, decode_kv_list, decode_models,
         kv_handle_path, kv_move_body,
     },
-    server_response::decode_instance,
+    server_response::{decode_instance, decode_load},
 };
 use tokio::time::{Instant, timeout};
 
@@ -22,6 +22,7 @@
     backend_connection::BackendConnection,
     connection_pool::ConnectionReuse,
     front_state::FrontState,
+    return_watch::watch_for_return,
     server_exchange::{record_notice, recycle_connection},
 };
 
@@ -100,6 +101,38 @@
     decode_instance(&parts.headers)
 }
 
+/// Queries the present load of a server, which answers at once whatever its load.
+/// Returns whether it answered as the registered instance and takes requests. The
+/// answer does not clear a suspicion: a server may fail requests and yet answer it.
+pub(crate) async fn query_load(
+    state: &Arc<FrontState>,
+    server: &Arc<RegisteredServer>,
+    path: &str,
+) -> bool {
+    let answered = exchange_pooled(state, server, Method::GET, path).await;
+    let parts = match answered {
+        Ok((parts, _)) => parts,
+        Err(error) => {
+            log::debug!(server = server.record().instance.as_str(), error:%; "load query failed");
+            return false;
+        }
+    };
+    if let Some(instance) = decode_instance(&parts.headers)
+        && instance != server.record().instance
+    {
+        server.note_superseded();
+        state.list_refresh.notify_one();
+        if !state.adopt_recent(server, &instance) {
+            watch_for_return(state, server);
+        }
+        return false;
+    }
+    if let Some(report) = decode_load(&parts.headers) {
+        server.note_report(report, Instant::now());
+    }
+    parts.status.is_success()
+}
+
 /// Queries the models of the server at an address. Returns an empty list if it is
 /// not a model server or does not answer in time.
 pub(crate) async fn query_models(state: &FrontState, server: &RegisteredServer) -> Vec<ModelName> {
@@ -119,6 +152,24 @@
     state: &FrontState,
     server: &RegisteredServer,
 ) -> miette::Result<Vec<(PromptPart, u64)>> {
+    let (parts, body) = exchange_pooled(state, server, Method::GET, KV_LIST_PATH).await?;
+    if !parts.status.is_success() {
+        return Err(miette::miette!(
+            "server answered with status {}",
+            parts.status
+        ));
+    }
+    decode_kv_list(&body).into_diagnostic()
+}
+
+/// Sends a request without a body on a pooled or a new connection, which returns to
+/// the pool.
+async fn exchange_pooled(
+    state: &FrontState,
+    server: &RegisteredServer,
+    method: Method,
+    path: &str,
+) -> miette::Result<(Parts, Bytes)> {
     let pooled = state
         .connection_pool
         .take(server, ConnectionReuse::Any, Instant::now());
@@ -126,24 +177,9 @@
         Some(connection) => connection,
         None => connect(server).await?,
     };
-    let (parts, body) = exchange(
-        state,
-        &mut connection,
-        server,
-        Method::GET,
-        KV_LIST_PATH,
-        Vec::new(),
-    )
-    .await?;
-    if !parts.status.is_success() {
-        return Err(miette::miette!(
-            "server answered with status {}",
-            parts.status
-        ));
-    }
-    let cached = decode_kv_list(&body).into_diagnostic()?;
+    let (parts, body) = exchange(state, &mut connection, server, method, path, Vec::new()).await?;
     recycle_connection(state, server, &parts, connection);
-    Ok(cached)
+    Ok((parts, body))
 }
 
 /// Calls a server on a new connection. Any status other than success is an
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -12,7 +12,7 @@
 
 use domain::{
     event_relay::{EventCursor, StreamTimeouts},
-    kv_placement::TokenCounts,
+    kv_placement::{EngineEstimate, TokenCounts},
     prompt_cache::CachedPrompt,
     retry_share::RetryShare,
     run_evidence::{NextStep, SendBudget, SendOutcome, next_step},
@@ -78,12 +78,20 @@
     Ended(SendOutcome),
 }
 
+/// Prefill that a server was sent.
+#[derive(Clone, Copy, Debug)]
+struct Prefill {
+    tokens: u64,
+    sent_at: Instant,
+}
+
 struct StreamRun {
     state: Arc<FrontState>,
     request: Arc<RoutedRequest>,
     head: Option<oneshot::Sender<StreamHead>>,
     chunks: mpsc::Sender<StreamChunk>,
     share: Arc<RetryShare>,
+    engines: Arc<EngineEstimate>,
     cursor: EventCursor,
     budget: SendBudget,
     copy: Option<KvCopy>,
@@ -111,6 +119,7 @@
         share.record_request(Instant::now());
         Self {
             share,
+            engines: state.engine_estimate(&request.service),
             cursor: EventCursor::new(request.position),
             budget: SendBudget::new(request.route.attempts, request.route.kind),
             state,
@@ -304,10 +313,15 @@
             .filter(|copy| copy.holder == server.record().address);
         let holder = self.reserve_copy_holder(server);
         let (cached_tokens, fetch) = self.cached_tokens(server);
-        let uncached_tokens = tokens.prompt.saturating_sub(cached_tokens);
+        let prefill_tokens = if copy.is_some() {
+            0
+        } else {
+            tokens.prompt.saturating_sub(cached_tokens)
+        };
+        self.engines.record_prompt(prefill_tokens);
         let mut work = server.reserve(WorkSize {
             requests: 1,
-            prompt_tokens: if copy.is_some() { 0 } else { uncached_tokens },
+            prompt_tokens: prefill_tokens,
             kv_tokens: tokens.total(),
         });
         let mut order = request.order(server, now);
@@ -343,7 +357,11 @@
             Err(outcome) => AttemptEnd::Ended(outcome),
             Ok(answer) if answer.success => {
                 let copies = CopyManager::new(&self.state, &request.id, server, holder);
-                self.relay(server, answer, &mut work, copies).await
+                let prefill = Prefill {
+                    tokens: prefill_tokens,
+                    sent_at: now,
+                };
+                self.relay(server, answer, &mut work, copies, prefill).await
             }
             Ok(answer) => self.handle_error_answer(server, answer).await,
         }
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -13,7 +13,7 @@
 use platform::event_stream::EventSplitter;
 use tokio::time::Instant;
 
-use super::{AttemptEnd, SUSPECT_BASE, StreamHead, StreamRun};
+use super::{AttemptEnd, Prefill, SUSPECT_BASE, StreamHead, StreamRun};
 use crate::{
     copy_manager::CopyManager,
     reply::StreamChunk,
@@ -34,6 +34,7 @@
         answer: ServerAnswer,
         work: &mut WorkGuard,
         mut copies: CopyManager,
+        prefill: Prefill,
     ) -> AttemptEnd {
         let (parts, mut body, connection) = answer.split();
         if let Some(head) = self.head.take() {
@@ -76,6 +77,8 @@
             if has_progress && !has_started {
                 has_started = true;
                 work.finish_prefill();
+                self.engines
+                    .record_prefill(prefill.tokens, prefill.sent_at.elapsed());
             }
             // A move can copy nothing before the prefill is finished.
             let reserve_holder = || self.reserve_copy_holder(server);
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -6,16 +6,21 @@
 use domain::{
     FailureDomain,
     desired_state::{EngineSpec, RouteKind},
-    kv_placement::{PlacementQuery, ServiceOutlook, pick_backup, pick_server},
+    kv_placement::{
+        PlacementQuery, ServiceOutlook, pick_backup, pick_candidates, pick_reported, pick_server,
+    },
     server_registry::{RegisteredServer, WorkGuard, WorkSize},
 };
 use tokio::time::{Instant, sleep};
 
-use super::StreamRun;
+use super::{SUSPECT_BASE, StreamRun};
+use crate::load_query::query_loads;
 
 /// Latency target assumed for a stream whose route has none. A search takes up to
 /// half of the target.
 const DEFAULT_LATENCY_TARGET: Duration = Duration::from_secs(2);
+/// Number of times that candidates are drawn and queried before one is used unheard.
+const CANDIDATE_ROUNDS: usize = 2;
 /// Pause before the search is repeated if no server is available.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
@@ -30,10 +35,10 @@
             .unwrap_or(DEFAULT_LATENCY_TARGET);
         let limit = self.request.deadline.min(Instant::now() + target / 2);
         loop {
-            let now = Instant::now();
-            if let Some(server) = self.pick(now) {
+            if let Some(server) = self.pick().await {
                 return Some(server);
             }
+            let now = Instant::now();
             self.tried.clear();
             if now >= limit || !self.is_worth_waiting(now, limit) {
                 return None;
@@ -70,7 +75,38 @@
             .inc();
     }
 
-    fn pick(&self, now: Instant) -> Option<Arc<RegisteredServer>> {
+    /// Picks the server with the copy or with the prompt, if there is one, or else the
+    /// least loaded of a few candidates.
+    async fn pick(&self) -> Option<Arc<RegisteredServer>> {
+        let mut candidates = self.candidates(Instant::now());
+        for _ in 0..CANDIDATE_ROUNDS {
+            if candidates.len() < 2 {
+                break;
+            }
+            let reported = query_loads(&self.state, &candidates, &self.health_path()?).await;
+            if !reported.is_empty() {
+                let settings = self.state.settings.load();
+                let query = self.query(&settings.domain, &self.tried, Instant::now());
+                let reported: Vec<&Arc<RegisteredServer>> = reported.into_iter().collect();
+                return pick_reported(&reported, &query).map(Arc::clone);
+            }
+            // All are silent: their failure domain may be lost.
+            for server in &candidates {
+                server.note_failure(Instant::now(), SUSPECT_BASE);
+            }
+            candidates = self.candidates(Instant::now());
+        }
+        candidates.into_iter().next()
+    }
+
+    fn health_path(&self) -> Option<Box<str>> {
+        let desired = self.state.desired.load();
+        let service = desired.as_ref()?.service(&self.request.service)?;
+        Some(service.health_path.clone())
+    }
+
+    /// Returns the only server in question, or several to choose from.
+    fn candidates(&self, now: Instant) -> Vec<Arc<RegisteredServer>> {
         let registry = self.state.registry.load();
         let servers = registry.ready_servers(&self.request.service);
         if let Some(copy) = &self.copy {
@@ -83,12 +119,18 @@
                         && !server.is_suspect(now)
                 });
             if let Some(holder) = holder {
-                return Some(Arc::clone(holder));
+                return vec![Arc::clone(holder)];
             }
         }
         let settings = self.state.settings.load();
         let query = self.query(&settings.domain, &self.tried, now);
-        pick_server(servers, &query, &mut rand::rng()).map(Arc::clone)
+        let mut rng = rand::rng();
+        if query.cached.is_some() {
+            let picked = pick_server(servers, &query, &mut rng);
+            return picked.into_iter().cloned().collect();
+        }
+        let candidates = pick_candidates(servers, &query, &mut rng);
+        candidates.into_iter().cloned().collect()
     }
 
     fn query<'a>(
@@ -102,6 +144,7 @@
             kv_capacity: self
                 .engine()
                 .map_or(u64::MAX / 100, |engine| engine.kv_tokens),
+            rates: self.engines.rates(),
             cached: self.cached,
             own_domain,
             tried,
--- a/crates/front/tests/site/reported.rs
+++ b/crates/front/tests/site/reported.rs
@@ -231,6 +231,7 @@
         site.metric(unreachable).await >= 2.0
     })
     .await;
+    worker.restart();
     worker.script([WorkerAct::Reset]);
     site.call("/report/1", "r1").await;
     site.wait_state(|text| text.contains("\"instance\":\"i1\""))
--- a/crates/front/tests/site/store_faults.rs
+++ b/crates/front/tests/site/store_faults.rs
@@ -155,6 +155,7 @@
     })
     .await;
     for worker in [&first, &second] {
+        worker.restart();
         worker.script([Reset, Events(9, StreamEnd::Complete)]);
     }
     let names = ["\"instance\":\"i1\"", "\"instance\":\"i2\""];
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -128,6 +128,7 @@
     mute: bool,
     mute_reports: usize,
     is_leaving: bool,
+    has_restarted: bool,
     own_questions: usize,
     late: String,
     endless_listings: Option<EndlessPart>,
@@ -203,6 +204,20 @@
         self.state().mute_reports = count;
     }
 
+    /// Go on as another lifetime, which has the worker's name.
+    pub fn restart(&self) {
+        self.state().has_restarted = true;
+    }
+
+    /// Name of the present lifetime: as tests register it, until a restart.
+    fn lifetime(&self) -> String {
+        if self.state().has_restarted {
+            self.instance.to_owned()
+        } else {
+            format!("i-{}", self.address.port())
+        }
+    }
+
     /// Say in every answer that the worker leaves.
     pub fn leave(&self) {
         self.state().is_leaving = true;
@@ -252,6 +267,7 @@
 
     /// Answer a question that is no request of a caller; none if it stays open.
     fn answer_question(&self, question: OwnQuestion) -> Option<String> {
+        let lifetime = self.lifetime();
         let mut state = self.state();
         state.own_questions += 1;
         let body = match question {
@@ -274,7 +290,7 @@
         Some(format!(
             "HTTP/1.1 200 OK\r\n{}x-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
             state.leaving_line(),
-            self.instance,
+            lifetime,
             body.len()
         ))
     }
