Hand on the desired state within a failure domain and live on neighbours without the store

Cause: every entry followed the feed of the desired state by itself, and read the server list for 17 s after its start because it knew no other entry; while the store turned some entries away, each of them retried and asked servers who they are. Change: state_relay with versions and ages, a tree of at most 16 followers an entry (entry_roster), peer_client for both tables, any entry as neighbour when the store fails; a second listing of the entries 3 s after the start, announcements each 30 s.

--- a/crates/domain/src/entry_roster.rs
+++ b/crates/domain/src/entry_roster.rs
@@ -17,6 +17,9 @@
 /// largest known deployment runs, so that shares start too small rather than too large.
 const ASSUMED_COUNT: usize = 32;
 
+/// Largest number of entries that follow one entry.
+pub const FOLLOWERS_MAX: usize = 16;
+
 /// Contents of an entry's row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryRecord {
@@ -84,8 +87,10 @@
             .max(1)
     }
 
-    /// Addresses of the live entries in `domain` whose names sort before `name`, in
-    /// the order of their names.
+    /// Addresses of the live entries in `domain` whose names sort before `name`, the
+    /// one to follow first. The entries of a domain form a tree in the order of their
+    /// names, so that none is followed by more than [`FOLLOWERS_MAX`]; the chain up to
+    /// its root comes first, then the others by name.
     pub fn leaders(
         &self,
         domain: &FailureDomain,
@@ -93,11 +98,27 @@
         lifetime: Duration,
         now: Instant,
     ) -> impl Iterator<Item = SocketAddr> {
-        self.live(lifetime, now)
-            .take_while(move |(other, _)| **other < *name)
+        let mut earlier: Vec<SocketAddr> = self
+            .live(lifetime, now)
+            .take_while(|(other, _)| **other < *name)
             .filter_map(|(_, known)| known.record.as_ref())
-            .filter(move |record| record.domain == *domain)
+            .filter(|record| record.domain == *domain)
             .filter_map(|record| record.peer_address)
+            .collect();
+        let mut chain = Vec::new();
+        let mut rank = earlier.len();
+        while rank > 0 {
+            rank = (rank - 1) / FOLLOWERS_MAX;
+            // Each step goes to a lower rank, so the ranks above it stay in place.
+            chain.push(earlier.remove(rank));
+        }
+        chain.into_iter().chain(earlier)
+    }
+
+    /// Records of all live entries.
+    pub fn peers(&self, lifetime: Duration, now: Instant) -> impl Iterator<Item = &EntryRecord> {
+        self.live(lifetime, now)
+            .filter_map(|(_, known)| known.record.as_ref())
     }
 
     fn live(&self, lifetime: Duration, now: Instant) -> impl Iterator<Item = (&str, &KnownEntry)> {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,8 +6,8 @@
 //!   themselves in the platform's store. In [`buffer_budget`], [`desired_state`],
 //!   [`entry_drain`], [`entry_roster`], [`event_relay`], [`kv_placement`],
 //!   [`list_relay`], [`prompt_cache`], [`reachability`], [`retry_advice`],
-//!   [`retry_share`], [`run_evidence`] and [`server_registry`], an entry is a process
-//!   of this program.
+//!   [`retry_share`], [`run_evidence`], [`server_registry`] and [`state_relay`], an
+//!   entry is a process of this program.
 //! - `bamboocross-entry` reaches each server through its agent, a process of
 //!   `bamboocross-agent` beside the server. In the other modules, an entry is a
 //!   process of this program.
@@ -38,6 +38,7 @@
 pub mod server_registry;
 pub mod service_call;
 pub mod serving_config;
+pub mod state_relay;
 pub mod team_budget;
 pub mod vm_membership;
 
--- a/crates/domain/src/list_relay.rs
+++ b/crates/domain/src/list_relay.rs
@@ -139,16 +139,16 @@
 }
 
 impl RelayRule {
-    /// Time to wait for another entry's reply, until this entry's own position
-    /// `cursor` is too old.
-    pub fn reply_timeout(&self, cursor: ListCursor, now: Instant) -> Duration {
-        (cursor.observed_at + self.max_age()).saturating_duration_since(now)
+    /// Time until which another entry's reply is awaited: then, what this entry
+    /// observed at `observed_at` is too old.
+    pub fn reply_deadline(&self, observed_at: Instant) -> Instant {
+        observed_at + self.max_age()
     }
 
-    /// Whether the position `cursor` in another entry's reply is recent enough to be
+    /// Whether what another entry observed at `observed_at` is recent enough to be
     /// adopted.
-    pub fn is_fresh(&self, cursor: ListCursor, now: Instant) -> bool {
-        now.saturating_duration_since(cursor.observed_at) <= self.max_age()
+    pub fn is_fresh(&self, observed_at: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(observed_at) <= self.max_age()
     }
 
     fn max_age(&self) -> Duration {
--- a/crates/domain/tests/entry_life.rs
+++ b/crates/domain/tests/entry_life.rs
@@ -5,7 +5,7 @@
 use domain::{
     FailureDomain,
     entry_drain::{DrainPhase, DrainTimes},
-    entry_roster::{EntryRecord, EntryRoster, EntryRow},
+    entry_roster::{EntryRecord, EntryRoster, EntryRow, FOLLOWERS_MAX},
     retry_share::{RetryBounds, RetryShare},
 };
 use rstest::rstest;
@@ -159,3 +159,34 @@
     let last = now + Duration::from_secs(61);
     assert_eq!(roster.count(life, last), 1, "e2 no longer announces itself");
 }
+
+/// In a domain of any size no entry is followed by more than the limit, every entry
+/// but the first follows one, and every chain ends at the first.
+#[rstest]
+#[case(2)]
+#[case(18)]
+#[case(80)]
+#[case(400)]
+#[tokio::test(start_paused = true)]
+async fn followers_of_an_entry_are_bounded(#[case] entries: u16) {
+    let now = Instant::now();
+    let names: Vec<String> = (0..entries).map(|number| format!("a{number:03}")).collect();
+    let listed: Vec<(&str, u16)> = names.iter().map(String::as_str).zip(1..).collect();
+    let mut roster = EntryRoster::default();
+    roster.replace(rows(&listed), now);
+    let domain = FailureDomain::from("a");
+    let life = Duration::from_secs(60);
+    let mut followers = vec![0; usize::from(entries) + 1];
+    for (rank, name) in names.iter().enumerate() {
+        let leaders: Vec<u16> = roster
+            .leaders(&domain, name, life, now)
+            .map(|leader| leader.port())
+            .collect();
+        assert_eq!(leaders.len(), rank, "each earlier entry once");
+        if let Some(first) = leaders.first() {
+            assert!(usize::from(*first) <= rank);
+            followers[usize::from(*first)] += 1;
+        }
+    }
+    assert!(followers.iter().all(|count| *count <= FOLLOWERS_MAX));
+}
--- a/crates/domain/tests/list_relay.rs
+++ b/crates/domain/tests/list_relay.rs
@@ -4,7 +4,7 @@
 
 use domain::{
     FailureDomain, ServerName, ServiceName,
-    list_relay::{ChangeLog, ListCursor, RelayRule},
+    list_relay::{ChangeLog, RelayRule},
     server_registry::{RegistryChange, ServerRecord, ServerState},
 };
 use rstest::rstest;
@@ -126,16 +126,12 @@
         poll_period: Duration::from_millis(1_100),
     };
     let observed_at = Instant::now();
-    let cursor = ListCursor {
-        newest_row_version: 7,
-        read_version: 9,
-        observed_at,
-    };
     let now = observed_at + Duration::from_millis(age_ms);
     assert_eq!(
-        rule.reply_timeout(cursor, now),
+        rule.reply_deadline(observed_at)
+            .saturating_duration_since(now),
         Duration::from_millis(timeout_ms)
     );
-    assert_eq!(rule.is_fresh(cursor, now), is_fresh);
+    assert_eq!(rule.is_fresh(observed_at, now), is_fresh);
     assert!(rule.backoff_until(now) > now);
 }
--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    front_state::FrontState,
+    front_state::{ENTRY_LIFETIME, FrontState},
     http_server::{bind, serve_handler},
     reply::ReplyBody,
 };
@@ -66,6 +66,8 @@
         saturating_i64(now.duration_since(confirmed).as_secs())
     });
     state.metrics.state_age_seconds.set(age);
+    let entries = state.roster.load().count(ENTRY_LIFETIME, now);
+    state.metrics.entries.set(saturating_i64(entries as u64));
     state.metrics.retries_left.set(state.retries_left(now));
     state
         .metrics
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -14,12 +14,14 @@
     pub(crate) prompt_searches: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) list_updates: IntCounterVec,
+    pub(crate) state_updates: IntCounterVec,
     pub(crate) odd_rows: IntCounterVec,
     pub(crate) call_seconds: Histogram,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) event_gap_seconds: Histogram,
     pub(crate) events: IntCounter,
     pub(crate) servers: IntGauge,
+    pub(crate) entries: IntGauge,
     pub(crate) state_version: IntGauge,
     pub(crate) open_connections: IntGauge,
     pub(crate) new_links: IntCounter,
@@ -75,6 +77,11 @@
                 "News of the list of servers, by where they came from",
                 "source",
             ),
+            state_updates: set.counters(
+                "bamboocross_front_state_news_total",
+                "News of the desired state, and confirmations, from other entries",
+                "source",
+            ),
             odd_rows: set.counters(
                 "bamboocross_front_odd_rows_total",
                 "Rows of the store, or of another entry, that cannot be used, by table",
@@ -100,6 +107,10 @@
                 "bamboocross_front_servers",
                 "Backend servers that may get requests",
             ),
+            entries: set.gauge(
+                "bamboocross_front_entries",
+                "Entries that announce themselves, this one included",
+            ),
             state_version: set.gauge(
                 "bamboocross_front_state_version",
                 "Number of the desired state in force",
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -19,6 +19,7 @@
     list_relay::{ChangeLog, ListCursor, RelayRule},
     retry_share::RetryShare,
     server_registry::{AdoptionProof, RegisteredServer, ServerRegistry},
+    state_relay::StateCursor,
 };
 use settings::FrontSettings;
 use tokio::{
@@ -33,19 +34,35 @@
 
 /// Time without a change of its row after which an entry counts as gone: three
 /// announcement periods, so that a lost announcement is tolerated.
-pub(crate) const ENTRY_LIFETIME: Duration = Duration::from_secs(60);
+pub(crate) const ENTRY_LIFETIME: Duration = Duration::from_secs(90);
 
-/// Time between two polls of the server list, in percent of the time within which
-/// an entry must learn that a server is leaving. Polls are spaced because servers
-/// rewrite their registrations constantly, so that a long poll returns almost
-/// immediately. The rest of the time allows for a slow response.
-const SERVER_POLL_PERCENT: u32 = 55;
+/// Time between two polls of a table, in percent of the time within which an entry
+/// must learn of its changes. The rest allows for a slow response and for an entry
+/// that follows another one in vain.
+const POLL_PERCENT: u32 = 55;
+
+/// Time after its last call for which another entry counts as a follower: longer than
+/// the backoff after which it calls again.
+const FOLLOWED_TIME: Duration = Duration::from_secs(12);
+
+/// Row of the desired state in force, as it is handed on to other entries.
+#[derive(Debug)]
+pub(crate) struct StateRow {
+    /// Version of the row.
+    pub(crate) version: u64,
+    /// Value of the row.
+    pub(crate) value: String,
+}
 
 /// Shared state of an entry.
 pub struct FrontState {
     /// Settings in force.
     pub settings: ArcSwap<FrontSettings>,
     pub(crate) desired: ArcSwapOption<DesiredState>,
+    pub(crate) desired_row: ArcSwapOption<StateRow>,
+    /// What is known of the desired state, for entries that follow this one; `None`
+    /// while nobody confirms it.
+    pub(crate) state_cursor: watch::Sender<Option<StateCursor>>,
     pub(crate) registry: ArcSwap<ServerRegistry>,
     pub(crate) roster: ArcSwap<EntryRoster>,
     /// Changes of the server list, for entries that follow this one.
@@ -69,6 +86,7 @@
     server_list_stale: AtomicBool,
     start: Instant,
     confirmed_ms: AtomicU64,
+    followed_ms: AtomicU64,
     retry_shares: papaya::HashMap<ServiceName, Arc<RetryShare>>,
     engine_estimates: papaya::HashMap<ServiceName, Arc<EngineEstimate>>,
 }
@@ -79,6 +97,8 @@
         Self {
             settings: ArcSwap::from_pointee(settings),
             desired: ArcSwapOption::empty(),
+            desired_row: ArcSwapOption::empty(),
+            state_cursor: watch::Sender::new(None),
             registry: ArcSwap::default(),
             roster: ArcSwap::default(),
             change_log: ArcSwap::default(),
@@ -95,6 +115,7 @@
             server_list_stale: AtomicBool::new(false),
             start: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
+            followed_ms: AtomicU64::new(0),
             retry_shares: papaya::HashMap::new(),
             engine_estimates: papaya::HashMap::new(),
         }
@@ -118,10 +139,8 @@
     /// Records that the known desired state was the newest when the store was
     /// queried at `queried_at`.
     pub(crate) fn record_confirmation(&self, queried_at: Instant) {
-        let millis = queried_at.saturating_duration_since(self.start).as_millis();
-        // 0 means never confirmed.
-        let millis = u64::try_from(millis).unwrap_or(u64::MAX).max(1);
-        self.confirmed_ms.fetch_max(millis, Relaxed);
+        self.confirmed_ms
+            .fetch_max(self.elapsed_ms(queried_at), Relaxed);
     }
 
     /// Returns when the known desired state was last confirmed as the newest.
@@ -135,12 +154,37 @@
 
     /// Returns the timing of server list updates between entries. The limit in the
     /// settings is the one for leaving servers, not for this entry's own drain.
-    pub(crate) fn relay_rule(&self) -> RelayRule {
+    pub(crate) fn list_rule(&self) -> RelayRule {
+        RelayRule {
+            poll_period: self.settings.load().drain_limit * POLL_PERCENT / 100,
+        }
+    }
+
+    /// Returns the timing of desired states between entries.
+    pub(crate) fn state_rule(&self) -> RelayRule {
         RelayRule {
-            poll_period: self.settings.load().drain_limit * SERVER_POLL_PERCENT / 100,
+            poll_period: self.settings.load().apply_limit * POLL_PERCENT / 100,
         }
     }
 
+    /// Records that another entry asked for the desired state.
+    pub(crate) fn record_follower(&self, now: Instant) {
+        self.followed_ms.fetch_max(self.elapsed_ms(now), Relaxed);
+    }
+
+    /// Returns whether another entry follows this one.
+    pub(crate) fn is_followed(&self, now: Instant) -> bool {
+        let followed_ms = self.followed_ms.load(Relaxed);
+        let age_ms = self.elapsed_ms(now).saturating_sub(followed_ms);
+        followed_ms > 0 && Duration::from_millis(age_ms) < FOLLOWED_TIME
+    }
+
+    /// Milliseconds since the start, at least 1, since 0 stands for never.
+    fn elapsed_ms(&self, now: Instant) -> u64 {
+        let millis = now.saturating_duration_since(self.start).as_millis();
+        u64::try_from(millis).unwrap_or(u64::MAX).max(1)
+    }
+
     /// Returns whether the entry is ready to accept callers.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         self.servers_listed.load(Relaxed)
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -1,4 +1,4 @@
-//! Updates of the server list for the entries that follow this one.
+//! Updates of the server list and of the desired state for other entries.
 //!
 //! A call is held until there are changes after the version that the follower
 //! knows, so that followers learn of them immediately, or until the next update
@@ -14,7 +14,7 @@
 };
 use miette::{Context, IntoDiagnostic};
 use tokio::time::{Instant, timeout};
-use wire::entry_peer::{ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage};
+use wire::entry_peer::{ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage, StateReply};
 
 use crate::front_state::FrontState;
 
@@ -43,16 +43,45 @@
 #[async_trait]
 impl EntryPeerServer for PeerFront {
     async fn changes(&self, newest_row_version: u64, read_version: u64) -> RpcResult<ChangesReply> {
-        let wait_max = self.state.relay_rule().poll_period * 2;
+        let wait_max = self.state.list_rule().poll_period * 2;
         let result = timeout(wait_max, self.next_cursor(newest_row_version)).await;
         let cursor = result.ok().flatten();
         Ok(cursor.map_or(ChangesReply::Nothing, |cursor| {
             self.reply(read_version, cursor)
         }))
     }
+
+    async fn state(&self, row: u64) -> RpcResult<StateReply> {
+        self.state.record_follower(Instant::now());
+        let wait_max = self.state.state_rule().poll_period * 2;
+        let result = timeout(wait_max, self.next_state(row)).await;
+        Ok(result.ok().flatten().unwrap_or(StateReply::Nothing))
+    }
 }
 
 impl PeerFront {
+    /// Waits for a desired state in a row after `known`, or for the next confirmation
+    /// of the known one. Returns `None` if nobody confirms it any more.
+    async fn next_state(&self, known: u64) -> Option<StateReply> {
+        let mut cursors = self.state.state_cursor.subscribe();
+        let mut is_next = false;
+        loop {
+            let current = (*cursors.borrow_and_update())?;
+            if current.row_version > known || is_next {
+                let row = self.state.desired_row.load_full()?;
+                let age = Instant::now().saturating_duration_since(current.confirmed_at);
+                return Some(StateReply::State {
+                    row: row.version,
+                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                    value: (row.version > known).then(|| row.value.clone()),
+                });
+            }
+            // The state owns the sender, so the channel stays open.
+            cursors.changed().await.ok()?;
+            is_next = true;
+        }
+    }
+
     /// Waits for a cursor beyond the row version `since`, or for the next update
     /// that confirms this version as the newest. Returns `None` if the store is
     /// unreachable.
--- /dev/null
+++ b/crates/front/src/state_follower.rs
@@ -0,0 +1,79 @@
+//! Desired states and their confirmations from another entry.
+
+use std::time::Duration;
+
+use domain::{
+    desired_state::DesiredState,
+    list_relay::RelayRule,
+    state_relay::{StateCursor, StateNews},
+};
+use platform::{desired_state_row::decode_desired_state, store_call::RowVersion};
+use tokio::time::Instant;
+use wire::entry_peer::{EntryPeerClient, StateReply};
+
+use crate::{
+    front_state::FrontState,
+    peer_client::{PeerChoice, PeerClient, PeerError},
+};
+
+/// Desired state as another entry knows it.
+#[derive(Debug)]
+pub(crate) struct StateUpdate {
+    /// Position after the update.
+    pub(crate) cursor: StateCursor,
+    /// The newer version, and the value of its row.
+    pub(crate) newer: Option<(DesiredState, String)>,
+}
+
+/// Requests the next version after `known`, or its next confirmation, from another
+/// entry. Returns `None` if there is no such entry or it sent nothing usable in time.
+pub(crate) async fn request_state(
+    peers: &mut PeerClient,
+    state: &FrontState,
+    choice: PeerChoice,
+    known: StateCursor,
+) -> Option<StateUpdate> {
+    let rule = state.state_rule();
+    let deadline = match choice {
+        PeerChoice::Leader => rule.reply_deadline(known.confirmed_at),
+        PeerChoice::Neighbour => rule.reply_deadline(Instant::now()),
+    };
+    let call = async |client: &_| EntryPeerClient::state(client, known.row_version).await;
+    peers
+        .request(state, choice, rule, deadline, call, |reply| {
+            decode_reply(reply, known, rule)
+        })
+        .await
+}
+
+fn decode_reply(
+    reply: StateReply,
+    known: StateCursor,
+    rule: RelayRule,
+) -> Result<StateUpdate, PeerError> {
+    let StateReply::State { row, age_ms, value } = reply else {
+        return Err(PeerError::NoUpdate);
+    };
+    let now = Instant::now();
+    let age = Duration::from_millis(age_ms);
+    let cursor = StateCursor {
+        row_version: row,
+        confirmed_at: now.checked_sub(age).ok_or(PeerError::Outdated)?,
+    };
+    match known.judge(cursor, rule, now) {
+        StateNews::Behind | StateNews::Outdated => Err(PeerError::Outdated),
+        StateNews::Confirmed => Ok(StateUpdate {
+            cursor,
+            newer: None,
+        }),
+        StateNews::Newer => {
+            let value = value.ok_or(PeerError::NoUpdate)?;
+            let desired = decode_desired_state(value.as_bytes(), RowVersion(row))
+                .map_err(PeerError::InvalidState)?;
+            Ok(StateUpdate {
+                cursor,
+                newer: Some((desired, value)),
+            })
+        }
+    }
+}
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -50,6 +50,8 @@
 struct TableUpdate<C> {
     /// Version up to which the table has been read.
     version: RowVersion,
+    /// Time at which the store was asked, by this entry or another one.
+    observed_at: Instant,
     /// All rows after a listing, otherwise the rows that changed.
     changes: C,
 }
@@ -69,8 +71,8 @@
     fn apply_listing(&self, state: &FrontState, update: TableUpdate<Self::Changes>);
     /// Applies changes since the last poll.
     fn apply_changes(&self, state: &FrontState, update: TableUpdate<Self::Changes>);
-    /// Called after a successful poll that began at `queried_at`.
-    fn record_confirmation(&self, state: &FrontState, queried_at: Instant);
+    /// Called after a successful poll of what the store held at `observed_at`.
+    fn record_confirmation(&self, state: &FrontState, observed_at: Instant);
     /// Called at the first failed poll.
     fn on_store_lost(&self, state: &FrontState);
     /// Called at the first successful poll after failed ones.
@@ -95,13 +97,14 @@
                     table.on_store_recovered(&state);
                     failures = 0;
                 }
+                let observed_at = update.observed_at;
                 let is_listing = since.replace(update.version).is_none();
                 if is_listing {
                     table.apply_listing(&state, update);
                 } else {
                     table.apply_changes(&state, update);
                 }
-                table.record_confirmation(&state, queried_at);
+                table.record_confirmation(&state, observed_at);
                 table.wait_next_poll(&state, queried_at).await;
             }
             Err(StoreError::HistoryGone) => {
--- a/crates/front/src/store_watch/entry_announcer.rs
+++ b/crates/front/src/store_watch/entry_announcer.rs
@@ -14,12 +14,16 @@
 
 /// Longest time between two announcements, which jitter shortens: a third of
 /// [`ENTRY_LIFETIME`](crate::front_state::ENTRY_LIFETIME).
-const ANNOUNCE_PERIOD: Duration = Duration::from_secs(20);
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(30);
+/// Time after its start in which an entry lists the others again. Entries that started
+/// at the same time have announced themselves by then.
+const FIRST_PERIOD: Duration = Duration::from_secs(3);
 
 /// Announces this entry and lists the others, whose number determines each entry's
 /// share of common budgets.
 pub(super) async fn announce(state: Arc<FrontState>) {
     let mut client = StoreClient::default();
+    let mut is_first = true;
     loop {
         let settings = state.settings.load_full();
         let record = EntryRecord {
@@ -28,31 +32,47 @@
         };
         let value = json!(EntryMessage::from(&record)).to_string();
         let body = write_body(ENTRY_TABLE, &settings.name, value.as_bytes());
-        let written = client.write(settings.store, body).await;
-        let listed = client.list(settings.store, ENTRY_TABLE).await;
-        count_store_call(&state, &listed);
-        if let Err(error) = written {
+        if let Err(error) = client.write(settings.store, body).await {
             log::info!(reason:% = error; "could not announce this entry");
         }
-        let period = match listed {
-            Ok(page) => {
-                let rows: Vec<EntryRow<'_>> = page.rows.iter().map(entry_row).collect();
-                let odd = rows.iter().filter(|row| row.record.is_none()).count();
-                if odd > 0 {
-                    count_odd_rows(&state, ENTRY_TABLE, odd);
-                    log::warn!(table = ENTRY_TABLE, rows = odd; "rows cannot be decoded");
-                }
-                let mut roster = EntryRoster::clone(&state.roster.load());
-                roster.replace(rows.into_iter(), Instant::now());
-                state.roster.store(Arc::new(roster));
-                ANNOUNCE_PERIOD
-            }
-            // Budgets depend on the number of entries, so the listing is retried sooner.
-            Err(_) => ANNOUNCE_PERIOD / 8,
+        let mut is_listed = list_entries(&state, &mut client).await;
+        if std::mem::take(&mut is_first) {
+            sleep(jitter(FIRST_PERIOD)).await;
+            is_listed = list_entries(&state, &mut client).await;
+        }
+        // Budgets depend on the number of entries, so a failed listing is retried
+        // sooner.
+        let period = if is_listed {
+            ANNOUNCE_PERIOD
+        } else {
+            ANNOUNCE_PERIOD / 8
         };
-        let jitter = rand::rng().random_range(0.7..1.0);
-        sleep(period.mul_f64(jitter)).await;
+        sleep(jitter(period)).await;
+    }
+}
+
+fn jitter(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(0.7..1.0))
+}
+
+/// Lists the announcements of all entries. Returns whether the store answered.
+async fn list_entries(state: &FrontState, client: &mut StoreClient) -> bool {
+    let store = state.settings.load().store;
+    let listed = client.list(store, ENTRY_TABLE).await;
+    count_store_call(state, &listed);
+    let Ok(page) = listed else {
+        return false;
+    };
+    let rows: Vec<EntryRow<'_>> = page.rows.iter().map(entry_row).collect();
+    let odd = rows.iter().filter(|row| row.record.is_none()).count();
+    if odd > 0 {
+        count_odd_rows(state, ENTRY_TABLE, odd);
+        log::warn!(table = ENTRY_TABLE, rows = odd; "rows cannot be decoded");
     }
+    let mut roster = EntryRoster::clone(&state.roster.load());
+    roster.replace(rows.into_iter(), Instant::now());
+    state.roster.store(Arc::new(roster));
+    true
 }
 
 fn entry_row(row: &StoreRow) -> EntryRow<'_> {
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -16,7 +16,8 @@
 use super::{TableUpdate, WatchedTable, count_odd_rows, read_store};
 use crate::{
     front_state::FrontState,
-    list_follower::{ListFollower, ListUpdate},
+    list_follower::{ListUpdate, request_changes},
+    peer_client::{PeerChoice, PeerClient},
     store_client::{StoreClient, StoreError},
 };
 
@@ -28,7 +29,7 @@
 #[derive(Default)]
 pub(super) struct ServerTable {
     client: StoreClient,
-    follower: ListFollower,
+    peers: PeerClient,
     known: Option<ListCursor>,
     /// Whether the last update came from another entry.
     is_following: bool,
@@ -53,27 +54,21 @@
         if let (Some(known), true) = (self.known, since.is_some())
             && let Some(update) = self.read_leader(state, known).await
         {
-            let cursor = update.cursor;
-            self.known = Some(cursor);
-            self.is_following = true;
-            state
-                .metrics
-                .list_updates
-                .with_label_values(&["entry"])
-                .inc();
-            return Ok(TableUpdate {
-                version: since
-                    .max(Some(RowVersion(cursor.read_version)))
-                    .unwrap_or_default(),
-                changes: ListChanges {
-                    registry: usable_changes(state, update.changes.into_iter().map(Ok)),
-                    leaving: update.leaving,
-                },
-            });
+            return Ok(self.adopt_update(state, since, update, "entry"));
         }
         self.is_following = false;
         let queried_at = Instant::now();
-        let page = read_store(&mut self.client, state, Self::NAME, since, LONG_POLL_HOLD).await?;
+        let read = read_store(&mut self.client, state, Self::NAME, since, LONG_POLL_HOLD).await;
+        let page = match (read, self.known, since) {
+            (Ok(page), _, _) => page,
+            (Err(error), Some(known), Some(_)) if error != StoreError::HistoryGone => {
+                let choice = PeerChoice::Neighbour;
+                let update = request_changes(&mut self.peers, state, choice, known).await;
+                let update = update.ok_or(error)?;
+                return Ok(self.adopt_update(state, since, update, "neighbour"));
+            }
+            (Err(error), _, _) => return Err(error),
+        };
         state
             .metrics
             .list_updates
@@ -87,6 +82,7 @@
         });
         Ok(TableUpdate {
             version: page.version,
+            observed_at: queried_at,
             changes: ListChanges {
                 registry: usable_changes(state, page.rows.into_iter().map(decode_change)),
                 leaving: Vec::new(),
@@ -127,7 +123,7 @@
         self.publish_cursor(state);
     }
 
-    fn record_confirmation(&self, _state: &FrontState, _queried_at: Instant) {}
+    fn record_confirmation(&self, _state: &FrontState, _observed_at: Instant) {}
 
     fn on_store_lost(&self, state: &FrontState) {
         state.set_server_list_stale(true);
@@ -141,10 +137,10 @@
 
     async fn wait_next_poll(&mut self, state: &FrontState, queried_at: Instant) {
         // The next call to another entry is a long poll, so it is sent at once.
-        if self.is_following || self.follower.has_leader(state) {
+        if self.is_following || self.peers.has_leader(state) {
             return;
         }
-        let period = state.relay_rule().poll_period;
+        let period = state.list_rule().poll_period;
         tokio::select! {
             () = sleep_until(queried_at + period) => {}
             () = state.list_refresh.notified() => sleep_until(queried_at + REFRESH_INTERVAL_MIN).await,
@@ -158,7 +154,7 @@
     /// then reads the store.
     async fn read_leader(&mut self, state: &FrontState, known: ListCursor) -> Option<ListUpdate> {
         tokio::select! {
-            update = self.follower.request_update(state, known) => update,
+            update = request_changes(&mut self.peers, state, PeerChoice::Leader, known) => update,
             () = state.list_refresh.notified() => {
                 sleep_until(known.observed_at + REFRESH_INTERVAL_MIN).await;
                 None
@@ -166,6 +162,34 @@
         }
     }
 
+    /// Continues from an update of another entry.
+    fn adopt_update(
+        &mut self,
+        state: &FrontState,
+        since: Option<RowVersion>,
+        update: ListUpdate,
+        source: &str,
+    ) -> TableUpdate<ListChanges> {
+        let cursor = update.cursor;
+        self.known = Some(cursor);
+        self.is_following = true;
+        state
+            .metrics
+            .list_updates
+            .with_label_values(&[source])
+            .inc();
+        TableUpdate {
+            version: since
+                .max(Some(RowVersion(cursor.read_version)))
+                .unwrap_or_default(),
+            observed_at: cursor.observed_at,
+            changes: ListChanges {
+                registry: usable_changes(state, update.changes.into_iter().map(Ok)),
+                leaving: update.leaving,
+            },
+        }
+    }
+
     /// Returns the version of the newest row seen so far.
     fn newest_row(&self) -> u64 {
         self.known.map_or(0, |known| known.newest_row_version)
--- a/crates/front/src/store_watch/state_table.rs
+++ b/crates/front/src/store_watch/state_table.rs
@@ -1,43 +1,91 @@
 //! Watch of the operator's desired state.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use domain::{desired_state::DesiredState, state_relay::StateCursor};
 use platform::{
     desired_state_row::decode_desired_state,
     store_call::{DESIRED_STATE_KEY, OPERATOR_TABLE, RowVersion, StoreRow},
 };
 use tokio::time::Instant;
 
-use super::{TableUpdate, WatchedTable, read_store};
+use super::{TableUpdate, WatchedTable, count_odd_rows, read_store};
 use crate::{
-    front_state::FrontState,
+    front_state::{FrontState, StateRow},
+    peer_client::{PeerChoice, PeerClient},
+    state_follower::{StateUpdate, request_state},
     store_client::{StoreClient, StoreError},
 };
 
-/// The table of the desired state, which each entry reads from the store directly.
+/// The table of the desired state, read from the entry that this one follows or from
+/// the store.
 #[derive(Default)]
 pub(super) struct StateTable {
     client: StoreClient,
+    peers: PeerClient,
+    /// Time of the last confirmation of the version in force.
+    confirmed_at: Option<Instant>,
+}
+
+/// One update of the desired state.
+pub(super) enum StateChanges {
+    /// Rows of the store.
+    Rows(Vec<StoreRow>),
+    /// The newer version of another entry, if it has one.
+    Relayed(Option<(DesiredState, String)>),
 }
 
 impl WatchedTable for StateTable {
     const NAME: &'static str = OPERATOR_TABLE;
-    type Changes = Vec<StoreRow>;
+    type Changes = StateChanges;
 
     /// The store holds the long poll for at most the time within which a new version
     /// must be in force, because a lost response is detected only after the hold and
-    /// the response timeout have passed.
+    /// the response timeout have passed. It holds it for a shorter time if other
+    /// entries wait for the confirmation.
     async fn poll(
         &mut self,
         state: &FrontState,
         since: Option<RowVersion>,
     ) -> Result<TableUpdate<Self::Changes>, StoreError> {
-        let hold = state.settings.load().apply_limit;
-        let page = read_store(&mut self.client, state, Self::NAME, since, hold).await?;
-        Ok(TableUpdate {
-            version: page.version,
-            changes: page.rows,
-        })
+        let known = self.known(state).filter(|_| since.is_some());
+        if let Some(known) = known {
+            let choice = PeerChoice::Leader;
+            if let Some(update) = request_state(&mut self.peers, state, choice, known).await {
+                return Ok(self.adopt_update(state, since, update, "entry"));
+            }
+        }
+        let queried_at = Instant::now();
+        let hold = if state.is_followed(queried_at) {
+            state.state_rule().poll_period
+        } else {
+            state.settings.load().apply_limit
+        };
+        let read = read_store(&mut self.client, state, Self::NAME, since, hold).await;
+        match (read, known) {
+            (Ok(page), _) => {
+                // The store held the call until it answered that nothing had changed.
+                let held = if page.rows.is_empty() && since.is_some() {
+                    hold.min(queried_at.elapsed())
+                } else {
+                    Duration::ZERO
+                };
+                let observed_at = queried_at + held;
+                self.confirmed_at = Some(observed_at);
+                Ok(TableUpdate {
+                    version: page.version,
+                    observed_at,
+                    changes: StateChanges::Rows(page.rows),
+                })
+            }
+            (Err(error), Some(known)) if error != StoreError::HistoryGone => {
+                let choice = PeerChoice::Neighbour;
+                let update = request_state(&mut self.peers, state, choice, known).await;
+                let update = update.ok_or(error)?;
+                Ok(self.adopt_update(state, since, update, "neighbour"))
+            }
+            (Err(error), _) => Err(error),
+        }
     }
 
     fn apply_listing(&self, state: &FrontState, update: TableUpdate<Self::Changes>) {
@@ -45,36 +93,86 @@
     }
 
     fn apply_changes(&self, state: &FrontState, update: TableUpdate<Self::Changes>) {
-        for row in update.changes {
-            if row.key == DESIRED_STATE_KEY {
-                apply_state(state, &row);
+        match update.changes {
+            StateChanges::Rows(rows) => {
+                for row in rows {
+                    if row.key == DESIRED_STATE_KEY {
+                        apply_row(state, row);
+                    }
+                }
             }
+            StateChanges::Relayed(Some((desired, value))) => apply_state(state, desired, value),
+            StateChanges::Relayed(None) => {}
         }
     }
 
-    fn record_confirmation(&self, state: &FrontState, queried_at: Instant) {
-        state.record_confirmation(queried_at);
+    fn record_confirmation(&self, state: &FrontState, observed_at: Instant) {
+        state.record_confirmation(observed_at);
+        // Published after the version is in force, so that followers get its row.
+        state.state_cursor.send_replace(self.known(state));
     }
 
-    fn on_store_lost(&self, _state: &FrontState) {}
+    fn on_store_lost(&self, state: &FrontState) {
+        state.state_cursor.send_replace(None);
+    }
 
     fn on_store_recovered(&self, _state: &FrontState) {}
 
     async fn wait_next_poll(&mut self, _state: &FrontState, _queried_at: Instant) {}
 }
 
-fn apply_state(state: &FrontState, row: &StoreRow) {
-    let Some(value) = &row.value else {
+impl StateTable {
+    /// What this entry knows, once a version is in force.
+    fn known(&self, state: &FrontState) -> Option<StateCursor> {
+        let desired = state.desired.load();
+        Some(StateCursor {
+            row_version: desired.as_ref()?.version().row,
+            confirmed_at: self.confirmed_at?,
+        })
+    }
+
+    /// Continues from an update of another entry.
+    fn adopt_update(
+        &mut self,
+        state: &FrontState,
+        since: Option<RowVersion>,
+        update: StateUpdate,
+        source: &str,
+    ) -> TableUpdate<StateChanges> {
+        let cursor = update.cursor;
+        self.confirmed_at = Some(cursor.confirmed_at);
+        state
+            .metrics
+            .state_updates
+            .with_label_values(&[source])
+            .inc();
+        TableUpdate {
+            version: since
+                .max(Some(RowVersion(cursor.row_version)))
+                .unwrap_or_default(),
+            observed_at: cursor.confirmed_at,
+            changes: StateChanges::Relayed(update.newer),
+        }
+    }
+}
+
+fn apply_row(state: &FrontState, row: StoreRow) {
+    let Some(value) = row.value else {
         log::warn!("desired state was removed from the store; the last version stays in force");
         return;
     };
-    let desired = match decode_desired_state(value, row.version) {
-        Ok(desired) => desired,
-        Err(error) => {
+    let decoded = decode_desired_state(&value, row.version);
+    match (decoded, String::from_utf8(value)) {
+        (Ok(desired), Ok(value)) => apply_state(state, desired, value),
+        (Err(error), _) => {
+            count_odd_rows(state, OPERATOR_TABLE, 1);
             log::error!(error:%; "desired state cannot be decoded");
-            return;
         }
-    };
+        (Ok(_), Err(error)) => log::error!(error:%; "desired state is not text"),
+    }
+}
+
+fn apply_state(state: &FrontState, desired: DesiredState, value: String) {
     if !desired.supersedes(state.desired.load().as_deref()) {
         return;
     }
@@ -88,4 +186,8 @@
     let number = i64::try_from(version.number).unwrap_or(i64::MAX);
     state.metrics.state_version.set(number);
     state.desired.store(Some(Arc::new(desired)));
+    state.desired_row.store(Some(Arc::new(StateRow {
+        version: version.row,
+        value,
+    })));
 }
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -82,6 +82,24 @@
     Nothing,
 }
 
+/// The desired state as an entry knows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "news")]
+pub enum StateReply {
+    /// The version in force.
+    State {
+        /// Version of its row in the store.
+        row: u64,
+        /// Time since the store confirmed it as the newest.
+        age_ms: u64,
+        /// Value of the row; none if the caller has it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        value: Option<String>,
+    },
+    /// The store tells nothing new, or does not answer.
+    Nothing,
+}
+
 /// Calls that an entry answers to others.
 #[rpc(client, server, namespace = "entry")]
 pub trait EntryPeer {
@@ -89,6 +107,11 @@
     /// changed after the version up to which the list was read.
     #[method(name = "changes")]
     async fn changes(&self, since: u64, read: u64) -> RpcResult<ChangesReply>;
+
+    /// Wait for a desired state in a row after `row`, or for the next confirmation
+    /// that there is none.
+    #[method(name = "state")]
+    async fn state(&self, row: u64) -> RpcResult<StateReply>;
 }
 
 /// Why a change cannot be used.
