Soak: workers that leave and come back, pauses, and the checker of the first

Cause: the soak had no servers that leave and no promise about them. Change: workers announce their leaving and begin new lifetimes, reject with pauses; a request of an entry that handed the announcement on reaching that lifetime later than drain_ms breaks a promise; planted faults are found (leaving_workers). A checker of pauses is missing: a worker cannot know whether its rejection reached the entry over a harmed link.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -22,7 +22,9 @@
 pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyLink, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
 pub use row_store::{RowStore, StoreMode};
-pub use scripted_worker::{STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerRequest};
+pub use scripted_worker::{
+    STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerArrival, WorkerRequest,
+};
 pub use service_server::{ServiceCounts, ServiceFaults, run_service};
 pub use token_stamps::{TokenStamp, wall_clock_us};
 pub use token_text::TextSeed;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -16,7 +16,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use crate::endless_bytes::{EndlessPace, EndlessPart, send_endless};
@@ -90,6 +90,17 @@
     }
 }
 
+/// One request as the worker saw it arrive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerArrival {
+    /// Id of the request.
+    pub id: String,
+    /// Lifetime of the worker, counted from 0.
+    pub lifetime: u64,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 /// What the system asks of a worker on its own account.
 #[derive(Clone, Copy, Debug)]
 enum OwnQuestion {
@@ -122,6 +133,8 @@
     script: VecDeque<WorkerAct>,
     faults: Option<FaultDraw>,
     requests: Vec<WorkerRequest>,
+    arrivals: Vec<WorkerArrival>,
+    lifetimes: u64,
     ran: Vec<String>,
     held: Vec<(String, u64)>,
     listings: usize,
@@ -218,6 +231,29 @@
         }
     }
 
+    /// Whether the worker says that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state().is_leaving
+    }
+
+    /// Begin another lifetime, which does not leave, and return its number.
+    pub fn begin_lifetime(&self) -> u64 {
+        let mut state = self.state();
+        state.is_leaving = false;
+        state.lifetimes += 1;
+        state.lifetimes
+    }
+
+    /// Number of the present lifetime.
+    pub fn lifetime_number(&self) -> u64 {
+        self.state().lifetimes
+    }
+
+    /// All requests that arrived.
+    pub fn arrivals(&self) -> Vec<WorkerArrival> {
+        self.state().arrivals.clone()
+    }
+
     /// Say in every answer that the worker leaves.
     pub fn leave(&self) {
         self.state().is_leaving = true;
@@ -316,6 +352,15 @@
             let act = {
                 let mut state = self.state();
                 state.requests.push(request.clone());
+                let arrival = WorkerArrival {
+                    id: request
+                        .header("x-bamboocross-request-id")
+                        .unwrap_or_default()
+                        .to_owned(),
+                    lifetime: state.lifetimes,
+                    at: Instant::now(),
+                };
+                state.arrivals.push(arrival);
                 let act = state.next_act(&request);
                 if !act.is_rejection() {
                     let id = request.header("x-bamboocross-request-id").unwrap_or("");
@@ -343,13 +388,13 @@
             (state.leaving_line(), std::mem::take(&mut state.late))
         };
         stream.write_all(late.as_bytes()).await?;
+        let lifetime = format!("{}.{}", self.address, self.lifetime_number());
         let whole = |id: &str, status: u16, body: &str| {
             let length = body.len();
             format!(
                 "HTTP/1.1 {status} X\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
                  x-bamboocross-server-seal: seal-{id}\r\n\
-                 x-bamboocross-instance: {}\r\ncontent-length: {length}\r\n\r\n{body}",
-                self.instance
+                 x-stand-in-lifetime: {lifetime}\r\ncontent-length: {length}\r\n\r\n{body}"
             )
         };
         let text = match act {
@@ -518,6 +563,7 @@
                 WorkerAct::Junk,
                 WorkerAct::Silence,
                 WorkerAct::Rejected,
+                WorkerAct::Pause("0.3"),
                 WorkerAct::Answer(500, "failed"),
             ]
         };
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -18,7 +18,9 @@
 pub use soak_callers::recovers;
 pub use soak_faults::{FaultCounts, draw_faults};
 pub use soak_site::SoakSite;
-pub use witness::{BrokenPromise, CallRecord, MarkRecord, SoakWitness, StreamRecord};
+pub use witness::{
+    ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, SoakWitness, StreamRecord,
+};
 
 /// Looks whether an entry serves again; 20 ms apart they take half a minute.
 const RECOVER_LOOKS: u32 = 1_500;
@@ -50,6 +52,7 @@
     let recovered = recovers(&site, RECOVER_LOOKS).await;
     let ran = site.ran();
     let mut broken = witness.broken(&ran);
+    broken.extend(witness.sent_to_leaving(&site.arrivals()));
     if !recovered {
         broken.push(BrokenPromise::NotRecovered);
     }
--- a/xtask/src/soak/soak_callers.rs
+++ b/xtask/src/soak/soak_callers.rs
@@ -20,7 +20,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{CallRecord, MarkRecord, SoakSite, SoakWitness, StreamRecord, soak_faults::revive_all};
+use super::{
+    CallRecord, LeavingRecord, MarkRecord, SoakSite, SoakWitness, StreamRecord,
+    soak_faults::revive_all,
+};
 
 /// Time that a caller waits for the head of an answer.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -75,8 +78,8 @@
 }
 
 async fn book(site: &SoakSite, witness: &SoakWitness, number: usize) {
-    let id = next_id();
-    let (listen, _) = site.entry(number);
+    let (listen, lifetime) = site.entry(number);
+    let id = site.name_request(next_id(), lifetime);
     let mut record = CallRecord {
         id: id.clone(),
         status: None,
@@ -87,6 +90,18 @@
         let seal = response.headers().get("x-bamboocross-server-seal");
         record.seal = seal.and_then(|seal| seal.to_str().ok()).map(str::to_owned);
         let status = response.status().as_u16();
+        if response.headers().contains_key("server-leaving") {
+            let worker = response.headers().get("x-stand-in-lifetime");
+            let worker = worker.and_then(|worker| worker.to_str().ok());
+            // The entry may have been another process by the time of the answer.
+            if site.entry(number).1 == lifetime {
+                witness.note_leaving(LeavingRecord {
+                    entry: lifetime,
+                    worker: worker.unwrap_or_default().to_owned(),
+                    at: Instant::now(),
+                });
+            }
+        }
         // An answer that ends early is none.
         if let Ok(body) = response.into_body().collect().await {
             record.status = Some(status);
--- a/xtask/src/soak/soak_faults.rs
+++ b/xtask/src/soak/soak_faults.rs
@@ -13,7 +13,7 @@
 /// Faults of each kind that were made.
 #[derive(Clone, Copy, Debug, Default, Display)]
 #[display(
-    "kills={kills} stops={stops} pauses={pauses} links={links} store={store} versions={versions}"
+    "kills={kills} stops={stops} pauses={pauses} links={links} store={store} leaving={leaving} versions={versions}"
 )]
 pub struct FaultCounts {
     /// Entries killed.
@@ -26,6 +26,8 @@
     pub links: u32,
     /// Changes of the store's behaviour.
     pub store: u32,
+    /// Workers that said that they leave, or came back as another lifetime.
+    pub leaving: u32,
     /// Versions of the desired state.
     pub versions: u32,
 }
@@ -45,7 +47,7 @@
             }
             still
         });
-        match rng.random_range(0..14) {
+        match rng.random_range(0..15) {
             0 => {
                 site.signal(number, Signal::SIGKILL);
                 counts.kills += 1;
@@ -75,6 +77,10 @@
                 harmed.push((link, Instant::now() + time));
                 counts.links += 1;
             }
+            12 => {
+                site.turn_worker(rng.random_range(0..site.worker_count()));
+                counts.leaving += 1;
+            }
             _ => {
                 site.publish();
                 counts.versions += 1;
--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -1,6 +1,7 @@
 //! Entries, store and workers of a soak.
 
 use std::{
+    collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -19,8 +20,12 @@
 use stand_ins::{LinkMode, ProxyLink, RowStore, ScriptedWorker};
 use tempfile::TempDir;
 
+use super::ArrivalRecord;
+
 /// Failure domains, each with a model worker and a plain one.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Services, one worker each in a failure domain.
+const SERVICES: [&str; 2] = ["pool", "desk"];
 /// Failure domains of the entries; those of one domain follow each other.
 const ENTRY_DOMAINS: [&str; 4] = ["a", "a", "b", "c"];
 /// Ports of the first site of this process, and those that each site takes.
@@ -47,6 +52,8 @@
     /// The way to each worker, then that of each entry to the store.
     links: Vec<ProxyLink>,
     entries: Vec<Mutex<SoakEntry>>,
+    /// Lifetime of the entry to which a request was sent, by its id.
+    addressees: Mutex<HashMap<String, u64>>,
     version: AtomicU64,
     lifetimes: AtomicU64,
     _folder: TempDir,
@@ -59,7 +66,7 @@
         let mut workers = Vec::new();
         let mut links = Vec::new();
         for (number, domain) in (0_u64..).zip(DOMAINS) {
-            for service in ["pool", "desk"] {
+            for service in SERVICES {
                 let worker = ScriptedWorker::start("w").await.into_diagnostic()?;
                 worker.draw_faults(seed * 100 + number, FAULT_PERCENT);
                 let link = start_link(worker.address).await?;
@@ -90,6 +97,7 @@
             store,
             workers,
             links,
+            addressees: Mutex::default(),
             version: AtomicU64::new(0),
             lifetimes: AtomicU64::new(0),
             _folder: folder,
@@ -135,6 +143,63 @@
         (entry.listen, entry.lifetime)
     }
 
+    /// Remember to which lifetime of an entry a request is sent; returns its id.
+    pub fn name_request(&self, id: String, lifetime: u64) -> String {
+        let mut addressees = self
+            .addressees
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        addressees.insert(id.clone(), lifetime);
+        id
+    }
+
+    /// Number of workers.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Let a worker say that it leaves, or begin another lifetime if it does already.
+    pub fn turn_worker(&self, number: usize) {
+        let worker = &self.workers[number];
+        if !worker.is_leaving() {
+            worker.leave();
+            return;
+        }
+        let born = worker.begin_lifetime() + 1;
+        let service = SERVICES[number % SERVICES.len()];
+        let domain = DOMAINS[number / SERVICES.len()];
+        let mut row = registration(service, self.links[number].listen, domain);
+        row["born"] = json!(born);
+        let key = format!("i-{}", worker.address.port());
+        self.store.put("servers", &key, row.to_string().as_bytes());
+    }
+
+    /// Requests that arrived at the workers, as far as their entry is known.
+    pub fn arrivals(&self) -> Vec<ArrivalRecord> {
+        let addressees = self
+            .addressees
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let of_worker = |worker: &ScriptedWorker| {
+            let address = worker.address;
+            worker
+                .arrivals()
+                .into_iter()
+                .map(move |arrival| (address, arrival))
+        };
+        self.workers
+            .iter()
+            .flat_map(of_worker)
+            .filter_map(|(address, arrival)| {
+                Some(ArrivalRecord {
+                    entry: *addressees.get(&arrival.id)?,
+                    worker: format!("{address}.{}", arrival.lifetime),
+                    at: arrival.at,
+                })
+            })
+            .collect()
+    }
+
     /// Ids that ran, one entry a run.
     pub fn ran(&self) -> Vec<String> {
         self.workers.iter().flat_map(ScriptedWorker::ran).collect()
--- a/xtask/src/soak/witness.rs
+++ b/xtask/src/soak/witness.rs
@@ -3,10 +3,12 @@
 use std::{
     collections::HashMap,
     sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use derive_more::Display;
 use stand_ins::STREAM_EVENTS;
+use tokio::time::Instant;
 
 /// One booking as its caller saw it.
 #[derive(Clone, Debug)]
@@ -47,6 +49,32 @@
     pub found: Option<bool>,
 }
 
+/// An answer with which a worker said that it leaves, as its caller got it.
+#[derive(Clone, Debug)]
+pub struct LeavingRecord {
+    /// Lifetime of the entry that handed it on.
+    pub entry: u64,
+    /// Lifetime of the worker, as it names itself.
+    pub worker: String,
+    /// When the caller had it.
+    pub at: Instant,
+}
+
+/// A request that a worker got.
+#[derive(Clone, Debug)]
+pub struct ArrivalRecord {
+    /// Lifetime of the entry that the request was sent to.
+    pub entry: u64,
+    /// Lifetime of the worker, as it names itself.
+    pub worker: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// Time after which nothing reaches a worker that has said that it leaves: the
+/// settings' `drain_ms`.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+
 /// A promise that was broken.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum BrokenPromise {
@@ -68,6 +96,9 @@
     /// An older desired state came back.
     #[display("lifetime {_0} went back behind version {_1}")]
     WentBack(u64, u64),
+    /// A request reached a worker that had said that it leaves.
+    #[display("lifetime {_0} sent to {_1} after it had said that it leaves")]
+    SentToLeaving(u64, String),
     /// After all entries died, not all served again.
     #[display("not all entries served again")]
     NotRecovered,
@@ -78,6 +109,7 @@
     calls: Vec<CallRecord>,
     streams: Vec<StreamRecord>,
     marks: Vec<MarkRecord>,
+    leaving: Vec<LeavingRecord>,
 }
 
 /// Everything that callers saw.
@@ -106,6 +138,33 @@
         self.records().marks.push(record);
     }
 
+    /// Keep an answer of a worker that leaves.
+    pub fn note_leaving(&self, record: LeavingRecord) {
+        self.records().leaving.push(record);
+    }
+
+    /// Answers of workers that leave.
+    pub fn leaving_count(&self) -> usize {
+        self.records().leaving.len()
+    }
+
+    /// Arrivals that break the promise about workers that leave.
+    pub fn sent_to_leaving(&self, arrivals: &[ArrivalRecord]) -> Vec<BrokenPromise> {
+        let records = self.records();
+        let is_late = |arrival: &&ArrivalRecord| {
+            records.leaving.iter().any(|leaving| {
+                leaving.entry == arrival.entry
+                    && leaving.worker == arrival.worker
+                    && arrival.at > leaving.at + LEAVING_BOUND
+            })
+        };
+        arrivals
+            .iter()
+            .filter(is_late)
+            .map(|arrival| BrokenPromise::SentToLeaving(arrival.entry, arrival.worker.clone()))
+            .collect()
+    }
+
     /// Bookings, streams and requests for marked routes.
     pub fn counts(&self) -> (usize, usize, usize) {
         let records = self.records();
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -1,11 +1,15 @@
 //! Each checker of the soak finds the promise that a double breaks, and a short
 //! run with a fixed seed breaks none.
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use stand_ins::LinkMode;
+use tokio::time::Instant;
 use xtask::soak::{
-    self, BrokenPromise, CallRecord, MarkRecord, SoakOptions, SoakSite, SoakWitness, StreamRecord,
+    self, ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, SoakOptions,
+    SoakSite, SoakWitness, StreamRecord,
 };
 
 fn call(id: &str, status: u16, seal: &str, body: &str) -> CallRecord {
@@ -87,6 +91,34 @@
     assert_eq!(!witness.broken(&[]).is_empty(), broken);
 }
 
+/// Seconds between the leaving answer and the arrival, at which lifetime of the worker,
+/// and from which entry.
+#[rstest]
+#[case::in_time(1.9, "w.0", 1, false)]
+#[case::late(2.1, "w.0", 1, true)]
+#[case::other_lifetime(9.0, "w.1", 1, false)]
+#[case::other_entry(9.0, "w.0", 2, false)]
+fn leaving_workers(
+    #[case] seconds: f64,
+    #[case] worker: &str,
+    #[case] entry: u64,
+    #[case] broken: bool,
+) {
+    let witness = SoakWitness::default();
+    let at = Instant::now();
+    witness.note_leaving(LeavingRecord {
+        entry: 1,
+        worker: "w.0".to_owned(),
+        at,
+    });
+    let arrival = ArrivalRecord {
+        entry,
+        worker: worker.to_owned(),
+        at: at + Duration::from_secs_f64(seconds),
+    };
+    assert_eq!(!witness.sent_to_leaving(&[arrival]).is_empty(), broken);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_run_breaks_no_promise() -> miette::Result<()> {
     let options = SoakOptions {
