Refuse streams whose first event would be late at the best queried server

Cause: far above the load that the servers bear, every prompt waits behind others until it is late, and that state outlasts its cause. Reason overloaded.

--- a/crates/domain/src/kv_placement.rs
+++ b/crates/domain/src/kv_placement.rs
@@ -19,6 +19,7 @@
 mod engine_estimate;
 mod server_pick;
 mod service_outlook;
+mod stream_admission;
 
 pub use copy_state::{CopyState, CopyStep};
 pub use engine_estimate::{EngineEstimate, EngineRates};
@@ -26,6 +27,7 @@
     CANDIDATE_COUNT, PlacementQuery, pick_backup, pick_candidates, pick_reported, pick_server,
 };
 pub use service_outlook::ServiceOutlook;
+pub use stream_admission::is_hopeless;
 
 /// Largest token count that is used; the counts of all requests of a process are
 /// added up, so each stays far below the range of the sum.
--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -288,15 +288,9 @@
     if let Some(tokens) = query.tokens {
         let rates = query.rates;
         let uncached = tokens.prompt.saturating_sub(query.cached_tokens(server));
-        // A request waits until its prefill is finished. The reported ones include
-        // those of this process.
-        let reported_waiting = report.map_or(0, |report| u64::from(report.waiting));
-        let waiting_tokens = server
-            .prompt_tokens()
-            .max(reported_waiting * rates.mean_prompt_tokens);
         let own_prefill_ms = rates.prefill_ms(uncached);
         let interference_ms = own_prefill_ms * INTERFERENCE_PERCENT / 100;
-        return rates.prefill_ms(waiting_tokens)
+        return waiting_ms(server, query)
             + own_prefill_ms
             + (own_requests + other_requests) * (RUNNING_REQUEST_COST_MS + interference_ms);
     }
@@ -305,6 +299,19 @@
     (own_requests + other_requests + 1) * QUEUED_CALL_COST_MS * service_time_percent / 100
 }
 
+/// Time that the prefill of the prompts ahead of a request takes. A request waits
+/// until its prefill is finished; the reported ones include those of this process.
+pub(super) fn waiting_ms(server: &RegisteredServer, query: &PlacementQuery<'_>) -> u64 {
+    let reported = server
+        .report(query.now)
+        .filter(|(_, age)| *age < REPORT_AGE_MAX)
+        .map_or(0, |(report, _)| u64::from(report.waiting));
+    let tokens = server
+        .prompt_tokens()
+        .max(reported * query.rates.mean_prompt_tokens);
+    query.rates.prefill_ms(tokens)
+}
+
 fn cross_domain_cost(query: &PlacementQuery<'_>) -> u64 {
     if query.tokens.is_some() {
         STREAM_CROSS_DOMAIN_COST_MS
--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -6,8 +6,8 @@
     FailureDomain, ServerName, ServiceName,
     kv_placement::{
         CANDIDATE_COUNT, CopyState, CopyStep, EngineEstimate, EngineRates, LoadReport,
-        PlacementQuery, ServiceOutlook, TokenCounts, pick_backup, pick_candidates, pick_reported,
-        pick_server,
+        PlacementQuery, ServiceOutlook, TokenCounts, is_hopeless, pick_backup, pick_candidates,
+        pick_reported, pick_server,
     },
     prompt_cache::CachedPrompt,
     server_registry::{
@@ -478,3 +478,33 @@
     estimate.record_prompt(u64::MAX >> 6);
     assert!(estimate.rates().prefill_ms(u64::MAX) > 0);
 }
+
+/// Prompts that wait at the server, the stream's own prompt, and the time left for its
+/// first event. A prompt of 4,000 tokens, the mean, is prefilled in 0.5 s.
+#[rstest]
+#[case::idle(0, 8_000, 4_500, false)]
+#[case::short_queue(4, 8_000, 4_500, false)]
+#[case::late_behind_the_queue(8, 8_000, 4_500, true)]
+#[case::small_prompt_fits(8, 100, 4_500, false)]
+#[case::late_by_itself(2, 40_000, 4_500, false)]
+#[case::one_waits(1, 8_000, 600, false)]
+#[case::no_time_left(3, 8_000, 0, true)]
+#[tokio::test(start_paused = true)]
+async fn streams_that_would_start_late_are_hopeless(
+    #[case] waiting: u32,
+    #[case] prompt: u64,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let registry = servers(&[1]);
+    let now = Instant::now();
+    let candidate = server(&registry, "a0");
+    candidate.note_report(report(3, waiting), now);
+    let own_domain = FailureDomain::from("a");
+    let query = query(&own_domain, Some(TokenCounts::new(prompt, 900)), now);
+    let left = Duration::from_millis(left_ms);
+    assert_eq!(is_hopeless(&candidate, &query, left), expected);
+    // Without a report of the server's own, nothing is known of its queue.
+    let unknown = RegisteredServer::new(candidate.record().clone());
+    assert!(!is_hopeless(&unknown, &query, left));
+}
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -101,6 +101,9 @@
     /// No server could accept the request.
     #[display("no_server")]
     NoServer,
+    /// The first event would be late at every server that was asked.
+    #[display("overloaded")]
+    Overloaded,
     /// The retry budget is exhausted.
     #[display("no_budget")]
     NoBudget,
@@ -125,9 +128,11 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::StateUnsure | Self::Closing | Self::NoServer | Self::NoBudget => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::StateUnsure
+            | Self::Closing
+            | Self::NoServer
+            | Self::Overloaded
+            | Self::NoBudget => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -175,9 +175,12 @@
                 self.abort(ReplyReason::Timeout);
                 return "timeout";
             }
-            let Some(server) = self.next_server().await else {
-                self.abort(ReplyReason::NoServer);
-                return "no_server";
+            let server = match self.next_server().await {
+                Ok(server) => server,
+                Err(reason) => {
+                    self.abort(reason);
+                    return "no_server";
+                }
             };
             let outcome = match self.attempt(&server).await {
                 AttemptEnd::Complete => {
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -7,14 +7,15 @@
     FailureDomain,
     desired_state::{EngineSpec, RouteKind},
     kv_placement::{
-        PlacementQuery, ServiceOutlook, pick_backup, pick_candidates, pick_reported, pick_server,
+        PlacementQuery, ServiceOutlook, is_hopeless, pick_backup, pick_candidates, pick_reported,
+        pick_server,
     },
     server_registry::{RegisteredServer, WorkGuard, WorkSize},
 };
 use tokio::time::{Instant, sleep};
 
 use super::{SUSPECT_BASE, StreamRun};
-use crate::load_query::query_loads;
+use crate::{load_query::query_loads, reply::ReplyReason};
 
 /// Latency target assumed for a stream whose route has none. A search takes up to
 /// half of the target.
@@ -27,7 +28,7 @@
 impl StreamRun {
     /// Picks the server that holds the copy, or else the best one. Waits for a
     /// limited time while none is available.
-    pub(super) async fn next_server(&mut self) -> Option<Arc<RegisteredServer>> {
+    pub(super) async fn next_server(&mut self) -> Result<Arc<RegisteredServer>, ReplyReason> {
         let target = self
             .request
             .route
@@ -36,17 +37,37 @@
         let limit = self.request.deadline.min(Instant::now() + target / 2);
         loop {
             if let Some(server) = self.pick().await {
-                return Some(server);
+                if self.is_hopeless(&server) {
+                    return Err(ReplyReason::Overloaded);
+                }
+                return Ok(server);
             }
             let now = Instant::now();
             self.tried.clear();
             if now >= limit || !self.is_worth_waiting(now, limit) {
-                return None;
+                return Err(ReplyReason::NoServer);
             }
             sleep(SEARCH_PAUSE).await;
         }
     }
 
+    /// Whether a new stream would get its first event late even at the best of the
+    /// queried servers. A stream that a caller resumes, or that was sent before, is
+    /// never refused for that.
+    fn is_hopeless(&self, server: &RegisteredServer) -> bool {
+        let Some(target) = self.request.route.latency_target else {
+            return false;
+        };
+        if self.request.position.is_some() || self.budget.runs > 0 {
+            return false;
+        }
+        let now = Instant::now();
+        let settings = self.state.settings.load();
+        let query = self.query(&settings.domain, &self.tried, now);
+        let time_left = target.saturating_sub(now - self.request.received);
+        is_hopeless(server, &query, time_left)
+    }
+
     /// Whether a server may become available before `limit`.
     fn is_worth_waiting(&self, now: Instant, limit: Instant) -> bool {
         let registry = self.state.registry.load();
