--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -108,7 +108,6 @@
             if !reported.is_empty() {
                 let settings = self.state.settings.load();
                 let query = self.query(&settings.domain, &self.tried, Instant::now());
-                let reported: Vec<&Arc<RegisteredServer>> = reported.into_iter().collect();
                 return pick_reported(&reported, &query).map(Arc::clone);
             }
             // All are silent: their failure domain may be lost.
