Bench of drawing candidates, and a lint of the replay

Cause: the choice of four candidates had no bench; clippy asked for is_multiple_of. Change: server_pick benches both choices.

--- a/crates/domain/benches/server_pick.rs
+++ b/crates/domain/benches/server_pick.rs
@@ -41,26 +41,24 @@
         let own_domain = FailureDomain::from("domain-0");
         let service = ServiceName::from("pool");
         let mut rng = SmallRng::seed_from_u64(1);
-        group.bench_function(BenchmarkId::from_parameter(size), |bench| {
-            let query = PlacementQuery {
-                tokens: Some(TokenCounts {
-                    prompt: 8_000,
-                    output: 900,
-                }),
-                kv_capacity: 88_000,
-                rates: EngineRates::default(),
-                cached: None,
-                own_domain: &own_domain,
-                tried: &[],
-                now: Instant::now(),
-            };
-            bench.iter(|| {
-                pick_server(
-                    black_box(registry.ready_servers(&service)),
-                    &query,
-                    &mut rng,
-                )
-            });
+        let query = PlacementQuery {
+            tokens: Some(TokenCounts {
+                prompt: 8_000,
+                output: 900,
+            }),
+            kv_capacity: 88_000,
+            rates: EngineRates::default(),
+            cached: None,
+            own_domain: &own_domain,
+            tried: &[],
+            now: Instant::now(),
+        };
+        let servers = registry.ready_servers(&service);
+        group.bench_function(BenchmarkId::new("one", size), |bench| {
+            bench.iter(|| pick_server(black_box(servers), &query, &mut rng));
+        });
+        group.bench_function(BenchmarkId::new("candidates", size), |bench| {
+            bench.iter(|| pick_candidates(black_box(servers), &query, &mut rng));
         });
     }
     group.finish();
--- a/crates/domain/tests/placement_replay.rs
+++ b/crates/domain/tests/placement_replay.rs
@@ -156,7 +156,7 @@
             kv_tokens: TOKENS.total(),
         });
         let number = index(picked);
-        let prefill_ms = if number % 16 == 0 {
+        let prefill_ms = if number.is_multiple_of(16) {
             1_000.0 * slowness
         } else {
             1_000.0
