--- a/crates/front/tests/site/endless.rs
+++ b/crates/front/tests/site/endless.rs
@@ -125,6 +125,22 @@
     assert_eq!(worker.listings(), 1);
 }
 
+/// A server whose health answer never ends is passed over.
+#[rstest]
+#[tokio::test]
+async fn health_answer_without_end_is_given_up(
+    #[values(HeaderLine, Headers, Interim, Chunks, Body)] part: EndlessPart,
+) {
+    let (bad, good) = (start_worker("i1").await, start_worker("i2").await);
+    bad.answer_health_endlessly(part);
+    let site = TestSite::start(&[(POOL, &bad, "a"), (POOL, &good, "b")]).await;
+    for number in 0..4 {
+        let answered = site.call("/report/1", &format!("r{number}")).await;
+        assert_eq!((answered.status, answered.complete), (StatusCode::OK, true));
+    }
+    assert!(bad.requests().is_empty());
+}
+
 /// The connection of an endless answer is closed, also when its caller leaves.
 #[tokio::test]
 async fn endless_stream_ends_with_its_caller() {
--- a/crates/front/tests/site/streams.rs
+++ b/crates/front/tests/site/streams.rs
@@ -234,3 +234,46 @@
     assert_eq!(answered.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answered.headers.contains_key("retry-after"));
 }
+
+/// Of several servers, the one whose present load is the least gets the stream.
+#[tokio::test]
+async fn stream_goes_to_the_least_loaded_server() {
+    let workers = [
+        start_worker("i1").await,
+        start_worker("i2").await,
+        start_worker("i3").await,
+    ];
+    for (worker, load) in workers.iter().zip(["2,3,8", "1,0,8", "5,1,8"]) {
+        worker.set_load(load);
+    }
+    let listed: Vec<_> = workers.iter().map(|worker| (POOL, worker, "a")).collect();
+    let site = TestSite::start(&listed).await;
+    for number in 0..6 {
+        let answered = site.call("/report/1", &format!("r{number}")).await;
+        assert!(answered.complete);
+    }
+    let counts = workers.each_ref().map(|worker| worker.requests().len());
+    assert_eq!(counts, [0, 6, 0]);
+}
+
+/// A new stream whose first event would be late everywhere is refused before it is
+/// sent; one that its caller resumes is not.
+#[tokio::test]
+async fn stream_that_would_start_late_is_refused() {
+    let (first, second) = (start_worker("i1").await, start_worker("i2").await);
+    for worker in [&first, &second] {
+        worker.set_load("8,40,8");
+        worker.script([Events(8, StreamEnd::Complete)]);
+    }
+    let site = TestSite::start(&[(POOL, &first, "a"), (POOL, &second, "b")]).await;
+    let refused = site.call("/report/1", "r1").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers.contains_key("retry-after"));
+    assert!(first.requests().is_empty() && second.requests().is_empty());
+    let overloaded = "bamboocross_front_refusals_total{reason=\"overloaded\"}";
+    assert_eq!(site.metric(overloaded).await, 1.0);
+    let mut resumed = caller_request("/report/1", "r2");
+    let position = HeaderValue::from_static("5");
+    resumed.headers_mut().insert("last-event-id", position);
+    assert_eq!(site.send(resumed).await.body, events(6..=8));
+}
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -145,6 +145,8 @@
     own_questions: usize,
     late: String,
     endless_listings: Option<EndlessPart>,
+    endless_health: Option<EndlessPart>,
+    load: Option<&'static str>,
     event_pause: Option<Duration>,
     endless_bytes: u64,
     closed: usize,
@@ -207,6 +209,16 @@
         self.state().endless_listings = Some(part);
     }
 
+    /// Answer health checks without end.
+    pub fn answer_health_endlessly(&self, part: EndlessPart) {
+        self.state().endless_health = Some(part);
+    }
+
+    /// Say in answers to health checks that so many requests run, wait and have room.
+    pub fn set_load(&self, load: &'static str) {
+        self.state().load = Some(load);
+    }
+
     /// Pause between two events of a stream.
     pub fn set_event_pause(&self, pause: Duration) {
         self.state().event_pause = Some(pause);
@@ -301,6 +313,20 @@
         }
     }
 
+    /// What never ends in the answer to a question.
+    fn endless_answer(&self, question: OwnQuestion) -> Option<EndlessPart> {
+        let mut state = self.state();
+        match question {
+            OwnQuestion::Health => state.endless_health,
+            OwnQuestion::Report => None,
+            OwnQuestion::Held => {
+                let part = state.endless_listings?;
+                state.listings += 1;
+                Some(part)
+            }
+        }
+    }
+
     /// Answer a question that is no request of a caller; none if it stays open.
     fn answer_question(&self, question: OwnQuestion) -> Option<String> {
         let lifetime = self.lifetime();
@@ -323,9 +349,13 @@
                 state.list_held()
             }
         };
+        let load = state
+            .load
+            .map(|load| format!("x-bamboocross-load: {load}\r\n"));
         Some(format!(
-            "HTTP/1.1 200 OK\r\n{}x-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\n{}{}x-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
             state.leaving_line(),
+            load.unwrap_or_default(),
             lifetime,
             body.len()
         ))
@@ -335,9 +365,7 @@
         let mut held = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut held).await? {
             if let Some(question) = OwnQuestion::of(&request) {
-                let endless = self.state().endless_listings;
-                if let (OwnQuestion::Held, Some(part)) = (question, endless) {
-                    self.state().listings += 1;
+                if let Some(part) = self.endless_answer(question) {
                     let sent = send_endless(&mut stream, "", part, EndlessPace::Fast).await?;
                     self.state().endless_bytes += sent;
                     return Ok(());
