--- a/crates/front/src/answer_body.rs
+++ b/crates/front/src/answer_body.rs
@@ -10,10 +10,10 @@
 
 /// Maximum size of an answer, in bytes. Answers of plain services are a few
 /// kilobytes.
-const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Maximum size of all large answers together, in bytes: a fifth of the memory of
-/// the users' smallest VM.
-pub(crate) const LARGE_ANSWERS_BYTES_MAX: usize = 16 << 20;
+const ANSWER_BYTES_MAX: usize = 4 << 20;
+/// Maximum size of all large answers together, in bytes: a tenth of the memory of the
+/// users' smallest VM. Growing them takes as much again for moments.
+pub(crate) const LARGE_ANSWERS_BYTES_MAX: usize = 8 << 20;
 
 /// Why an answer could not be read.
 #[derive(Debug, Display, Error)]
@@ -47,14 +47,7 @@
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
             continue;
         };
-        let size = buffer.bytes.len() + data.len();
-        if size > ANSWER_BYTES_MAX {
-            return Err(BodyError::TooLarge);
-        }
-        if !buffer.share.grow_to(size) {
-            return Err(BodyError::NoMemory);
-        }
-        buffer.bytes.extend_from_slice(&data);
+        buffer.append(&data)?;
     }
     Ok(Bytes::from_owner(buffer))
 }
@@ -65,6 +58,25 @@
     share: BufferShare,
 }
 
+impl ChargedBuffer {
+    /// Appends bytes. The whole allocation is charged, not only its used part.
+    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let size = self.bytes.len() + data.len();
+        if size > ANSWER_BYTES_MAX {
+            return Err(BodyError::TooLarge);
+        }
+        if size > self.bytes.capacity() {
+            let capacity = size.max(self.bytes.capacity() * 2).min(ANSWER_BYTES_MAX);
+            if !self.share.grow_to(capacity) {
+                return Err(BodyError::NoMemory);
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
 impl AsRef<[u8]> for ChargedBuffer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
