Log the parts of prompts and the stage of an answer when a stream loses its server

The log could not tell a request that ends its server from those that fell with it. The digests of the parts of a prompt, without the last, are decoded once; 'stream lost its server' carries them and the time since the head and the first event of the attempt.

--- a/crates/domain/src/identity.rs
+++ b/crates/domain/src/identity.rs
@@ -4,7 +4,7 @@
 //! server is expected. Names are reference counted because the request path
 //! stores the same few names many times.
 
-use std::{borrow::Borrow, str::FromStr, sync::Arc};
+use std::{borrow::Borrow, fmt, str::FromStr, sync::Arc};
 
 use derive_more::{Display, From, Into};
 use sha2::{Digest, Sha256};
@@ -101,6 +101,27 @@
     ModelVersion(u32);
 }
 
+/// Digest of the ID of a prompt part. Evidence, messages and logs name parts by it.
+#[derive(Clone, Copy, Display, From, Into, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{_0:016x}")]
+pub struct PartDigest(u64);
+
+impl PartDigest {
+    /// Digest of a part's ID.
+    pub fn of(id: &str) -> Self {
+        let hash = Sha256::digest(id.as_bytes());
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hash[..8]);
+        Self(u64::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Debug for PartDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
 impl TokenPosition {
     /// The position as an index into a token log.
     pub const fn index(self) -> usize {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -45,6 +45,7 @@
 pub use class_counts::{ClassCounts, CountLimits, CountRefusal};
 pub use identity::{
     AdapterName, AttemptNumber, BodyDigest, ChangesetId, ConfigVersion, FailureDomain,
-    FencingNumber, GenerationId, IdempotencyKey, ModelName, ModelVersion, PoolName, PromptPart,
-    RequestId, ServerName, ServiceName, StopVersion, TeamName, TokenPosition, WorkClass,
+    FencingNumber, GenerationId, IdempotencyKey, ModelName, ModelVersion, PartDigest, PoolName,
+    PromptPart, RequestId, ServerName, ServiceName, StopVersion, TeamName, TokenPosition,
+    WorkClass,
 };
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -247,9 +247,10 @@
     let Some(service) = route.pick_target(rand::rng().random()).cloned() else {
         return Err(reject(ReplyReason::NoServer, id.as_str()));
     };
-    let (tokens, prompt, position) = (
+    let (tokens, prompt, shared_parts, position) = (
         decoded.token_counts,
         decoded.last_prompt_part,
+        decoded.shared_parts,
         decoded.position,
     );
     let body = match read_body(&desired, body).await {
@@ -266,6 +267,7 @@
         team,
         tokens,
         prompt,
+        shared_parts,
         position,
         received,
         deadline: received + timeout,
--- a/crates/front/src/routed_request.rs
+++ b/crates/front/src/routed_request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use domain::{
-    PromptPart, RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
+    PartDigest, PromptPart, RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
     event_relay::EventPosition, kv_placement::TokenCounts, server_registry::RegisteredServer,
 };
 use http::{HeaderMap, Method, uri::PathAndQuery};
@@ -26,6 +26,8 @@
     pub(crate) tokens: Option<TokenCounts>,
     /// Last part of the prompt.
     pub(crate) prompt: Option<PromptPart>,
+    /// The other parts of the prompt.
+    pub(crate) shared_parts: Vec<PartDigest>,
     /// Position after which the caller resumes the stream.
     pub(crate) position: Option<EventPosition>,
     pub(crate) received: Instant,
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -99,6 +99,16 @@
     tried: Vec<SocketAddr>,
     last_chunk_at: Option<Instant>,
     timing: StreamTiming,
+    answer: AnswerStage,
+}
+
+/// How far the answer of the present attempt has come.
+#[derive(Clone, Copy, Debug, Default)]
+struct AnswerStage {
+    /// Arrival of its head.
+    head_at: Option<Instant>,
+    /// Arrival of its first event.
+    begun_at: Option<Instant>,
 }
 
 /// Timing of a stream as seen by its caller.
@@ -131,6 +141,7 @@
             tried: Vec::new(),
             last_chunk_at: None,
             timing: StreamTiming::default(),
+            answer: AnswerStage::default(),
         }
     }
 
@@ -217,6 +228,9 @@
                 server = server.record().instance.as_str(),
                 outcome = outcome_label(outcome),
                 position:? = self.cursor.last_delivered(),
+                parts:? = self.request.shared_parts,
+                head_ms:? = self.answer.head_at.map(|at| at.elapsed().as_millis()),
+                begun_ms:? = self.answer.begun_at.map(|at| at.elapsed().as_millis()),
                 again = is_retry;
                 "stream lost its server"
             );
@@ -308,6 +322,7 @@
 
     async fn attempt(&mut self, server: &Arc<RegisteredServer>) -> AttemptEnd {
         let now = Instant::now();
+        self.answer = AnswerStage::default();
         let request = Arc::clone(&self.request);
         let tokens = self.tokens();
         let copy = self
@@ -344,6 +359,7 @@
             held_tokens = cached_tokens,
             fetch:? = order.kv_fetch,
             position:? = order.position,
+            parts:? = request.shared_parts,
             running = server.running(),
             prompt_tokens = server.prompt_tokens();
             "stream sent"
@@ -359,6 +375,7 @@
         match sent {
             Err(outcome) => AttemptEnd::Ended(outcome),
             Ok(answer) if answer.success => {
+                self.answer.head_at = Some(Instant::now());
                 let copies = CopyManager::new(&self.state, &request.id, server, holder);
                 let prefill = Prefill {
                     tokens: prefill_tokens,
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -76,6 +76,7 @@
             }
             if has_progress && !has_started {
                 has_started = true;
+                self.answer.begun_at = Some(Instant::now());
                 work.finish_prefill();
                 self.engines
                     .record_prefill(prefill.tokens, prefill.sent_at.elapsed());
