--- /dev/null
+++ b/crates/front/tests/site/crashing_prompts.rs
@@ -0,0 +1,153 @@
+//! A part of a prompt that crashes each server which begins to answer it.
+//!
+//! Retries and resumption would carry it from server to server, and each entry sees
+//! only some of the crashes.
+
+use std::{process::Stdio, time::Duration};
+
+use crate::support::{POOL, TestResponse, TestSite, caller_request, desired_state, wait_for};
+use futures_util::future::join_all;
+use http::{HeaderValue, StatusCode};
+use stand_ins::{RowStore, ScriptedWorker};
+use tokio::time::sleep;
+
+/// Part that crashes servers.
+const DEADLY: &str = "dead1";
+/// First part of all prompts.
+const FIRST: &str = "f1";
+/// Time for which a crashed worker is down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+/// Requests with the part that may reach servers after the fifth crash is known.
+const LATE_MAX: usize = 3;
+
+/// Entries before workers that crash on [`DEADLY`].
+struct CrashSite {
+    entries: Vec<TestSite>,
+    workers: Vec<ScriptedWorker>,
+}
+
+impl CrashSite {
+    async fn start(entries: usize, workers: usize) -> Self {
+        let store = RowStore::start().await.expect("a port");
+        store.put("op", "config", desired_state(1).to_string().as_bytes());
+        let mut site = Self {
+            entries: Vec::new(),
+            workers: Vec::new(),
+        };
+        for number in 0..entries {
+            site.add_entry(&store, number);
+        }
+        for number in 0..workers {
+            let worker = ScriptedWorker::start("i").await.expect("a port");
+            worker.crash_on_part(DEADLY, DOWN_TIME);
+            let domain = ["a", "b", "c"][number % 3];
+            site.entries[0].register(POOL, &worker, domain, "ready");
+            site.workers.push(worker);
+        }
+        for entry in &site.entries {
+            site.wait_joined(entry, entries).await;
+        }
+        site
+    }
+
+    fn add_entry(&mut self, store: &RowStore, number: usize) {
+        let name = format!("front-{number}");
+        let address = store.address;
+        let entry = TestSite::start_entry(&name, store.clone(), address, Stdio::null());
+        self.entries.push(entry);
+    }
+
+    /// Waits until an entry knows all workers and this number of entries.
+    async fn wait_joined(&self, entry: &TestSite, entries: usize) {
+        entry.wait_ready().await;
+        let expected = self.workers.len();
+        entry
+            .wait_state(|text| text.matches("\"instance\"").count() >= expected)
+            .await;
+        wait_for("all entries to know each other", async || {
+            entry.metric("bamboocross_front_entries").await >= entries as f64
+        })
+        .await;
+    }
+
+    fn crashes(&self) -> u64 {
+        self.workers.iter().map(ScriptedWorker::crashes).sum()
+    }
+
+    /// Requests with the deadly part that reached workers.
+    fn deadly_arrivals(&self) -> usize {
+        let requests = self.workers.iter().flat_map(ScriptedWorker::requests);
+        let is_deadly = |prefix: &str| prefix.contains(DEADLY);
+        requests
+            .filter(|request| {
+                let prefix = request.header("x-bamboocross-prompt-prefix");
+                prefix.is_some_and(is_deadly)
+            })
+            .count()
+    }
+
+    async fn send(&self, entry: usize, id: &str, prefix: &str) -> TestResponse {
+        let mut request = caller_request("/report/1", id);
+        let prefix = HeaderValue::from_str(prefix).expect("a header value");
+        request
+            .headers_mut()
+            .insert("x-bamboocross-prompt-prefix", prefix);
+        self.entries[entry % self.entries.len()].send(request).await
+    }
+
+    async fn send_deadly(&self, number: usize) -> TestResponse {
+        let id = format!("d{number}");
+        let prefix = format!("{FIRST}:200,{DEADLY}:50,own{number}:800");
+        self.send(number, &id, &prefix).await
+    }
+
+    async fn send_sound(&self, number: usize) -> TestResponse {
+        let id = format!("s{number}");
+        self.send(number, &id, &format!("{FIRST}:200,own-{id}:800"))
+            .await
+    }
+}
+
+/// Each entry sees a crash or two; together they stop sending the part, and sound
+/// requests that share caller, route and first part are served meanwhile.
+#[tokio::test]
+async fn entries_together_stop_sending_a_part_that_crashes_servers() {
+    let site = CrashSite::start(3, 9).await;
+    for number in 0..6 {
+        site.send_deadly(number).await;
+        sleep(Duration::from_millis(250)).await;
+    }
+    assert!(site.crashes() >= 3, "{} crashes", site.crashes());
+    // All workers are up again, and what was seen has been handed on.
+    sleep(DOWN_TIME + Duration::from_secs(1)).await;
+    let known = site.deadly_arrivals();
+    let deadly = join_all((10..28).map(|number| site.send_deadly(number)));
+    let sound = join_all((10..28).map(|number| site.send_sound(number)));
+    let (deadly, sound) = futures_util::join!(deadly, sound);
+    let late = site.deadly_arrivals() - known;
+    assert!(
+        late <= LATE_MAX,
+        "{late} requests with the part reached workers late"
+    );
+    for answer in sound {
+        assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+    }
+    for answer in deadly {
+        assert!(!answer.status.is_success(), "{answer:?}");
+    }
+}
+
+/// One request ends a few servers, not as many as its route has attempts and its
+/// caller retries.
+#[tokio::test]
+async fn entry_alone_stops_sending_a_part_that_crashes_servers() {
+    let site = CrashSite::start(1, 9).await;
+    for number in 0..12 {
+        site.send_deadly(number).await;
+    }
+    assert!(site.crashes() <= 5, "{} crashes", site.crashes());
+    for number in 0..6 {
+        let answer = site.send_sound(number).await;
+        assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+    }
+}
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry process with a failing store and failing backend servers.
 
 mod calls;
+mod crashing_prompts;
 mod endless;
 mod entry_process;
 mod leaving;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -16,6 +16,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::{Instant, sleep},
 };
 
@@ -150,6 +151,7 @@
     event_pause: Option<Duration>,
     endless_bytes: u64,
     closed: usize,
+    deadly_part: Option<(String, Duration)>,
 }
 
 /// A worker in this process.
@@ -159,10 +161,13 @@
     pub address: SocketAddr,
     instance: &'static str,
     state: Arc<Mutex<WorkerState>>,
+    crashes: Arc<watch::Sender<u64>>,
 }
 
 /// Events of a whole stream of a worker without a script.
 pub const STREAM_EVENTS: u64 = 30;
+/// Time from the head of an answer to the crash that it brings about.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Pause between two pieces of a stream that makes no progress.
 const DRIBBLE_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two events: long enough that they come as pieces.
@@ -176,6 +181,7 @@
             address: listener.local_addr()?,
             instance,
             state: Arc::default(),
+            crashes: Arc::new(watch::Sender::new(0)),
         };
         tokio::spawn(worker.clone().serve(listener));
         Ok(worker)
@@ -234,6 +240,27 @@
         self.state().has_restarted = true;
     }
 
+    /// Crash at the beginning of each answer to a prompt with this part, and come back
+    /// after `down`.
+    pub fn crash_on_part(&self, part: &str, down: Duration) {
+        self.state().deadly_part = Some((part.to_owned(), down));
+    }
+
+    /// How often the worker crashed.
+    pub fn crashes(&self) -> u64 {
+        *self.crashes.borrow()
+    }
+
+    fn crashes_on(&self, request: &WorkerRequest) -> bool {
+        let state = self.state();
+        let prefix = request.header("x-bamboocross-prompt-prefix");
+        let (Some((part, _)), Some(prefix)) = (&state.deadly_part, prefix) else {
+            return false;
+        };
+        let mut ids = prefix.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| id.trim() == part)
+    }
+
     /// Name of the present lifetime: as tests register it, until a restart.
     fn lifetime(&self) -> String {
         if self.state().has_restarted {
@@ -306,13 +333,37 @@
     }
 
     async fn serve(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+        let mut listener = Some(listener);
+        let mut crashes = self.crashes.subscribe();
+        while let Some(open) = &listener {
+            let stream = tokio::select! {
+                Ok((stream, _)) = open.accept() => stream,
+                Ok(()) = crashes.changed() => {
+                    listener = self.come_back(listener).await;
+                    continue;
+                }
+                else => return,
+            };
             let worker = self.clone();
-            // A connection that breaks is what many scripts are about.
-            tokio::spawn(async move { worker.serve_connection(stream).await.ok() });
+            tokio::spawn(async move {
+                let mut crashes = worker.crashes.subscribe();
+                // A connection that breaks is what many scripts are about.
+                tokio::select! {
+                    served = worker.serve_connection(stream) => served.ok(),
+                    _ = crashes.changed() => None,
+                }
+            });
         }
     }
 
+    /// Close the listener for the time that a crash lasts.
+    async fn come_back(&self, listener: Option<TcpListener>) -> Option<TcpListener> {
+        drop(listener);
+        let down = self.state().deadly_part.as_ref().map(|(_, down)| *down);
+        sleep(down.unwrap_or_default()).await;
+        TcpListener::bind(self.address).await.ok()
+    }
+
     /// What never ends in the answer to a question.
     fn endless_answer(&self, question: OwnQuestion) -> Option<EndlessPart> {
         let mut state = self.state();
@@ -490,6 +541,11 @@
             self.instance
         );
         stream.write_all(head.as_bytes()).await?;
+        if self.crashes_on(request) {
+            sleep(CRASH_DELAY).await;
+            self.crashes.send_modify(|crashes| *crashes += 1);
+            return reset(stream);
+        }
         let pause = self.state().event_pause.unwrap_or(EVENT_PAUSE);
         for position in first..=last {
             write_chunk(stream, &format!("id: {position}\ndata: e{position}\n\n")).await?;
