Hold back prompt parts that crash the servers which begin to answer them

Callers saw streams fall with servers that ended one after the other: a request with a deadly part was resumed at up to five servers, and each entry sent new ones. Cause: a query of death; resumption takes each end of a server for an accident of that server, and entries told each other nothing of it.

A server that ends between the head of an answer and its events now accuses the shared parts of that prompt, an answer that goes on acquits them, and three crashes that do not overlap hold the part back at all entries: evidence goes to every entry at once, and by random exchanges to those that just started.

--- a/crates/domain/src/entry_roster.rs
+++ b/crates/domain/src/entry_roster.rs
@@ -121,6 +121,12 @@
             .filter_map(|(_, known)| known.record.as_ref())
     }
 
+    /// Whether `name` sorts before the names of all other live entries.
+    pub fn is_first(&self, name: &str, lifetime: Duration, now: Instant) -> bool {
+        let first = self.live(lifetime, now).next();
+        first.is_some_and(|(first, _)| *first == *name)
+    }
+
     fn live(&self, lifetime: Duration, now: Instant) -> impl Iterator<Item = (&str, &KnownEntry)> {
         self.rows
             .iter()
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -3,8 +3,8 @@
 //! Callers connect to an entry, the process that admits requests and forwards them
 //! to backend servers. There are two entry programs:
 //! - `bamboocross-front` sends requests directly to servers that register
-//!   themselves in the platform's store. In [`buffer_budget`], [`desired_state`],
-//!   [`entry_drain`], [`entry_roster`], [`event_relay`], [`kv_placement`],
+//!   themselves in the platform's store. In [`buffer_budget`], [`crash_evidence`],
+//!   [`desired_state`], [`entry_drain`], [`entry_roster`], [`event_relay`], [`kv_placement`],
 //!   [`list_relay`], [`prompt_cache`], [`reachability`], [`retry_advice`],
 //!   [`retry_share`], [`run_evidence`], [`server_registry`] and [`state_relay`], an
 //!   entry is a process of this program.
@@ -21,6 +21,7 @@
 pub mod backend_server;
 pub mod buffer_budget;
 pub mod class_counts;
+pub mod crash_evidence;
 pub mod desired_state;
 pub mod entry_drain;
 pub mod entry_roster;
--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use domain::server_registry::RegisteredServer;
+use domain::{crash_evidence::HeldPart, server_registry::RegisteredServer};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -98,16 +98,33 @@
         .all()
         .map(|server| dump_server(server, now))
         .collect();
+    let held = state.crash_watch.held();
+    let held_parts: Vec<Value> = held.iter().map(|part| dump_held_part(part, now)).collect();
     json!({
         "phase": format!("{:?}", state.phase(now)),
         "ready": state.is_ready(now),
         "state_version": desired.as_ref().map(|desired| desired.version().number),
         "routes": desired.as_ref().map(|desired| desired.route_count()),
         "state_may_deny": state.freshness().may_deny(now),
+        "held_parts": held_parts,
         "servers": servers,
     })
 }
 
+fn dump_held_part(held: &HeldPart, now: Instant) -> Value {
+    let age_ms = |at: Instant| saturating_i64(now.saturating_duration_since(at).as_millis() as u64);
+    json!({
+        "part": held.part.to_string(),
+        "crashes": held.crashes,
+        "first_crash_age_ms": age_ms(held.first_at),
+        "last_crash_age_ms": age_ms(held.last_at),
+        "seen_by": held.seen_by,
+        "trial_in_ms": saturating_i64(
+            held.trial_at.saturating_duration_since(now).as_millis() as u64
+        ),
+    })
+}
+
 fn dump_server(server: &RegisteredServer, now: Instant) -> Value {
     let record = server.record();
     json!({
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    crash_watch::{held_part, report_crash},
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, buffered_reply, problem_reply, refusal_reply},
     return_watch::watch_for_return,
@@ -38,6 +39,9 @@
         if request.remaining(now).is_zero() {
             return finish(state, request, last_answer, ReplyReason::Timeout);
         }
+        if is_held_back(state, request, &budget) {
+            return finish(state, request, last_answer, ReplyReason::CrashesServers);
+        }
         let Some(server) = pick(state, request, &budget, &tried, now) else {
             return finish(state, request, last_answer, no_server(request, &budget));
         };
@@ -48,6 +52,7 @@
             },
             Err(outcome) => *outcome,
         };
+        record_evidence(state, &server, request, outcome, now).await;
         let label = outcome_label(outcome);
         state.metrics.sends.with_label_values(&[label]).inc();
         budget.record(outcome);
@@ -68,6 +73,7 @@
             again = is_retry,
             runs = budget.runs,
             rejected = budget.rejected,
+            parts:? = request.shared_parts,
             age_ms = request.received.elapsed().as_millis() as u64;
             "call sent"
         );
@@ -84,6 +90,41 @@
     }
 }
 
+/// Returns whether a part of the request's prompt is held back, and logs it.
+pub(crate) fn is_held_back(
+    state: &FrontState,
+    request: &RoutedRequest,
+    budget: &SendBudget,
+) -> bool {
+    let part = held_part(state, &request.shared_parts);
+    if let Some(part) = part {
+        log::info!(
+            request = request.id.as_str(),
+            part:% = part,
+            runs = budget.runs;
+            "request held back"
+        );
+    }
+    part.is_some()
+}
+
+/// Records what the outcome of a send says about the parts of the request's prompt. The
+/// beginning of a plain answer cannot be seen, so each call that a crash ended accuses
+/// its parts; an answer acquits them.
+async fn record_evidence(
+    state: &FrontState,
+    server: &RegisteredServer,
+    request: &RoutedRequest,
+    outcome: SendOutcome,
+    sent_at: Instant,
+) {
+    match outcome {
+        SendOutcome::Broken => report_crash(state, server, &request.shared_parts, sent_at).await,
+        SendOutcome::Answered { .. } => state.crash_watch.acquit(&request.shared_parts, sent_at),
+        _ => {}
+    }
+}
+
 /// Returns the last answer of a server, even if it is an error, and the entry's
 /// own reply only if there is none.
 fn finish(
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -250,7 +250,7 @@
     let (tokens, prompt, shared_parts, position) = (
         decoded.token_counts,
         decoded.last_prompt_part,
-        decoded.shared_parts,
+        decoded.shared_parts.into(),
         decoded.position,
     );
     let body = match read_body(&desired, body).await {
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -16,6 +16,9 @@
     pub(crate) list_updates: IntCounterVec,
     pub(crate) state_updates: IntCounterVec,
     pub(crate) odd_rows: IntCounterVec,
+    pub(crate) crash_reports: IntCounterVec,
+    pub(crate) evidence_calls: IntCounterVec,
+    pub(crate) held_parts: IntGauge,
     pub(crate) call_seconds: Histogram,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) event_gap_seconds: Histogram,
@@ -87,6 +90,20 @@
                 "Rows of the store, or of another entry, that cannot be used, by table",
                 "table",
             ),
+            crash_reports: set.counters(
+                "bamboocross_front_crash_reports_total",
+                "Servers that ended as they began to answer a request, by who saw it",
+                "source",
+            ),
+            evidence_calls: set.counters(
+                "bamboocross_front_evidence_calls_total",
+                "Calls to other entries about such servers, by outcome",
+                "outcome",
+            ),
+            held_parts: set.gauge(
+                "bamboocross_front_held_parts",
+                "Prompt parts of which requests are sent to no server",
+            ),
             call_seconds: set.seconds(
                 "bamboocross_front_call_seconds",
                 "Time from a plain request to its answer",
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -28,8 +28,8 @@
 };
 
 use crate::{
-    answer_body::LARGE_ANSWERS_BYTES_MAX, connection_pool::ConnectionPool, drain_clock::DrainClock,
-    front_metrics::FrontMetrics, prompt_finder::PromptFinder,
+    answer_body::LARGE_ANSWERS_BYTES_MAX, connection_pool::ConnectionPool, crash_watch::CrashWatch,
+    drain_clock::DrainClock, front_metrics::FrontMetrics, prompt_finder::PromptFinder,
 };
 
 /// Time without a change of its row after which an entry counts as gone: three
@@ -77,6 +77,7 @@
     /// Memory for buffered answers of servers.
     pub(crate) answer_memory: Arc<BufferBudget>,
     pub(crate) finder: PromptFinder,
+    pub(crate) crash_watch: CrashWatch,
     pub(crate) metrics: FrontMetrics,
     pub(crate) drain: DrainClock,
     pub(crate) connections: AtomicUsize,
@@ -93,7 +94,7 @@
 
 impl FrontState {
     /// Creates the state of a process that has read nothing from the store yet.
-    pub fn new(settings: FrontSettings, finder: PromptFinder) -> Self {
+    pub fn new(settings: FrontSettings, finder: PromptFinder, crash_watch: CrashWatch) -> Self {
         Self {
             settings: ArcSwap::from_pointee(settings),
             desired: ArcSwapOption::empty(),
@@ -107,6 +108,7 @@
             connection_pool: ConnectionPool::default(),
             answer_memory: Arc::new(BufferBudget::new(LARGE_ANSWERS_BYTES_MAX)),
             finder,
+            crash_watch,
             metrics: FrontMetrics::new(),
             drain: DrainClock::new(),
             connections: AtomicUsize::new(0),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,7 +18,9 @@
 mod caller_front;
 mod connection_pool;
 mod copy_manager;
+mod crash_watch;
 mod drain_clock;
+mod evidence_relay;
 mod front_metrics;
 mod front_state;
 mod http_server;
@@ -40,6 +42,8 @@
 
 pub use admin_front::serve_admin;
 pub use caller_front::{CallerListener, serve_callers};
+pub use crash_watch::{CrashNotes, CrashWatch, watch_crashes};
+pub use evidence_relay::relay_evidence;
 pub use front_metrics::FrontMetrics;
 pub use front_state::FrontState;
 pub use peer_front::serve_peers;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -3,8 +3,8 @@
 use std::{num::NonZeroUsize, process::ExitCode, sync::Arc};
 
 use front::{
-    CallerListener, FrontState, PromptFinder, serve_admin, serve_callers, serve_peers,
-    serve_prompt_queries, watch_settings, watch_store,
+    CallerListener, CrashWatch, FrontState, PromptFinder, relay_evidence, serve_admin,
+    serve_callers, serve_peers, serve_prompt_queries, watch_crashes, watch_settings, watch_store,
 };
 use settings::FrontSettings;
 use telemetry::{DaemonSpec, LogTarget, StopSignal, run_daemon};
@@ -24,7 +24,8 @@
 async fn serve(settings: FrontSettings, stop: StopSignal) -> miette::Result<()> {
     let listener = CallerListener::bind(&settings).await?;
     let (finder, questions) = PromptFinder::new();
-    let state = Arc::new(FrontState::new(settings, finder));
+    let (crash_watch, crash_notes) = CrashWatch::new();
+    let state = Arc::new(FrontState::new(settings, finder, crash_watch));
     let settings = state.settings.load_full();
     log::info!(
         node = settings.name.as_str(),
@@ -34,9 +35,11 @@
     );
     watch_store(&state);
     serve_prompt_queries(&state, questions);
+    watch_crashes(&state, crash_notes);
     watch_settings(&state)?;
     serve_admin(&state).await?;
     let _peers = serve_peers(&state).await?;
+    relay_evidence(&state);
     serve_callers(Arc::clone(&state), listener, stop).await?;
     log::info!(node = settings.name.as_str(); "stop");
     Ok(())
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -14,6 +14,7 @@
 };
 use miette::{Context, IntoDiagnostic};
 use tokio::time::{Instant, timeout};
+use wire::crash_evidence::EvidenceMessage;
 use wire::entry_peer::{ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage, StateReply};
 
 use crate::front_state::FrontState;
@@ -57,6 +58,12 @@
         let result = timeout(wait_max, self.next_state(row)).await;
         Ok(result.ok().flatten().unwrap_or(StateReply::Nothing))
     }
+
+    async fn evidence(&self, known: EvidenceMessage) -> RpcResult<EvidenceMessage> {
+        let evidence = known.decode(Instant::now());
+        let told = self.state.crash_watch.exchange(evidence).await;
+        Ok(EvidenceMessage::encode(&told, Instant::now()))
+    }
 }
 
 impl PeerFront {
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -104,6 +104,9 @@
     /// The first event would be late at every server that was asked.
     #[display("overloaded")]
     Overloaded,
+    /// A part of the prompt crashes servers that begin to answer it.
+    #[display("crashes_servers")]
+    CrashesServers,
     /// The retry budget is exhausted.
     #[display("no_budget")]
     NoBudget,
@@ -133,6 +136,7 @@
             | Self::NoServer
             | Self::Overloaded
             | Self::NoBudget => StatusCode::SERVICE_UNAVAILABLE,
+            Self::CrashesServers => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/front/src/routed_request.rs
+++ b/crates/front/src/routed_request.rs
@@ -27,7 +27,7 @@
     /// Last part of the prompt.
     pub(crate) prompt: Option<PromptPart>,
     /// The other parts of the prompt.
-    pub(crate) shared_parts: Vec<PartDigest>,
+    pub(crate) shared_parts: Arc<[PartDigest]>,
     /// Position after which the caller resumes the stream.
     pub(crate) position: Option<EventPosition>,
     pub(crate) received: Instant,
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -11,6 +11,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
+    crash_evidence::AnswerProgress,
     event_relay::{EventCursor, StreamTimeouts},
     kv_placement::{EngineEstimate, TokenCounts},
     prompt_cache::CachedPrompt,
@@ -25,8 +26,9 @@
 };
 
 use crate::{
-    call_run::{entry_reply, outcome_label},
+    call_run::{entry_reply, is_held_back, outcome_label},
     copy_manager::{CopyManager, KvCopy},
+    crash_watch::report_crash,
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, StreamChunk, buffered_reply, stream_reply},
     return_watch::watch_for_return,
@@ -74,6 +76,8 @@
     Complete,
     /// The server's answer is not a stream; the caller has received it.
     Answered,
+    /// A part of the prompt was held back while the stream waited for its answer.
+    HeldBack,
     /// The send ended with this outcome, and the next step is still to be decided.
     Ended(SendOutcome),
 }
@@ -99,16 +103,8 @@
     tried: Vec<SocketAddr>,
     last_chunk_at: Option<Instant>,
     timing: StreamTiming,
-    answer: AnswerStage,
-}
-
-/// How far the answer of the present attempt has come.
-#[derive(Clone, Copy, Debug, Default)]
-struct AnswerStage {
-    /// Arrival of its head.
-    head_at: Option<Instant>,
-    /// Arrival of its first event.
-    begun_at: Option<Instant>,
+    /// Progress of the present attempt.
+    progress: AnswerProgress,
 }
 
 /// Timing of a stream as seen by its caller.
@@ -141,7 +137,7 @@
             tried: Vec::new(),
             last_chunk_at: None,
             timing: StreamTiming::default(),
-            answer: AnswerStage::default(),
+            progress: AnswerProgress::default(),
         }
     }
 
@@ -186,6 +182,10 @@
                 self.abort(ReplyReason::Timeout);
                 return "timeout";
             }
+            if is_held_back(&self.state, &self.request, &self.budget) {
+                self.abort(ReplyReason::CrashesServers);
+                return "held_back";
+            }
             let server = match self.next_server().await {
                 Ok(server) => server,
                 Err(reason) => {
@@ -200,6 +200,7 @@
                     return "complete";
                 }
                 AttemptEnd::Answered => return "answered",
+                AttemptEnd::HeldBack => continue,
                 AttemptEnd::Ended(outcome) => outcome,
             };
             self.state
@@ -208,6 +209,9 @@
                 .with_label_values(&[outcome_label(outcome)])
                 .inc();
             self.budget.record(outcome);
+            if outcome == SendOutcome::Broken {
+                self.report_crash(&server).await;
+            }
             if outcome != SendOutcome::Rejected || server.is_superseded() {
                 watch_for_return(&self.state, &server);
             }
@@ -229,8 +233,8 @@
                 outcome = outcome_label(outcome),
                 position:? = self.cursor.last_delivered(),
                 parts:? = self.request.shared_parts,
-                head_ms:? = self.answer.head_at.map(|at| at.elapsed().as_millis()),
-                begun_ms:? = self.answer.begun_at.map(|at| at.elapsed().as_millis()),
+                head_ms:? = self.progress.head_at.map(|at| at.elapsed().as_millis()),
+                begun_ms:? = self.progress.first_event_at.map(|at| at.elapsed().as_millis()),
                 again = is_retry;
                 "stream lost its server"
             );
@@ -299,6 +303,17 @@
         }
     }
 
+    /// Reports the end of a server that broke the answer off at its beginning.
+    async fn report_crash(&self, server: &RegisteredServer) {
+        let parts = &self.request.shared_parts;
+        let Some(begun_at) = self.progress.head_at else {
+            return;
+        };
+        if self.progress.is_beginning(Instant::now()) {
+            report_crash(&self.state, server, parts, begun_at).await;
+        }
+    }
+
     /// Whether another server may continue the stream if this one is given up.
     fn may_move(&self) -> bool {
         let mut budget = self.budget;
@@ -322,7 +337,7 @@
 
     async fn attempt(&mut self, server: &Arc<RegisteredServer>) -> AttemptEnd {
         let now = Instant::now();
-        self.answer = AnswerStage::default();
+        self.progress = AnswerProgress::default();
         let request = Arc::clone(&self.request);
         let tokens = self.tokens();
         let copy = self
@@ -371,11 +386,14 @@
                 server.note_failure(Instant::now(), SUSPECT_BASE);
                 Err(SendOutcome::Silent)
             }
+            () = self.state.crash_watch.wait_held(&request.shared_parts) => {
+                return AttemptEnd::HeldBack;
+            }
         };
         match sent {
             Err(outcome) => AttemptEnd::Ended(outcome),
             Ok(answer) if answer.success => {
-                self.answer.head_at = Some(Instant::now());
+                self.progress.head_at = Some(Instant::now());
                 let copies = CopyManager::new(&self.state, &request.id, server, holder);
                 let prefill = Prefill {
                     tokens: prefill_tokens,
--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -45,6 +45,7 @@
         }
         let mut cutter = EventSplitter::default();
         let mut has_started = false;
+        let mut has_acquitted = false;
         let mut progress_at = Instant::now();
         loop {
             let timeouts = self.timeouts(has_started);
@@ -76,11 +77,16 @@
             }
             if has_progress && !has_started {
                 has_started = true;
-                self.answer.begun_at = Some(Instant::now());
+                self.progress.first_event_at = Some(Instant::now());
                 work.finish_prefill();
                 self.engines
                     .record_prefill(prefill.tokens, prefill.sent_at.elapsed());
             }
+            if !has_acquitted && let Some(begun_at) = self.progress.acquitted_from(Instant::now()) {
+                has_acquitted = true;
+                let parts = &self.request.shared_parts;
+                self.state.crash_watch.acquit(parts, begun_at);
+            }
             // A move can copy nothing before the prefill is finished.
             let reserve_holder = || self.reserve_copy_holder(server);
             copies
@@ -95,6 +101,10 @@
         if cutter.has_partial() {
             return AttemptEnd::Ended(SendOutcome::Broken);
         }
+        if let Some(head_at) = self.progress.head_at {
+            let parts = &self.request.shared_parts;
+            self.state.crash_watch.acquit(parts, head_at);
+        }
         copies.finish();
         recycle_connection(&self.state, server, &parts, connection);
         AttemptEnd::Complete
--- a/crates/front/tests/site/crashing_prompts.rs
+++ b/crates/front/tests/site/crashing_prompts.rs
@@ -8,7 +8,7 @@
 use crate::support::{POOL, TestResponse, TestSite, caller_request, desired_state, wait_for};
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode};
-use stand_ins::{RowStore, ScriptedWorker};
+use stand_ins::{RowStore, ScriptedWorker, StreamEnd, WorkerAct};
 use tokio::time::sleep;
 
 /// Part that crashes servers.
@@ -137,6 +137,43 @@
     }
 }
 
+/// An entry that starts after the verdict holds the part back too.
+#[tokio::test]
+async fn entry_that_starts_later_learns_of_a_part_that_crashes_servers() {
+    let mut site = CrashSite::start(1, 9).await;
+    for number in 0..4 {
+        site.send_deadly(number).await;
+    }
+    let store = site.entries[0].store.clone();
+    site.add_entry(&store, 1);
+    let late = &site.entries[1];
+    site.wait_joined(late, 2).await;
+    late.wait_state(|text| text.contains("\"crashes\"")).await;
+    let known = site.deadly_arrivals();
+    let answer = site.send_deadly(5).await;
+    assert_eq!(answer.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(answer.headers.get("retry-after"), None);
+    assert_eq!(site.deadly_arrivals(), known);
+}
+
+/// Connections are reset at the beginning of answers, but no server has ended.
+#[tokio::test]
+async fn lost_connections_alone_hold_nothing_back() {
+    let worker = ScriptedWorker::start("i").await.expect("a port");
+    let site = TestSite::start(&[(POOL, &worker, "a")]).await;
+    for number in 0..6 {
+        worker.script(std::iter::repeat_n(WorkerAct::Events(0, StreamEnd::Cut), 3));
+        let mut request = caller_request("/report/1", &format!("r{number}"));
+        let prefix = HeaderValue::from_static("sound:200,own:800");
+        request
+            .headers_mut()
+            .insert("x-bamboocross-prompt-prefix", prefix);
+        let answer = site.send(request).await;
+        assert!(!answer.complete, "{answer:?}");
+    }
+    assert_eq!(site.metric("bamboocross_front_held_parts").await, 0.0);
+}
+
 /// One request ends a few servers, not as many as its route has attempts and its
 /// caller retries.
 #[tokio::test]
--- a/crates/settings/src/front_settings.rs
+++ b/crates/settings/src/front_settings.rs
@@ -30,6 +30,8 @@
     pub apply_limit: Duration,
     /// Time in which a server that leaves is to get nothing new.
     pub drain_limit: Duration,
+    /// Time in which entries are to learn what one of them has learned.
+    pub contact_limit: Duration,
     /// Time after a server's end in which its address is given to no other.
     pub address_reuse: Duration,
     /// Time from the order to stop to the kill.
@@ -64,6 +66,7 @@
             store: fields.address("store"),
             apply_limit: fields.millis("apply_ms", 1..=600_000, Duration::from_millis(2_000)),
             drain_limit: fields.millis("drain_ms", 100..=600_000, Duration::from_millis(2_000)),
+            contact_limit: fields.millis("contact_ms", 100..=600_000, Duration::from_millis(3_000)),
             address_reuse: read_seconds(fields, "address_reuse_seconds", 0.0),
             grace: read_seconds(fields, "grace_seconds", 8.0),
             retry: RetryBounds {
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -12,6 +12,8 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
+use crate::crash_evidence::EvidenceMessage;
+
 /// Row with which an entry announces itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct EntryMessage {
@@ -112,6 +114,10 @@
     /// that there is none.
     #[method(name = "state")]
     async fn state(&self, row: u64) -> RpcResult<StateReply>;
+
+    /// Take what the other entry knows of crashes, and tell what this one knows.
+    #[method(name = "evidence")]
+    async fn evidence(&self, known: EvidenceMessage) -> RpcResult<EvidenceMessage>;
 }
 
 /// Why a change cannot be used.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent_control;
 pub mod chat;
+pub mod crash_evidence;
 mod default_field;
 pub mod engine;
 pub mod entry_peer;
