Keep to the rates that servers name

Callers saw servers in need slow down and fail under several times the rate that they had named: no process decoded Server-Limit. It holds for all entries together, and an entry sees only its own sends.

Each entry now takes an equal part (rate_limit): a generic cell rate algorithm, with windows where there are more entries than the limit has room for single sends. RegisteredServer::send_block is the one place that says whether and why nothing may be sent to a server. What does not fit goes to another server, waits up to the latency target, or is refused with the time at which the first server opens.

--- a/crates/domain/src/kv_placement/server_pick.rs
+++ b/crates/domain/src/kv_placement/server_pick.rs
@@ -100,7 +100,8 @@
 ) -> Option<&'a Arc<RegisteredServer>> {
     let domain_cost = |domain: &FailureDomain| own_domain_cost(domain, query);
     pick_cheapest(servers, query, rng, domain_cost, |server| {
-        load_cost(server, query)
+        let is_available = server.is_available(query.now);
+        is_available.then(|| load_cost(server, query))
     })
 }
 
@@ -117,7 +118,10 @@
         query,
         rng,
         domain_cost,
-        |server| load_cost(server, query),
+        |server| {
+            let is_available = server.is_available(query.now);
+            is_available.then(|| load_cost(server, query))
+        },
         |cost, server| {
             let index = best.partition_point(|(other, _)| *other <= cost);
             if index < CANDIDATE_COUNT {
@@ -179,14 +183,17 @@
     // milliseconds at the prefill rate, to be added to the delay caused by the
     // running requests.
     let cost = |server: &RegisteredServer| {
+        if !server.may_hold_copy(query.now) {
+            return None;
+        }
         let is_primary = server.record().address == primary_address;
-        query.rates.prefill_ms(server.kv_tokens())
-            + u64::from(server.running()) * RUNNING_REQUEST_COST_MS
-            + if is_primary {
-                PRIMARY_AS_BACKUP_COST_MS
-            } else {
-                0
-            }
+        let primary_cost = if is_primary {
+            PRIMARY_AS_BACKUP_COST_MS
+        } else {
+            0
+        };
+        let running_cost = u64::from(server.running()) * RUNNING_REQUEST_COST_MS;
+        Some(query.rates.prefill_ms(server.kv_tokens()) + running_cost + primary_cost)
     };
     let picked = pick_cheapest(servers, query, rng, domain_cost, cost)?;
     (picked.record().address != primary_address).then_some(picked)
@@ -198,7 +205,7 @@
     query: &PlacementQuery<'_>,
     rng: &mut impl Rng,
     domain_cost: impl Fn(&FailureDomain) -> u64,
-    cost: impl Fn(&RegisteredServer) -> u64,
+    cost: impl Fn(&RegisteredServer) -> Option<u64>,
 ) -> Option<&'a Arc<RegisteredServer>> {
     let mut best: Option<(u64, &Arc<RegisteredServer>)> = None;
     visit_costs(servers, query, rng, domain_cost, cost, |total, server| {
@@ -209,14 +216,14 @@
     best.map(|(_, server)| server)
 }
 
-/// Calls `visit` for the available servers of the sample with the sum of all costs of
-/// each.
+/// Calls `visit` for the servers of the sample that have a cost, with the sum of all
+/// costs of each.
 fn visit_costs<'a>(
     servers: &'a [DomainServers],
     query: &PlacementQuery<'_>,
     rng: &mut impl Rng,
     domain_cost: impl Fn(&FailureDomain) -> u64,
-    cost: impl Fn(&RegisteredServer) -> u64,
+    cost: impl Fn(&RegisteredServer) -> Option<u64>,
     mut visit: impl FnMut(u64, &'a Arc<RegisteredServer>),
 ) {
     for domain_servers in servers {
@@ -235,15 +242,18 @@
         let domain_suspect_cost = suspect_domain_cost(sample(), query.now);
         let cost_of_domain = domain_cost(&domain_servers.domain);
         for server in sample() {
-            if !server.is_available(query.now) || query.tried.contains(&server.record().address) {
+            if query.tried.contains(&server.record().address) {
                 continue;
             }
+            let Some(server_cost) = cost(server) else {
+                continue;
+            };
             let suspect_cost = if server.is_suspect(query.now) {
                 SUSPECT_SERVER_COST_MS
             } else {
                 domain_suspect_cost
             };
-            let total = cost_of_domain + cost(server) + kv_space_cost(server, query) + suspect_cost;
+            let total = cost_of_domain + server_cost + kv_space_cost(server, query) + suspect_cost;
             visit(total, server);
         }
     }
--- a/crates/domain/src/kv_placement/service_outlook.rs
+++ b/crates/domain/src/kv_placement/service_outlook.rs
@@ -2,14 +2,15 @@
 
 use tokio::time::Instant;
 
-use crate::server_registry::DomainServers;
+use crate::server_registry::{DomainServers, SendBlock};
 
 /// Outlook for a request that no server took.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServiceOutlook {
     /// At least one server wants requests, or none is known.
     Open,
-    /// All servers that stay asked for a pause; the first one ends at this time.
+    /// All servers that stay asked for a pause or are at the rate that they named; the
+    /// first one takes requests again at this time.
     Paused(Instant),
     /// All servers are leaving.
     Leaving,
@@ -22,11 +23,10 @@
         let mut has_servers = false;
         for server in domains.iter().flat_map(|domain| &domain.servers) {
             has_servers = true;
-            if server.is_leaving() {
-                continue;
-            }
-            let Some(end) = server.paused_until(now) else {
-                return Self::Open;
+            let end = match server.send_block(now) {
+                Some(SendBlock::Leaving) => continue,
+                Some(SendBlock::Paused(end) | SendBlock::Limited(end)) => end,
+                Some(SendBlock::Superseded) | None => return Self::Open,
             };
             first_return = Some(first_return.map_or(end, |first| first.min(end)));
         }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -5,7 +5,7 @@
 //! - `bamboocross-front` sends requests directly to servers that register
 //!   themselves in the platform's store. In [`buffer_budget`], [`crash_evidence`],
 //!   [`desired_state`], [`entry_drain`], [`entry_roster`], [`event_relay`], [`kv_placement`],
-//!   [`list_relay`], [`prompt_cache`], [`reachability`], [`retry_advice`],
+//!   [`list_relay`], [`prompt_cache`], [`rate_limit`], [`reachability`], [`retry_advice`],
 //!   [`retry_share`], [`run_evidence`], [`server_registry`] and [`state_relay`], an
 //!   entry is a process of this program.
 //! - `bamboocross-entry` reaches each server through its agent, a process of
@@ -32,6 +32,7 @@
 pub mod list_relay;
 pub mod pool_lease;
 pub mod prompt_cache;
+pub mod rate_limit;
 pub mod reachability;
 pub mod retry_advice;
 pub mod retry_share;
--- a/crates/domain/src/server_registry.rs
+++ b/crates/domain/src/server_registry.rs
@@ -25,7 +25,7 @@
 mod registry_state;
 
 pub use registered_server::{
-    PAUSE_MAX, RegisteredServer, ServerNotice, ServerStats, WorkGuard, WorkSize,
+    PAUSE_MAX, RegisteredServer, SendBlock, ServerNotice, ServerStats, WorkGuard, WorkSize,
 };
 pub use registry_state::{
     AdoptionProof, DomainServers, RecordFault, RegistryChange, ServerRecord, ServerRegistry,
--- a/crates/domain/src/server_registry/registered_server.rs
+++ b/crates/domain/src/server_registry/registered_server.rs
@@ -11,7 +11,10 @@
 use tokio::time::Instant;
 
 use super::{ServerRecord, registry_state::STARTED_MS_UNKNOWN};
-use crate::kv_placement::LoadReport;
+use crate::{
+    kv_placement::LoadReport,
+    rate_limit::{RateGate, RateLimit},
+};
 
 /// Longest pause that a server is granted; a longer one is shortened to it.
 pub const PAUSE_MAX: Duration = Duration::from_secs(600);
@@ -38,12 +41,14 @@
     consecutive_failures: AtomicU32,
     packed_report: AtomicU64,
     reported_at_ms: AtomicU64,
+    rate_gate: RateGate,
 }
 
 impl Default for ServerStats {
     fn default() -> Self {
+        let created_at = Instant::now();
         Self {
-            created_at: Instant::now(),
+            created_at,
             own_running: AtomicU32::new(0),
             prompt_tokens: AtomicU64::new(0),
             kv_tokens: AtomicU64::new(0),
@@ -57,17 +62,33 @@
             consecutive_failures: AtomicU32::new(0),
             packed_report: AtomicU64::new(0),
             reported_at_ms: AtomicU64::new(0),
+            rate_gate: RateGate::new(created_at),
         }
     }
 }
 
 /// What a server says about itself in an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerNotice {
     /// The server is leaving: it is to get no new requests.
     pub is_leaving: bool,
     /// Time for which the server wants nothing from this process.
     pub pause: Option<Duration>,
+    /// Rate that it takes from all processes together.
+    pub rate_limit: Option<RateLimit>,
+}
+
+/// Why nothing may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendBlock {
+    /// Another instance holds its address.
+    Superseded,
+    /// It announced that it is leaving.
+    Leaving,
+    /// It asked for a pause, until this time.
+    Paused(Instant),
+    /// This process's part of the rate that it named is spent until this time.
+    Limited(Instant),
 }
 
 /// One registered instance of a server.
@@ -213,10 +234,41 @@
         (end > now).then_some(end)
     }
 
-    /// Whether new work may be sent to the server: it is not leaving, did not ask
-    /// for a pause, and still holds its address.
+    /// What keeps this process from sending to the server.
+    pub fn send_block(&self, now: Instant) -> Option<SendBlock> {
+        if self.is_leaving() {
+            return Some(SendBlock::Leaving);
+        }
+        if let Some(end) = self.paused_until(now) {
+            return Some(SendBlock::Paused(end));
+        }
+        if self.is_superseded() {
+            return Some(SendBlock::Superseded);
+        }
+        let closed_until = self.stats.rate_gate.closed_until(now);
+        closed_until.map(SendBlock::Limited)
+    }
+
+    /// Whether new work may be sent to the server.
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.is_superseded() && !self.is_leaving() && self.paused_until(now).is_none()
+        self.send_block(now).is_none()
+    }
+
+    /// Whether the server may be given a copy of a KV cache, and the stream that goes on
+    /// from it. Limits concern new requests.
+    pub fn may_hold_copy(&self, now: Instant) -> bool {
+        matches!(self.send_block(now), None | Some(SendBlock::Limited(_)))
+    }
+
+    /// Takes one send to the server from this process's part of the rate that it
+    /// named. Returns whether it may be sent.
+    pub fn take_send(&self, now: Instant) -> bool {
+        self.stats.rate_gate.try_take(now)
+    }
+
+    /// This process's sends to the server, if it names a limit.
+    pub fn rate_gate(&self) -> &RateGate {
+        &self.stats.rate_gate
     }
 
     /// Records that another instance holds the address.
--- a/crates/domain/tests/kv_placement.rs
+++ b/crates/domain/tests/kv_placement.rs
@@ -278,6 +278,7 @@
     ServerNotice {
         is_leaving,
         pause: pause_ms.map(Duration::from_millis),
+        ..ServerNotice::default()
     }
 }
 
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -220,14 +220,14 @@
 fn leaving_notice() -> ServerNotice {
     ServerNotice {
         is_leaving: true,
-        pause: None,
+        ..ServerNotice::default()
     }
 }
 
 fn pause_notice(seconds: u64) -> ServerNotice {
     ServerNotice {
-        is_leaving: false,
         pause: Some(Duration::from_secs(seconds)),
+        ..ServerNotice::default()
     }
 }
 
--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use domain::{crash_evidence::HeldPart, server_registry::RegisteredServer};
+use domain::{
+    crash_evidence::HeldPart,
+    rate_limit::RateLimit,
+    server_registry::{RegisteredServer, SendBlock},
+};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -139,6 +143,13 @@
         "suspect": server.is_suspect(now),
         "misdirected": server.is_superseded(),
         "leaving": server.is_leaving(),
+        "blocked": server.send_block(now).map(|block| match block {
+            SendBlock::Superseded => "superseded",
+            SendBlock::Leaving => "leaving",
+            SendBlock::Paused(_) => "paused",
+            SendBlock::Limited(_) => "limited",
+        }),
+        "limit_per_s": server.rate_gate().limit().map(RateLimit::get),
         "pause_ms": server
             .paused_until(now)
             .map(|end| saturating_i64(end.duration_since(now).as_millis() as u64)),
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -6,10 +6,10 @@
     kv_placement::{EngineRates, PlacementQuery, ServiceOutlook, pick_server},
     retry_advice::RefusedRequest,
     run_evidence::{NextStep, SendBudget, SendOutcome, next_step},
-    server_registry::{RegisteredServer, WorkSize},
+    server_registry::{RegisteredServer, SendBlock, WorkSize},
 };
 use telemetry::ROUTINE_TARGET;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::{
     crash_watch::{held_part, report_crash},
@@ -43,8 +43,15 @@
             return finish(state, request, last_answer, ReplyReason::CrashesServers);
         }
         let Some(server) = pick(state, request, &budget, &tried, now) else {
+            if let Some(open_at) = next_opening(state, request, &tried, now) {
+                sleep_until(open_at).await;
+                continue;
+            }
             return finish(state, request, last_answer, no_server(request, &budget));
         };
+        if !server.take_send(now) {
+            continue;
+        }
         let sent = send_once(state, &server, request, &budget).await;
         let outcome = match &sent {
             Ok(answer) => SendOutcome::Answered {
@@ -201,6 +208,31 @@
     picked.map(Arc::clone)
 }
 
+/// Returns when the first server that is only at its limit takes a request again, if the
+/// request can wait for that.
+fn next_opening(
+    state: &FrontState,
+    request: &RoutedRequest,
+    tried: &[SocketAddr],
+    now: Instant,
+) -> Option<Instant> {
+    let target = request
+        .route
+        .latency_target
+        .unwrap_or(DEFAULT_SILENCE_LIMIT);
+    let wait_until = request.deadline.min(request.received + target);
+    let registry = state.registry.load();
+    let domains = registry.ready_servers(&request.service).iter();
+    let openings = domains
+        .flat_map(|domain| &domain.servers)
+        .filter(|server| !tried.contains(&server.record().address))
+        .filter_map(|server| match server.send_block(now)? {
+            SendBlock::Limited(end) => Some(end),
+            _ => None,
+        });
+    openings.min().filter(|open_at| *open_at < wait_until)
+}
+
 async fn send_once(
     state: &FrontState,
     server: &RegisteredServer,
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -235,7 +235,7 @@
         .await
         .into_diagnostic()?;
     let (parts, body) = response.into_parts();
-    record_notice(server, &parts);
+    record_notice(state, server, &parts);
     let body = read_body(&state.answer_memory, body)
         .await
         .into_diagnostic()?;
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use domain::{
-    event_relay::StreamTimeouts, run_evidence::SendOutcome, server_registry::RegisteredServer,
+    event_relay::StreamTimeouts, rate_limit::RateLimit, run_evidence::SendOutcome,
+    server_registry::RegisteredServer,
 };
 use http::{Request, Response, Uri, response::Parts};
 use http_body_util::Full;
@@ -13,14 +14,18 @@
     server_request::ServerHeaders,
     server_response::{
         closes_connection, decode_head, decode_instance, decode_load, decode_notice,
-        keep_alive_timeout,
+        keep_alive_timeout, names_limit,
     },
 };
+use rand::Rng;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    answer_body::read_body, backend_connection::BackendConnection,
-    connection_pool::ConnectionReuse, front_state::FrontState, routed_request::RoutedRequest,
+    answer_body::read_body,
+    backend_connection::BackendConnection,
+    connection_pool::ConnectionReuse,
+    front_state::{ENTRY_LIFETIME, FrontState},
+    routed_request::RoutedRequest,
 };
 
 /// Wait after which a send that ended at the request's deadline counts as a
@@ -166,7 +171,15 @@
     let (parts, body) = response.into_parts();
     let head = decode_head(parts.status, &parts.headers, &request.id);
     if !head.misdirected {
-        record_notice(server, &parts);
+        record_notice(state, server, &parts);
+        let ends_limit =
+            !names_limit(&parts.headers) && server.rate_gate().end_limit(Instant::now());
+        if ends_limit {
+            log::info!(
+                server = server.record().instance.as_str();
+                "server names no limit any more"
+            );
+        }
     }
     if head.is_rejection() {
         if head.misdirected {
@@ -240,7 +253,8 @@
 }
 
 /// Records what the answer of a server says about the server itself.
-pub(crate) fn record_notice(server: &RegisteredServer, parts: &Parts) {
+pub(crate) fn record_notice(state: &FrontState, server: &RegisteredServer, parts: &Parts) {
+    let now = Instant::now();
     let notice = decode_notice(parts.status, &parts.headers);
     if let Some(pause) = notice.pause {
         log::info!(
@@ -249,11 +263,27 @@
             "server asked for a pause"
         );
     }
-    if server.note_notice(notice, Instant::now()) {
+    if let Some(limit) = notice.rate_limit {
+        record_limit(state, server, limit, now);
+    }
+    if server.note_notice(notice, now) {
         log::info!(server = server.record().instance.as_str(); "server is leaving");
     }
 }
 
+fn record_limit(state: &FrontState, server: &RegisteredServer, limit: RateLimit, now: Instant) {
+    let entries = state.roster.load().count(ENTRY_LIFETIME, now);
+    let phase = rand::rng().random_range(0.0..1.0);
+    if server.rate_gate().set_limit(limit, entries, phase, now) {
+        log::info!(
+            server = server.record().instance.as_str(),
+            limit = limit.get(),
+            entries = entries;
+            "server named a limit"
+        );
+    }
+}
+
 /// Why a server without new events counts as lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ServerLoss {
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -265,7 +265,7 @@
     let registry = state.registry.load();
     let notice = ServerNotice {
         is_leaving: true,
-        pause: None,
+        ..ServerNotice::default()
     };
     for LeavingServer {
         instance,
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -40,7 +40,10 @@
                 if self.is_hopeless(&server) {
                     return Err(ReplyReason::Overloaded);
                 }
-                return Ok(server);
+                if self.take_send(&server) {
+                    return Ok(server);
+                }
+                continue;
             }
             let now = Instant::now();
             self.tried.clear();
@@ -51,6 +54,18 @@
         }
     }
 
+    /// Takes a send from the limit that the server named. A stream that goes on from the
+    /// copy there may exceed this process's part, and delays the next sends.
+    fn take_send(&self, server: &RegisteredServer) -> bool {
+        let now = Instant::now();
+        let copy = self.copy.as_ref();
+        if copy.is_some_and(|copy| copy.holder == server.record().address) {
+            server.rate_gate().charge(now);
+            return true;
+        }
+        server.take_send(now)
+    }
+
     /// Whether a new stream would get its first event late even at the best of the
     /// queried servers. A stream that a caller resumes, or that was sent before, is
     /// never refused for that.
@@ -135,7 +150,7 @@
                 .flat_map(|domain| &domain.servers)
                 .find(|server| {
                     server.record().address == copy.holder
-                        && server.is_available(now)
+                        && server.may_hold_copy(now)
                         && !server.is_suspect(now)
                 });
             if let Some(holder) = holder {
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod entry_process;
 mod leaving;
+mod limits;
 mod odd_rows;
 mod peers;
 mod reported;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -152,6 +152,7 @@
     endless_bytes: u64,
     closed: usize,
     deadly_part: Option<(String, Duration)>,
+    limit: Option<&'static str>,
 }
 
 /// A worker in this process.
@@ -225,6 +226,11 @@
         self.state().load = Some(load);
     }
 
+    /// Name a limit in every answer, or none.
+    pub fn name_limit(&self, limit: Option<&'static str>) {
+        self.state().limit = limit;
+    }
+
     /// Pause between two events of a stream.
     pub fn set_event_pause(&self, pause: Duration) {
         self.state().event_pause = Some(pause);
@@ -405,7 +411,7 @@
             .map(|load| format!("x-bamboocross-load: {load}\r\n"));
         Some(format!(
             "HTTP/1.1 200 OK\r\n{}{}x-bamboocross-instance: {}\r\ncontent-length: {}\r\n\r\n{body}",
-            state.leaving_line(),
+            state.notice_lines(),
             load.unwrap_or_default(),
             lifetime,
             body.len()
@@ -464,7 +470,7 @@
         let id = request.header("x-bamboocross-request-id").unwrap_or("");
         let (leaving, late) = {
             let mut state = self.state();
-            (state.leaving_line(), std::mem::take(&mut state.late))
+            (state.notice_lines(), std::mem::take(&mut state.late))
         };
         stream.write_all(late.as_bytes()).await?;
         let lifetime = format!("{}.{}", self.address, self.lifetime_number());
@@ -533,7 +539,7 @@
         let after = request.header("last-event-id");
         let first = after.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let first = first.saturating_add(1);
-        let leaving = self.state().leaving_line();
+        let leaving = self.state().notice_lines();
         let head = format!(
             "HTTP/1.1 200 OK\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
              x-bamboocross-server-seal: {}\r\ncontent-type: text/event-stream\r\n\
@@ -588,12 +594,15 @@
 }
 
 impl WorkerState {
-    fn leaving_line(&self) -> &'static str {
-        if self.is_leaving {
+    /// Header lines with which the worker speaks of itself.
+    fn notice_lines(&self) -> String {
+        let leaving = if self.is_leaving {
             "server-leaving: 1\r\n"
         } else {
             ""
-        }
+        };
+        let limit = self.limit.map(|limit| format!("server-limit: {limit}\r\n"));
+        format!("{leaving}{}", limit.unwrap_or_default())
     }
 
     fn list_held(&mut self) -> String {
