Take a refusal without a request id only as the first answer of a connection

Report: a faulty worker wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for a request that ran, or it ran at a second worker. Here a copy that named another request was found out, but one without an id passed for the answer to the next request: earlier_refusal_says_nothing_of_the_next_request, case without_an_id, failed before. Such an answer on a reused connection now proves nothing.

Also tests of two reports that do not happen here: torn heads, and streams without length and chunks.

--- a/crates/domain/src/run_evidence.rs
+++ b/crates/domain/src/run_evidence.rs
@@ -32,6 +32,8 @@
     pub foreign: bool,
     /// The answer carries a request id.
     pub echoed: bool,
+    /// The connection carried an answer before, which may come once more.
+    pub reused: bool,
     /// The body has a content encoding, so it is not as the server wrote it.
     pub encoded: bool,
 }
@@ -80,7 +82,9 @@
 
     /// Returns whether the answer proves that the request did not run.
     pub fn is_rejection(&self) -> bool {
-        self.not_run && !self.foreign && !self.success
+        // Without an id, a refusal on a reused connection may be an earlier one.
+        let is_answer = self.echoed || !self.reused;
+        self.not_run && is_answer && !self.foreign && !self.success
     }
 }
 
--- a/crates/front/src/backend_connection.rs
+++ b/crates/front/src/backend_connection.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
     pub(crate) sender: SendRequest<RequestBody>,
+    /// Whether it carried an answer before.
+    pub(crate) is_reused: bool,
     /// Time at which the last exchange ended, or the connection was opened.
     pub(crate) idle_since: Instant,
     /// Time for which the peer keeps the connection open while idle.
@@ -66,6 +68,7 @@
         });
         Ok(Self {
             sender,
+            is_reused: false,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use domain::{
-    event_relay::StreamTimeouts, rate_limit::RateLimit, run_evidence::SendOutcome,
+    event_relay::StreamTimeouts,
+    rate_limit::RateLimit,
+    run_evidence::{AnswerHead, SendOutcome},
     server_registry::RegisteredServer,
 };
 use http::{Request, Response, Uri, response::Parts};
@@ -169,7 +171,10 @@
     connection: BackendConnection,
 ) -> Result<ServerAnswer, SendOutcome> {
     let (parts, body) = response.into_parts();
-    let head = decode_head(parts.status, &parts.headers, &request.id);
+    let head = AnswerHead {
+        reused: connection.is_reused,
+        ..decode_head(parts.status, &parts.headers, &request.id)
+    };
     if !head.misdirected {
         record_notice(state, server, &parts);
         let ends_limit =
@@ -343,5 +348,6 @@
         connection.idle_timeout = timeout;
     }
     connection.idle_since = Instant::now();
+    connection.is_reused = true;
     state.connection_pool.put(server, connection);
 }
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod odd_rows;
 mod peers;
 mod reported;
+mod reported_answers;
 mod store_faults;
 mod streams;
 mod support;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -53,6 +53,17 @@
     AnswerWith(&'static str),
     /// A whole answer, and its second copy when the next request has arrived.
     LateCopy,
+    /// A whole answer, and an earlier refusal once more when the next request has
+    /// arrived.
+    AnswerThenRefusal {
+        /// Whether the refusal names the request that it was for.
+        has_id: bool,
+    },
+    /// These bytes, which are no whole head, then the end of the connection.
+    TornHead(&'static str),
+    /// Events up to this one and then this text, without length or chunks, and the end of
+    /// the connection.
+    Unframed(u64, &'static str),
     /// An answer that never ends.
     Endless(EndlessPart, EndlessPace),
 }
@@ -500,6 +511,34 @@
                 self.state().late = text.clone();
                 text
             }
+            WorkerAct::AnswerThenRefusal { has_id } => {
+                let echo = if has_id {
+                    "x-bamboocross-request-id: earlier\r\n"
+                } else {
+                    ""
+                };
+                self.state().late = format!(
+                    "HTTP/1.1 503 X\r\n{echo}x-bamboocross-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+                );
+                whole(id, 200, "ok")
+            }
+            WorkerAct::TornHead(head) => {
+                stream.write_all(head.as_bytes()).await?;
+                return Ok(false);
+            }
+            WorkerAct::Unframed(last, torn) => {
+                let mut text = format!(
+                    "HTTP/1.1 200 OK\r\nx-bamboocross-request-id: {id}\r\n\
+                     x-bamboocross-server-seal: {}\r\ncontent-type: text/event-stream\r\n\r\n",
+                    self.instance
+                );
+                for position in 1..=last {
+                    text += &format!("id: {position}\ndata: e{position}\n\n");
+                }
+                text += torn;
+                stream.write_all(text.as_bytes()).await?;
+                return Ok(false);
+            }
             WorkerAct::Endless(part, pace) => {
                 let sent = send_endless(stream, id, part, pace).await?;
                 self.state().endless_bytes += sent;
