--- a/crates/domain/tests/run_evidence.rs
+++ b/crates/domain/tests/run_evidence.rs
@@ -14,6 +14,7 @@
     sealed: true,
     foreign: false,
     echoed: true,
+    reused: false,
     encoded: false,
 };
 
@@ -62,6 +63,26 @@
     assert!(!success.is_rejection());
 }
 
+/// A refusal without an id may be an earlier one that comes once more.
+#[rstest]
+#[case::first_answer(false, false, true)]
+#[case::later_answer(true, false, false)]
+#[case::later_answer_with_id(true, true, true)]
+fn rejection_without_an_id_counts_once(
+    #[case] reused: bool,
+    #[case] echoed: bool,
+    #[case] expected: bool,
+) {
+    let head = AnswerHead {
+        not_run: true,
+        success: false,
+        reused,
+        echoed,
+        ..GENUINE
+    };
+    assert_eq!(head.is_rejection(), expected);
+}
+
 #[rstest]
 // A request that must not run twice is not sent again once it may have run.
 #[case(RouteKind::Unsafe, 3, &[SendOutcome::Broken], NextStep::Fail)]
