Continue a stream only with a stream of events

Report: a stream had begun and broke off, the next worker answered with an error, and its text got into the stream. Errors never did here, but a success of another media type with blank lines in it did, and ended the stream as if it were complete: error_of_the_next_server_is_no_part_of_a_stream, case plain_success_with_blank_lines, failed before. A worker that goes on must now answer with text/event-stream; else its answer counts as broken.

--- a/crates/front/src/stream_run/event_flow.rs
+++ b/crates/front/src/stream_run/event_flow.rs
@@ -10,7 +10,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use platform::event_stream::EventSplitter;
+use platform::{event_stream::EventSplitter, server_response::is_event_stream};
 use tokio::time::Instant;
 
 use super::{AttemptEnd, Prefill, SUSPECT_BASE, StreamHead, StreamRun};
@@ -42,6 +42,13 @@
             if head.send(StreamHead::Streaming(parts)).is_err() {
                 return AttemptEnd::Ended(SendOutcome::Broken);
             }
+        } else if !is_event_stream(&parts.headers) {
+            log::warn!(
+                request = self.request.id.as_str(),
+                server = server.record().instance.as_str();
+                "answer to a stream that goes on is no stream"
+            );
+            return AttemptEnd::Ended(SendOutcome::Broken);
         }
         let mut cutter = EventSplitter::default();
         let mut has_started = false;
--- a/crates/front/tests/site/reported_answers.rs
+++ b/crates/front/tests/site/reported_answers.rs
@@ -55,6 +55,7 @@
 #[case::server_error(Answer(500, "failed\n\nid: 4\ndata: x\n\n"))]
 #[case::client_error(Answer(404, "id: 4\ndata: x\n\n"))]
 #[case::plain_success(Answer(200, "all is well"))]
+#[case::plain_success_with_blank_lines(Answer(200, "all\n\nis\n\nwell\n\n"))]
 #[case::torn_head(TornHead("HTTP/1.1 500 X\r\nx-bamboocross-req"))]
 #[tokio::test]
 async fn error_of_the_next_server_is_no_part_of_a_stream(#[case] next: WorkerAct) {
