Judge the verdict again when a part is acquitted for the first time

A first acquittal of a reported part was not taken for news, so a part that a trial had proved sound stayed held back until the next expiry of reports, up to a minute. Found by reading; verdict_ends_by_a_trial now checks it.

--- a/crates/domain/src/crash_evidence/crash_ledger.rs
+++ b/crates/domain/src/crash_evidence/crash_ledger.rs
@@ -61,11 +61,13 @@
     /// a part that a report contains.
     pub fn acquit(&mut self, acquittal: PartAcquittal) -> bool {
         let PartAcquittal { part, begun_at } = acquittal;
-        let known = self.acquittals.entry(part).or_insert(begun_at);
-        let is_newer = *known < begun_at;
-        *known = begun_at.max(*known);
+        let known = self.acquittals.get(&part);
+        if known.is_some_and(|known| *known >= begun_at) {
+            return false;
+        }
+        self.acquittals.insert(part, begun_at);
         self.drop_oldest_acquittals();
-        is_newer && self.is_reported(part)
+        self.is_reported(part)
     }
 
     /// Adds what another entry told. Returns the number of new reports.
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -156,7 +156,13 @@
     let part = again.find(&digests("dead")).expect("it is held back");
     assert!(!part.claim_trial(at(start, 600_000)));
     assert!(part.claim_trial(at(start, 665_000)));
-    ledger.acquit(acquittal(start, 665_000, "dead"));
+    let acquitted = acquittal(start, 665_000, "dead");
+    assert!(
+        ledger.acquit(acquitted),
+        "the verdict is to be judged again"
+    );
+    assert!(!ledger.acquit(acquitted));
+    assert!(!ledger.acquit(acquittal(start, 1, "unreported")));
     assert!(ledger.held_parts(&again).is_empty());
 }
 
