--- a/review/cases.rs
+++ b/review/cases.rs
@@ -171,9 +171,10 @@
             }
         })
     };
-    pause(6_000);
+    // The kind of request is new: no answer with its part has gone on for a second yet.
+    pause(1_600);
     let is_denied = || ANSWERS.lock().unwrap().iter().any(|answer| answer.status == Some(422));
-    for lifetime in 1..=8 {
+    for lifetime in 1..=5 {
         if trouble && !is_denied() {
             for worker in &workers {
                 worker.crash();
@@ -187,7 +188,7 @@
     }
     note("the workers are sound from now on");
     let sound_s = now_s();
-    pause(70_000);
+    pause(78_000);
     running.store(false, SeqCst);
     let _ = sending.join();
     pause(1_000);
