Adopt servers by proofs that count from the question

Callers saw: answers of another service.

Cause: adoption asked for a sign of life within the reuse time, and signs of life were dated when they were read. What the ended server had sent before lay unread in the socket.

Change: proof that a server runs is dated when the server was asked, on a clock that also runs during suspension; events of a stream have no question of their own and prove nothing. The new holder's name and models are read on one connection, hence from one process.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -19,6 +19,7 @@
 //! current time and the source of random numbers as arguments.
 
 pub mod backend_server;
+pub mod boot_instant;
 pub mod buffer_budget;
 pub mod class_counts;
 pub mod crash_evidence;
--- a/crates/domain/src/server_registry.rs
+++ b/crates/domain/src/server_registry.rs
@@ -13,7 +13,9 @@
 //! A server that answers under another name than the registered one shows that its
 //! address has a new holder. The registered instance is then marked as superseded,
 //! and selection skips it. The new instance is adopted in its place before the list
-//! contains it, if an [`AdoptionProof`] shows that it provides the same service.
+//! contains it, if an [`AdoptionProof`] shows that it provides the same service. What
+//! was read from the old instance is no such proof: it may have been sent long before
+//! it was read. Its answers count from the time at which it was asked.
 //!
 //! A server may say in any answer that it is leaving, or ask for a pause when it
 //! rejects a request. Both are facts of the instance: they outlive changes of its
--- a/crates/domain/src/server_registry/registered_server.rs
+++ b/crates/domain/src/server_registry/registered_server.rs
@@ -12,6 +12,7 @@
 
 use super::{ServerRecord, registry_state::STARTED_MS_UNKNOWN};
 use crate::{
+    boot_instant::BootInstant,
     kv_placement::LoadReport,
     rate_limit::{RateGate, RateLimit},
 };
@@ -21,7 +22,8 @@
 
 /// Counters and timestamps of one instance, updated by requests. They are shared
 /// by all versions of its registration. Times are in milliseconds since
-/// `created_at`, and 0 stands for never.
+/// `created_at`, except `proven_running_ms`, which is a [`BootInstant`]; 0 stands
+/// for never.
 ///
 /// Each is read and written by itself, and no other memory is published through
 /// it, so relaxed ordering suffices on every processor.
@@ -34,6 +36,7 @@
     suspect_until_ms: AtomicU64,
     last_failure_ms: AtomicU64,
     last_activity_ms: AtomicU64,
+    proven_running_ms: AtomicU64,
     is_superseded: AtomicBool,
     is_leaving: AtomicBool,
     paused_until_ms: AtomicU64,
@@ -55,6 +58,7 @@
             suspect_until_ms: AtomicU64::new(0),
             last_failure_ms: AtomicU64::new(0),
             last_activity_ms: AtomicU64::new(0),
+            proven_running_ms: AtomicU64::new(0),
             is_superseded: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             paused_until_ms: AtomicU64::new(0),
@@ -170,7 +174,9 @@
         }
     }
 
-    /// Records that the server was heard from, which clears its suspect state.
+    /// Records that the server was heard from, which clears its suspect state. What was
+    /// read may have been sent long before, so this proves nothing; see
+    /// [`note_answer_to`](Self::note_answer_to).
     pub fn note_activity(&self, now: Instant) {
         self.stats
             .last_activity_ms
@@ -178,6 +184,20 @@
         self.stats.suspect_until_ms.store(0, Relaxed);
     }
 
+    /// Records that the server answered what it was asked at `asked_at`, so that it was
+    /// running then. When the answer was read does not matter.
+    pub fn note_answer_to(&self, asked_at: BootInstant) {
+        self.stats
+            .proven_running_ms
+            .fetch_max(asked_at.as_millis().max(1), Relaxed);
+    }
+
+    /// Whether the server was proved to be running within `window` before `now`.
+    pub fn is_proven_running(&self, window: Duration, now: BootInstant) -> bool {
+        let proven = self.stats.proven_running_ms.load(Relaxed);
+        proven > 0 && now.as_millis().saturating_sub(proven) < millis(window)
+    }
+
     /// Records a successful response, which also resets the failure count.
     pub fn note_response(&self, now: Instant) {
         self.note_activity(now);
@@ -303,7 +323,7 @@
 
     /// Time since the server was last heard from on any connection of this
     /// process; [`Duration::MAX`] if it never was.
-    pub fn silence(&self, now: Instant) -> Duration {
+    fn silence(&self, now: Instant) -> Duration {
         match self.stats.last_activity_ms.load(Relaxed) {
             0 => Duration::MAX,
             last_activity => {
--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -11,7 +11,9 @@
 use tokio::time::Instant;
 
 use super::RegisteredServer;
-use crate::{FailureDomain, ServerName, ServiceName, reachability::is_reachable};
+use crate::{
+    FailureDomain, ServerName, ServiceName, boot_instant::BootInstant, reachability::is_reachable,
+};
 
 /// Time within which running servers register again after a store outage.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
@@ -83,9 +85,14 @@
 /// instance that held the address before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdoptionProof {
-    /// The previous instance was heard from within this duration. The platform
-    /// reassigns an address to another service only after a longer silence.
-    RecentLife(Duration),
+    /// The previous instance was proved to be running so shortly before that its
+    /// address cannot have been reassigned to another service.
+    AddressReserved {
+        /// Time for which the platform does not reassign the address of an ended server.
+        reuse_time: Duration,
+        /// Time after the new instance was heard from.
+        now: BootInstant,
+    },
     /// The instance serves a model that no other service serves. The caller has
     /// checked this.
     OnlyModel,
@@ -265,10 +272,11 @@
         old: &RegisteredServer,
         instance: ServerName,
         proof: AdoptionProof,
-        now: Instant,
     ) -> bool {
         let is_proven = match proof {
-            AdoptionProof::RecentLife(reuse_time) => old.silence(now) < reuse_time,
+            AdoptionProof::AddressReserved { reuse_time, now } => {
+                old.is_proven_running(reuse_time, now)
+            }
             AdoptionProof::OnlyModel => true,
         };
         let has_departed = self
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -4,6 +4,7 @@
 
 use domain::{
     FailureDomain, ServerName, ServiceName,
+    boot_instant::BootInstant,
     kv_placement::LoadReport,
     server_registry::{
         AdoptionProof, PAUSE_MAX, RecordFault, RegisteredServer, RegistryChange, ServerNotice,
@@ -135,36 +136,62 @@
     assert!(registry.is_changed_by(&[absent("i1")], now));
 }
 
+fn boot(millis: u64) -> BootInstant {
+    BootInstant::from_uptime(Duration::from_millis(millis))
+}
+
+fn reserved(now_ms: u64) -> AdoptionProof {
+    AdoptionProof::AddressReserved {
+        reuse_time: Duration::from_secs(2),
+        now: boot(now_ms),
+    }
+}
+
 /// Servers restart during a store outage, and their 421 responses carry the names
 /// of the new instances. Such an instance is adopted only if the previous one was
-/// heard from within the address reuse time.
+/// proved to be running within the address reuse time.
 #[tokio::test(start_paused = true)]
 async fn restarted_server_is_adopted_within_the_address_reuse_time() {
     let now = Instant::now();
-    let recent = AdoptionProof::RecentLife(Duration::from_secs(2));
     let mut registry = ServerRegistry::default();
     registry.replace(&[record("old", 1, 5)], now);
     let old = registry.all().next().cloned().expect("one server");
     let new = || ServerName::from("new");
     assert!(
-        !registry.adopt(&old, new(), recent, now),
+        !registry.adopt(&old, new(), reserved(5_000)),
         "no activity seen"
     );
-    old.note_activity(now + Duration::from_millis(10));
-    let late = now + Duration::from_millis(2_010);
+    old.note_answer_to(boot(5_010));
+    // An older question that is answered later takes nothing back.
+    old.note_answer_to(boot(4_000));
     assert!(
-        !registry.adopt(&old, new(), recent, late),
+        !registry.adopt(&old, new(), reserved(7_010)),
         "address may have been reassigned"
     );
-    assert!(registry.adopt(&old, new(), recent, now + Duration::from_secs(1)));
+    assert!(registry.adopt(&old, new(), reserved(7_009)));
     check(&registry, &["new"]);
     // The registration adds the start time of that instance and keeps its counters.
     let server = registry.all().next().cloned().expect("one server");
+    let late = now + Duration::from_millis(2_010);
     registry.apply(&[present(record("new", 1, 9))], late);
     check(&registry, &["new"]);
     assert!(registry.is_current(&server));
 }
 
+/// Guards against proof from what is read late: bytes of an ended server, read after a
+/// standstill, made it look as if it had just been running.
+#[tokio::test(start_paused = true)]
+async fn what_is_read_proves_nothing_about_an_address() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("old", 1, 5)], now);
+    let old = registry.all().next().cloned().expect("one server");
+    old.note_activity(now);
+    old.note_response(now);
+    assert!(!registry.adopt(&old, ServerName::from("new"), reserved(1)));
+    check(&registry, &["old"]);
+}
+
 /// A model that only one service serves is proof, however long the address was
 /// silent.
 #[tokio::test(start_paused = true)]
@@ -173,12 +200,11 @@
     let mut registry = ServerRegistry::default();
     registry.replace(&[record("old", 1, 5)], now);
     let old = registry.all().next().cloned().expect("one server");
-    let late = now + Duration::from_secs(60);
     let new = || ServerName::from("new");
-    assert!(registry.adopt(&old, new(), AdoptionProof::OnlyModel, late));
+    assert!(registry.adopt(&old, new(), AdoptionProof::OnlyModel));
     check(&registry, &["new"]);
     assert!(
-        !registry.adopt(&old, new(), AdoptionProof::OnlyModel, late),
+        !registry.adopt(&old, new(), AdoptionProof::OnlyModel),
         "already known"
     );
 }
@@ -278,7 +304,7 @@
     leaving.note_notice(leaving_notice(), now);
     registry.apply(&[absent("i1")], now);
     let name = ServerName::from("i1");
-    assert!(!registry.adopt(&old, name, AdoptionProof::OnlyModel, now));
+    assert!(!registry.adopt(&old, name, AdoptionProof::OnlyModel));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -28,8 +28,9 @@
 };
 
 use crate::{
-    answer_body::LARGE_ANSWERS_BYTES_MAX, connection_pool::ConnectionPool, crash_watch::CrashWatch,
-    drain_clock::DrainClock, front_metrics::FrontMetrics, prompt_finder::PromptFinder,
+    answer_body::LARGE_ANSWERS_BYTES_MAX, boot_clock::boot_now, connection_pool::ConnectionPool,
+    crash_watch::CrashWatch, drain_clock::DrainClock, front_metrics::FrontMetrics,
+    prompt_finder::PromptFinder,
 };
 
 /// Time without a change of its row after which an entry counts as gone: three
@@ -207,11 +208,14 @@
     }
 
     /// Adds the instance that answered at the address of `old`, provided that `old`
-    /// was active there within the address reuse time, so that the address still
+    /// was running there within the address reuse time, so that the address still
     /// belongs to the same service.
     pub(crate) fn adopt_recent(&self, old: &RegisteredServer, instance: &ServerName) -> bool {
-        let reuse_time = self.settings.load().address_reuse;
-        self.adopt(old, instance, AdoptionProof::RecentLife(reuse_time))
+        let proof = AdoptionProof::AddressReserved {
+            reuse_time: self.settings.load().address_reuse,
+            now: boot_now(),
+        };
+        self.adopt(old, instance, proof)
     }
 
     /// Adds the instance that answered at the address of `old`, which it replaces in
@@ -222,11 +226,10 @@
         instance: &ServerName,
         proof: AdoptionProof,
     ) -> bool {
-        let now = Instant::now();
         let mut adopted = false;
         self.registry.rcu(|registry| {
             let mut registry = ServerRegistry::clone(registry);
-            adopted = registry.adopt(old, instance.clone(), proof, now);
+            adopted = registry.adopt(old, instance.clone(), proof);
             registry
         });
         if adopted {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 mod admin_front;
 mod answer_body;
 mod backend_connection;
+mod boot_clock;
 mod call_run;
 mod caller_front;
 mod connection_pool;
--- a/crates/front/src/return_watch.rs
+++ b/crates/front/src/return_watch.rs
@@ -9,14 +9,15 @@
 use std::{sync::Arc, time::Duration};
 
 use domain::{
-    ServerName,
+    desired_state::ServiceSpec,
     server_registry::{AdoptionProof, RegisteredServer},
 };
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
+    boot_clock::boot_now,
     front_state::FrontState,
-    server_call::{query_instance, query_models},
+    server_call::{AddressHolder, query_holder},
 };
 
 /// Interval between polls of a server. A crash at the current sites lasts 1.2 s.
@@ -57,66 +58,60 @@
 }
 
 async fn poll_instance(state: &FrontState, server: &RegisteredServer) {
-    let health_path = state.desired.load().as_ref().and_then(|desired| {
-        desired
-            .service(&server.record().service)
-            .map(|spec| spec.health_path.clone())
-    });
-    let Some(health_path) = health_path else {
+    let desired = state.desired.load_full();
+    let service = desired
+        .as_ref()
+        .and_then(|desired| desired.service(&server.record().service));
+    let Some(service) = service else {
         return;
     };
+    let has_models = service.engine.is_some();
     let end = Instant::now() + WATCH_TIME;
     while state.is_server_list_stale() && Instant::now() < end {
         if let Some(pause_end) = server.paused_until(Instant::now()) {
             sleep_until(pause_end.min(end)).await;
             continue;
         }
-        match query_instance(state, server, &health_path).await {
-            Some(instance) if instance == server.record().instance => {
+        let asked_at = boot_now();
+        match query_holder(state, server, &service.health_path, has_models).await {
+            Some(holder) if holder.instance == server.record().instance => {
                 server.note_activity(Instant::now());
+                server.note_answer_to(asked_at);
                 return;
             }
-            Some(instance) => {
+            Some(holder) => {
                 server.note_superseded();
-                if adopt_instance(state, server, &instance).await {
+                if adopt_holder(state, server, service, &holder) {
                     return;
                 }
-                // The models may be unknown because one query was lost.
-                sleep(POLL_INTERVAL).await;
             }
-            None => sleep(POLL_INTERVAL).await,
+            None => {}
         }
+        // The models may be unknown because an answer was lost.
+        sleep(POLL_INTERVAL).await;
     }
 }
 
 /// Adopts the instance that now holds a server's address, if it is proven to
 /// belong to the same service. Returns whether nothing is left to do.
-async fn adopt_instance(
+fn adopt_holder(
     state: &FrontState,
     server: &RegisteredServer,
-    instance: &ServerName,
+    service: &ServiceSpec,
+    holder: &AddressHolder,
 ) -> bool {
-    if state.adopt_recent(server, instance) {
-        return true;
-    }
-    let desired = state.desired.load_full();
-    let has_models = desired.as_ref().is_some_and(|desired| {
-        desired
-            .service(&server.record().service)
-            .is_some_and(|service| service.engine.is_some())
-    });
-    if !has_models {
+    if state.adopt_recent(server, &holder.instance) || service.engine.is_none() {
         return true;
     }
-    let models = query_models(state, server).await;
-    if models.is_empty() {
+    if holder.models.is_empty() {
         return false;
     }
+    let desired = state.desired.load();
     let is_proven = desired
         .as_ref()
-        .is_some_and(|desired| desired.models_identify_service(&server.record().service, &models));
+        .is_some_and(|desired| desired.models_identify_service(&service.name, &holder.models));
     if is_proven {
-        state.adopt(server, instance, AdoptionProof::OnlyModel);
+        state.adopt(server, &holder.instance, AdoptionProof::OnlyModel);
     }
     true
 }
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -79,26 +79,68 @@
     }
 }
 
-/// Queries which server instance answers health checks at a server's address.
-pub(crate) async fn query_instance(
+/// The server that holds an address.
+#[derive(Debug)]
+pub(crate) struct AddressHolder {
+    /// Name of the instance.
+    pub(crate) instance: ServerName,
+    /// Its models, which show its service; none if it did not report them.
+    pub(crate) models: Vec<ModelName>,
+}
+
+/// Queries which instance answers health checks at a server's address and, if it is
+/// another one than is known, its models. Both answers come on one new connection and
+/// therefore from one process, and no earlier answer can be taken for one of them.
+pub(crate) async fn query_holder(
     state: &FrontState,
     server: &RegisteredServer,
     path: &str,
-) -> Option<ServerName> {
-    let queried = async {
-        let mut connection = connect(server).await?;
-        exchange(
-            state,
-            &mut connection,
-            server,
-            Method::GET,
-            path,
-            Vec::new(),
-        )
-        .await
+    has_models: bool,
+) -> Option<AddressHolder> {
+    let opened = timeout(QUERY_TIMEOUT, connect(server)).await;
+    let mut connection = opened.ok()?.ok()?;
+    let health = query(state, &mut connection, server, path).await?;
+    let instance = decode_instance(&health.0.headers)?;
+    let models = if has_models && instance != server.record().instance {
+        query_models(state, &mut connection, server).await
+    } else {
+        Vec::new()
+    };
+    Some(AddressHolder { instance, models })
+}
+
+async fn query_models(
+    state: &FrontState,
+    connection: &mut BackendConnection,
+    server: &RegisteredServer,
+) -> Vec<ModelName> {
+    let Some((_, body)) = query(state, connection, server, REPORT_PATH).await else {
+        return Vec::new();
     };
-    let (parts, _) = timeout(QUERY_TIMEOUT, queried).await.ok()?.ok()?;
-    decode_instance(&parts.headers)
+    decode_models(&body).unwrap_or_else(|error| {
+        log::debug!(address:% = server.record().address, error:%; "server did not report its models");
+        Vec::new()
+    })
+}
+
+async fn query(
+    state: &FrontState,
+    connection: &mut BackendConnection,
+    server: &RegisteredServer,
+    path: &str,
+) -> Option<(Parts, Bytes)> {
+    let asked = exchange(state, connection, server, Method::GET, path, Vec::new());
+    match timeout(QUERY_TIMEOUT, asked).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) => {
+            log::debug!(address:% = server.record().address, path = path, error:%; "query failed");
+            None
+        }
+        Err(_) => {
+            log::debug!(address:% = server.record().address, path = path; "query timed out");
+            None
+        }
+    }
 }
 
 /// Queries the present load of a server, which answers at once whatever its load.
@@ -133,20 +175,6 @@
     parts.status.is_success()
 }
 
-/// Queries the models of the server at an address. Returns an empty list if it is
-/// not a model server or does not answer in time.
-pub(crate) async fn query_models(state: &FrontState, server: &RegisteredServer) -> Vec<ModelName> {
-    let queried = call_server(state, server, Method::GET, REPORT_PATH, Vec::new());
-    let answered = match timeout(QUERY_TIMEOUT, queried).await {
-        Ok(answered) => answered.and_then(|body| decode_models(&body).into_diagnostic()),
-        Err(_) => Err(miette::miette!("no answer within the time limit")),
-    };
-    answered.unwrap_or_else(|error| {
-        log::debug!(address:% = server.record().address, error:%; "server did not report its models");
-        Vec::new()
-    })
-}
-
 /// Lists the prompt parts in a server's KV cache, with their token counts.
 pub(crate) async fn list_cached_prompts(
     state: &FrontState,
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -25,6 +25,7 @@
 use crate::{
     answer_body::read_body,
     backend_connection::BackendConnection,
+    boot_clock::boot_now,
     connection_pool::ConnectionReuse,
     front_state::{ENTRY_LIFETIME, FrontState},
     routed_request::RoutedRequest,
@@ -63,9 +64,13 @@
     limit: Instant,
 ) -> Result<ServerAnswer, SendOutcome> {
     let started = Instant::now();
+    let asked_at = boot_now();
     let sent = exchange(state, server, request, order, limit).await;
     match &sent {
-        Ok(_) => server.note_activity(Instant::now()),
+        Ok(_) => {
+            server.note_activity(Instant::now());
+            server.note_answer_to(asked_at);
+        }
         Err(outcome) => record_failure(server, request, *outcome, started),
     }
     sent
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry process with a failing store and failing backend servers.
 
+mod adoption;
 mod calls;
 mod crashing_prompts;
 mod endless;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -27,6 +27,8 @@
 pub enum WorkerAct {
     /// A whole answer with this status and body.
     Answer(u16, &'static str),
+    /// A whole answer after this time.
+    AnswerAfter(Duration),
     /// The worker's word that it did not run.
     Rejected,
     /// Another lifetime, of this name, holds the address.
@@ -154,6 +156,7 @@
     mute_reports: usize,
     is_leaving: bool,
     has_restarted: bool,
+    is_other_service: bool,
     own_questions: usize,
     late: String,
     endless_listings: Option<EndlessPart>,
@@ -257,6 +260,14 @@
         self.state().has_restarted = true;
     }
 
+    /// Go on as a worker of another service, which has no models, that was given the
+    /// address; it has the worker's name.
+    pub fn hand_over(&self) {
+        let mut state = self.state();
+        state.has_restarted = true;
+        state.is_other_service = true;
+    }
+
     /// Crash at the beginning of each answer to a prompt with this part, and come back
     /// after `down`.
     pub fn crash_on_part(&self, part: &str, down: Duration) {
@@ -407,7 +418,11 @@
                     state.mute_reports -= 1;
                     return None;
                 }
-                r#"{"models":[{"name":"m","version":1}]}"#.to_owned()
+                if state.is_other_service {
+                    r#"{"models":[]}"#.to_owned()
+                } else {
+                    r#"{"models":[{"name":"m","version":1}]}"#.to_owned()
+                }
             }
             OwnQuestion::Held => {
                 state.listings += 1;
@@ -495,6 +510,10 @@
         };
         let text = match act {
             WorkerAct::Answer(status, body) => whole(id, status, body),
+            WorkerAct::AnswerAfter(delay) => {
+                sleep(delay).await;
+                whole(id, 200, "ok")
+            }
             WorkerAct::Rejected => format!(
                 "HTTP/1.1 503 X\r\n{leaving}x-bamboocross-request-id: {id}\r\n\
                  x-bamboocross-not-run: 1\r\ncontent-length: 0\r\n\r\n"
