Count a send before its first byte leaves

Callers saw: 503 ("not run") for a stream that may not be resumed and was running at a server when its entry reached the end of its drain.

Cause: sends were counted when their outcome was recorded. The drain drops the future of the send, so the one in flight was never counted, and the refusal was allowed.

Change: each request has a ledger of its sends. The only place at which bytes leave opens a send in it first; the send stays counted unless the server or the connection disowns it. The entry's own replies ask the ledger before they refuse. A stream that is given up because its prompt is held back is counted in the same way and not sent again.

--- a/crates/domain/src/run_evidence.rs
+++ b/crates/domain/src/run_evidence.rs
@@ -7,13 +7,18 @@
 //! another server or refused as "not run" only after such a proof. An idempotent
 //! request may be refused although an earlier send may have run it.
 //!
+//! Whether a request may have run is asked of its [`SendLedger`], which counts a send
+//! from before its first byte and not from its end.
+//!
 //! The rules apply to requests that are forwarded without a recorded intent.
 //! Calls with a recorded intent have the corresponding rules in
 //! [`service_call`](crate::service_call).
 
 mod next_step;
+mod send_ledger;
 
 pub use next_step::{NextStep, SendBudget, next_step};
+pub use send_ledger::{OpenSend, SendLedger};
 
 /// Parts of an answer's head that serve as evidence.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/domain/src/run_evidence/next_step.rs
+++ b/crates/domain/src/run_evidence/next_step.rs
@@ -10,12 +10,13 @@
 /// where a plain request has milliseconds.
 const STREAM_REJECTED_MAX: u32 = 12;
 
-/// Counts and limits of the sends of one request.
+/// Counts and limits of the sends of one request at one moment. A failed connection
+/// attempt does not count; such attempts are limited only by the caller of this module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendBudget {
     /// Largest number of sends that may have run the request.
     pub runs_max: u32,
-    /// Sends that may have run the request.
+    /// Sends that may have run the request, including those in flight.
     pub runs: u32,
     /// Sends that a server rejected or the connection handed back, so that the
     /// request did not run.
@@ -53,18 +54,6 @@
         }
     }
 
-    /// Records the outcome of a send. A failed connection attempt does not count;
-    /// such attempts are limited only by the caller of this module.
-    pub fn record(&mut self, outcome: SendOutcome) {
-        match outcome {
-            SendOutcome::NotConnected => {}
-            SendOutcome::HandedBack | SendOutcome::Rejected => self.rejected += 1,
-            SendOutcome::Answered { .. } | SendOutcome::Broken | SendOutcome::Silent => {
-                self.runs += 1
-            }
-        }
-    }
-
     /// Returns whether the budget allows another send that may run the request.
     pub fn has_runs_left(&self) -> bool {
         self.runs < self.runs_max
--- a/crates/domain/tests/run_evidence.rs
+++ b/crates/domain/tests/run_evidence.rs
@@ -2,7 +2,7 @@
 
 use domain::{
     desired_state::RouteKind,
-    run_evidence::{AnswerHead, NextStep, RunProof, SendBudget, SendOutcome, next_step},
+    run_evidence::{AnswerHead, NextStep, RunProof, SendLedger, SendOutcome, next_step},
 };
 use rstest::rstest;
 
@@ -111,8 +111,49 @@
     #[case] outcomes: &[SendOutcome],
     #[case] expected: NextStep,
 ) {
-    let mut budget = SendBudget::new(runs_max, kind);
-    outcomes.iter().for_each(|outcome| budget.record(*outcome));
+    let ledger = SendLedger::new(runs_max, kind);
+    outcomes.iter().for_each(|outcome| send(&ledger, *outcome));
     let last = outcomes.last().expect("at least one outcome");
-    assert_eq!(next_step(kind, *last, &budget), expected);
+    assert_eq!(next_step(kind, *last, &ledger.budget()), expected);
+}
+
+/// Plays one send as an entry does it.
+fn send(ledger: &SendLedger, outcome: SendOutcome) {
+    if outcome != SendOutcome::NotConnected {
+        let open = ledger.open();
+        if outcome.proof() == RunProof::NotRun {
+            open.disown();
+        }
+    }
+    ledger.record(outcome);
+}
+
+/// Guards against a refusal of a request that is at a server: a send that was
+/// abandoned before its outcome was known was not counted.
+#[rstest]
+#[case::call(RouteKind::Unsafe, false)]
+#[case::stream(RouteKind::Stream, false)]
+#[case::repeatable_call(RouteKind::Safe, true)]
+#[case::resumable_stream(RouteKind::ResumableStream, true)]
+fn request_in_flight_is_refused_only_if_idempotent(
+    #[case] kind: RouteKind,
+    #[case] expected: bool,
+) {
+    let ledger = SendLedger::new(3, kind);
+    assert!(ledger.may_refuse(), "nothing was sent");
+    send(&ledger, SendOutcome::NotConnected);
+    send(&ledger, SendOutcome::HandedBack);
+    send(&ledger, SendOutcome::Rejected);
+    assert!(ledger.may_refuse(), "every send was disowned");
+    let abandoned = ledger.open();
+    assert_eq!(ledger.may_refuse(), expected, "while it is in flight");
+    let _ = abandoned;
+    assert_eq!(ledger.may_refuse(), expected, "after it was abandoned");
+    send(&ledger, SendOutcome::Rejected);
+    assert_eq!(
+        ledger.may_refuse(),
+        expected,
+        "a later proof concerns the later send only"
+    );
+    assert_eq!((ledger.budget().runs, ledger.budget().rejected), (1, 3));
 }
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -31,7 +31,6 @@
 pub(crate) async fn run_call(state: &Arc<FrontState>, request: &RoutedRequest) -> CallerReply {
     let share = state.retry_share(&request.service);
     share.record_request(Instant::now());
-    let mut budget = SendBudget::new(request.route.attempts, request.route.kind);
     let mut tried = Vec::new();
     let mut last_answer: Option<BufferedAnswer> = None;
     loop {
@@ -39,20 +38,20 @@
         if request.remaining(now).is_zero() {
             return finish(state, request, last_answer, ReplyReason::Timeout);
         }
-        if is_held_back(state, request, &budget) {
+        if is_held_back(state, request) {
             return finish(state, request, last_answer, ReplyReason::CrashesServers);
         }
-        let Some(server) = pick(state, request, &budget, &tried, now) else {
+        let Some(server) = pick(state, request, &tried, now) else {
             if let Some(open_at) = next_opening(state, request, &tried, now) {
                 sleep_until(open_at).await;
                 continue;
             }
-            return finish(state, request, last_answer, no_server(request, &budget));
+            return finish(state, request, last_answer, ReplyReason::NoServer);
         };
         if !server.take_send(now) {
             continue;
         }
-        let sent = send_once(state, &server, request, &budget).await;
+        let sent = send_once(state, &server, request).await;
         let outcome = match &sent {
             Ok(answer) => SendOutcome::Answered {
                 server_error: answer.server_error,
@@ -62,7 +61,8 @@
         record_evidence(state, &server, request, outcome, now).await;
         let label = outcome_label(outcome);
         state.metrics.sends.with_label_values(&[label]).inc();
-        budget.record(outcome);
+        request.sends.record(outcome);
+        let budget = request.sends.budget();
         tried.push(server.record().address);
         if may_have_crashed(outcome) || server.is_superseded() {
             watch_for_return(state, &server);
@@ -88,7 +88,7 @@
             continue;
         }
         let reason = match step {
-            NextStep::Refuse => no_server(request, &budget),
+            NextStep::Refuse => ReplyReason::NoServer,
             NextStep::Retry if budget.runs == 0 => ReplyReason::NoBudget,
             _ if request.remaining(Instant::now()).is_zero() => ReplyReason::Timeout,
             _ => ReplyReason::OutcomeUnknown,
@@ -98,17 +98,13 @@
 }
 
 /// Returns whether a part of the request's prompt is held back, and logs it.
-pub(crate) fn is_held_back(
-    state: &FrontState,
-    request: &RoutedRequest,
-    budget: &SendBudget,
-) -> bool {
+pub(crate) fn is_held_back(state: &FrontState, request: &RoutedRequest) -> bool {
     let part = held_part(state, &request.shared_parts);
     if let Some(part) = part {
         log::info!(
             request = request.id.as_str(),
             part:% = part,
-            runs = budget.runs;
+            runs = request.sends.budget().runs;
             "request held back"
         );
     }
@@ -177,7 +173,6 @@
 fn pick(
     state: &FrontState,
     request: &RoutedRequest,
-    budget: &SendBudget,
     tried: &[SocketAddr],
     now: Instant,
 ) -> Option<Arc<RegisteredServer>> {
@@ -202,7 +197,7 @@
             tried: &[],
             ..query
         };
-        let may_repeat = request.route.kind.is_idempotent() && budget.rejected == 0;
+        let may_repeat = request.route.kind.is_idempotent() && request.sends.budget().rejected == 0;
         may_repeat.then(|| pick_server(servers, &repeat_query, &mut rng))?
     });
     picked.map(Arc::clone)
@@ -237,10 +232,9 @@
     state: &FrontState,
     server: &RegisteredServer,
     request: &RoutedRequest,
-    budget: &SendBudget,
 ) -> Result<BufferedAnswer, SendOutcome> {
     let now = Instant::now();
-    let limit = send_limit(request, budget, now);
+    let limit = send_limit(request, &request.sends.budget(), now);
     let _work = server.reserve(WorkSize {
         requests: 1,
         ..WorkSize::default()
@@ -266,22 +260,18 @@
     request.deadline.min(now + silence_limit)
 }
 
-/// Reason given to the caller when no server is available.
-fn no_server(request: &RoutedRequest, budget: &SendBudget) -> ReplyReason {
-    if budget.runs > 0 && !request.route.kind.is_idempotent() {
-        ReplyReason::OutcomeUnknown
-    } else {
-        ReplyReason::NoServer
-    }
-}
-
 /// Builds and records a reply of the entry itself. A refusal tells the caller
-/// when to retry.
+/// when to retry; a request that may have run and must not run again is not refused.
 pub(crate) fn entry_reply(
     state: &FrontState,
     request: &RoutedRequest,
     reason: ReplyReason,
 ) -> CallerReply {
+    let reason = if reason.is_refusal() && !request.sends.may_refuse() {
+        ReplyReason::OutcomeUnknown
+    } else {
+        reason
+    };
     record_reply(state, request, reason);
     if reason.is_refusal() {
         let now = Instant::now();
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -13,6 +13,7 @@
     entry_drain::DrainPhase,
     kv_placement::ServiceOutlook,
     retry_advice::RefusedRequest,
+    run_evidence::SendLedger,
 };
 use futures_util::FutureExt;
 use http::{HeaderValue, Request, header, request::Parts, uri::PathAndQuery};
@@ -271,6 +272,7 @@
         position,
         received,
         deadline: received + timeout,
+        sends: SendLedger::new(route.attempts, route.kind),
         route,
     })
 }
--- a/crates/front/src/routed_request.rs
+++ b/crates/front/src/routed_request.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use domain::{
     PartDigest, PromptPart, RequestId, ServerName, ServiceName, TeamName, desired_state::RouteSpec,
-    event_relay::EventPosition, kv_placement::TokenCounts, server_registry::RegisteredServer,
+    event_relay::EventPosition, kv_placement::TokenCounts, run_evidence::SendLedger,
+    server_registry::RegisteredServer,
 };
 use http::{HeaderMap, Method, uri::PathAndQuery};
 use platform::server_request::ServerHeaders;
@@ -33,6 +34,8 @@
     pub(crate) received: Instant,
     /// End of the caller's time limit or the route's, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// Its sends so far.
+    pub(crate) sends: SendLedger,
 }
 
 impl RoutedRequest {
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -6,7 +6,7 @@
 use domain::{
     event_relay::StreamTimeouts,
     rate_limit::RateLimit,
-    run_evidence::{AnswerHead, SendOutcome},
+    run_evidence::{AnswerHead, OpenSend, SendOutcome},
     server_registry::RegisteredServer,
 };
 use http::{Request, Response, Uri, response::Parts};
@@ -115,9 +115,9 @@
     };
     let mut message = encode(request, order);
     if let Some(mut connection) = state.connection_pool.take(server, reuse, Instant::now()) {
-        match try_send(&mut connection, message, limit).await? {
-            SendAttempt::Answered(response) => {
-                return check_response(state, server, request, response, connection);
+        match try_send(&mut connection, request, message, limit).await? {
+            SendAttempt::Answered(response, open) => {
+                return check_response(state, server, request, response, open, connection);
             }
             SendAttempt::HandedBack(unsent) => message = unsent,
         }
@@ -127,29 +127,36 @@
         return Err(SendOutcome::NotConnected);
     };
     state.metrics.new_links.inc();
-    match try_send(&mut connection, message, limit).await? {
-        SendAttempt::Answered(response) => {
-            check_response(state, server, request, response, connection)
+    match try_send(&mut connection, request, message, limit).await? {
+        SendAttempt::Answered(response, open) => {
+            check_response(state, server, request, response, open, connection)
         }
         SendAttempt::HandedBack(_) => Err(SendOutcome::HandedBack),
     }
 }
 
-enum SendAttempt {
-    Answered(Response<Incoming>),
+enum SendAttempt<'a> {
+    Answered(Response<Incoming>, OpenSend<'a>),
     HandedBack(Request<Full<Bytes>>),
 }
 
-async fn try_send(
+/// Sends on an open connection. This is the only place at which bytes of a caller's
+/// request leave.
+async fn try_send<'a>(
     connection: &mut BackendConnection,
+    request: &'a RoutedRequest,
     message: Request<Full<Bytes>>,
     limit: Instant,
-) -> Result<SendAttempt, SendOutcome> {
+) -> Result<SendAttempt<'a>, SendOutcome> {
+    let open = request.sends.open();
     match timeout_at(limit, connection.sender.try_send_request(message)).await {
         Err(_) => Err(SendOutcome::Silent),
-        Ok(Ok(response)) => Ok(SendAttempt::Answered(response)),
+        Ok(Ok(response)) => Ok(SendAttempt::Answered(response, open)),
         Ok(Err(mut error)) => match error.take_message() {
-            Some(unsent) => Ok(SendAttempt::HandedBack(unsent)),
+            Some(unsent) => {
+                open.disown();
+                Ok(SendAttempt::HandedBack(unsent))
+            }
             None => {
                 let error = error.error();
                 log::debug!(error:%; "exchange failed");
@@ -173,6 +180,7 @@
     server: &RegisteredServer,
     request: &RoutedRequest,
     response: Response<Incoming>,
+    open: OpenSend<'_>,
     connection: BackendConnection,
 ) -> Result<ServerAnswer, SendOutcome> {
     let (parts, body) = response.into_parts();
@@ -192,6 +200,7 @@
         }
     }
     if head.is_rejection() {
+        open.disown();
         if head.misdirected {
             server.note_superseded();
             state.list_refresh.notify_one();
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -16,7 +16,7 @@
     kv_placement::{EngineEstimate, TokenCounts},
     prompt_cache::CachedPrompt,
     retry_share::RetryShare,
-    run_evidence::{NextStep, SendBudget, SendOutcome, next_step},
+    run_evidence::{NextStep, SendOutcome, next_step},
     server_registry::{RegisteredServer, WorkSize},
 };
 use platform::server_request::KvSource;
@@ -97,7 +97,6 @@
     share: Arc<RetryShare>,
     engines: Arc<EngineEstimate>,
     cursor: EventCursor,
-    budget: SendBudget,
     copy: Option<KvCopy>,
     cached: Option<CachedPrompt>,
     tried: Vec<SocketAddr>,
@@ -127,7 +126,6 @@
             share,
             engines: state.engine_estimate(&request.service),
             cursor: EventCursor::new(request.position),
-            budget: SendBudget::new(request.route.attempts, request.route.kind),
             state,
             request,
             head: Some(head),
@@ -159,13 +157,14 @@
             }
         };
         state.metrics.requests.with_label_values(&[outcome]).inc();
+        let budget = request.sends.budget();
         log::info!(
             request = request.id.as_str(),
             route = request.route.name.as_ref(),
             outcome = outcome,
             age_ms = request.received.elapsed().as_millis() as u64,
-            runs = self.budget.runs,
-            rejected = self.budget.rejected,
+            runs = budget.runs,
+            rejected = budget.rejected,
             first_ms:? = self.timing.first_event.map(|first| first.as_millis()),
             gap_ms = self.timing.longest_gap.as_millis() as u64,
             position:? = self.cursor.last_delivered();
@@ -182,7 +181,7 @@
                 self.abort(ReplyReason::Timeout);
                 return "timeout";
             }
-            if is_held_back(&self.state, &self.request, &self.budget) {
+            if is_held_back(&self.state, &self.request) {
                 self.abort(ReplyReason::CrashesServers);
                 return "held_back";
             }
@@ -200,7 +199,11 @@
                     return "complete";
                 }
                 AttemptEnd::Answered => return "answered",
-                AttemptEnd::HeldBack => continue,
+                AttemptEnd::HeldBack if self.request.sends.may_refuse() => continue,
+                AttemptEnd::HeldBack => {
+                    self.abort(ReplyReason::CrashesServers);
+                    return "held_back";
+                }
                 AttemptEnd::Ended(outcome) => outcome,
             };
             self.state
@@ -208,7 +211,7 @@
                 .sends
                 .with_label_values(&[outcome_label(outcome)])
                 .inc();
-            self.budget.record(outcome);
+            self.request.sends.record(outcome);
             if outcome == SendOutcome::Broken {
                 self.report_crash(&server).await;
             }
@@ -224,7 +227,8 @@
                 self.cached
                     .take_if(|cached| cached.address == server.record().address);
             }
-            let step = next_step(self.request.route.kind, outcome, &self.budget);
+            let budget = self.request.sends.budget();
+            let step = next_step(self.request.route.kind, outcome, &budget);
             let is_retry = step == NextStep::Retry
                 && (!outcome.reached_server() || self.state.spend_retry(&self.share));
             log::info!(
@@ -263,12 +267,6 @@
         let Some(head) = self.head.take() else {
             return;
         };
-        let may_refuse = self.budget.runs == 0 || self.request.route.kind.is_idempotent();
-        let reason = if reason.is_refusal() && !may_refuse {
-            ReplyReason::OutcomeUnknown
-        } else {
-            reason
-        };
         let reply = entry_reply(&self.state, &self.request, reason);
         // Fails if the caller has disconnected in the meantime.
         let _ = head.send(StreamHead::Buffered(Box::new(reply)));
@@ -316,8 +314,7 @@
 
     /// Whether another server may continue the stream if this one is given up.
     fn may_move(&self) -> bool {
-        let mut budget = self.budget;
-        budget.record(SendOutcome::Silent);
+        let budget = self.request.sends.budget();
         next_step(self.request.route.kind, SendOutcome::Silent, &budget) == NextStep::Retry
             && self.state.has_retry(&self.share)
     }
@@ -414,10 +411,8 @@
     ) -> AttemptEnd {
         let server_error = answer.server_error;
         let outcome = SendOutcome::Answered { server_error };
-        let mut budget_after = self.budget;
-        budget_after.record(outcome);
-        let is_retry =
-            next_step(self.request.route.kind, outcome, &budget_after) == NextStep::Retry;
+        let budget = self.request.sends.budget();
+        let is_retry = next_step(self.request.route.kind, outcome, &budget) == NextStep::Retry;
         if self.head.is_none() || is_retry {
             return AttemptEnd::Ended(outcome);
         }
--- a/crates/front/src/stream_run/server_search.rs
+++ b/crates/front/src/stream_run/server_search.rs
@@ -73,7 +73,7 @@
         let Some(target) = self.request.route.latency_target else {
             return false;
         };
-        if self.request.position.is_some() || self.budget.runs > 0 {
+        if self.request.position.is_some() || self.request.sends.budget().runs > 0 {
             return false;
         }
         let now = Instant::now();
