Pass no refusal on that a server has not proved

Callers saw, by reading and by test: 503, 429 or 408 of a server that had run their booking. They take these statuses for "not run" and send it again.

Cause: the header that proves "not run" decided the entry's next step, but the status was passed on without it.

Change: such an answer is replaced by 502 if the request must not run again. Requests that may be repeated get it unchanged.

--- a/crates/domain/src/run_evidence.rs
+++ b/crates/domain/src/run_evidence.rs
@@ -31,6 +31,8 @@
     pub success: bool,
     /// The status is a server error.
     pub server_error: bool,
+    /// The status tells callers that the request did not run.
+    pub refusing: bool,
     /// The answer has the seal, a header that marks it as the server's own.
     pub sealed: bool,
     /// The answer carries the id of another request.
--- a/crates/domain/tests/run_evidence.rs
+++ b/crates/domain/tests/run_evidence.rs
@@ -11,6 +11,7 @@
     misdirected: false,
     success: true,
     server_error: false,
+    refusing: false,
     sealed: true,
     foreign: false,
     echoed: true,
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -146,6 +146,24 @@
         .requests
         .with_label_values(&["answered"])
         .inc();
+    relayed_reply(state, request, answer)
+}
+
+/// Passes a server's answer on. A status that callers take for "not run" is replaced if
+/// the server has not proved that and the request must not run again.
+pub(crate) fn relayed_reply(
+    state: &FrontState,
+    request: &RoutedRequest,
+    answer: BufferedAnswer,
+) -> CallerReply {
+    if answer.refusing && !request.sends.may_refuse() {
+        log::warn!(
+            request = request.id.as_str(),
+            status = answer.parts.status.as_u16();
+            "server refused a request without proof that it did not run"
+        );
+        return entry_reply(state, request, ReplyReason::OutcomeUnknown);
+    }
     buffered_reply(answer.parts, answer.body)
 }
 
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -45,6 +45,7 @@
     pub(crate) body: Incoming,
     pub(crate) server_error: bool,
     pub(crate) success: bool,
+    refusing: bool,
     connection: BackendConnection,
 }
 
@@ -53,6 +54,8 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) server_error: bool,
+    /// Whether its status tells callers that the request did not run.
+    pub(crate) refusing: bool,
 }
 
 /// Sends a request and waits for the head of its answer until `limit`.
@@ -228,6 +231,7 @@
         body,
         server_error: head.server_error,
         success: head.success,
+        refusing: head.refusing,
         connection,
     })
 }
@@ -262,6 +266,7 @@
             parts: self.parts,
             body,
             server_error: self.server_error,
+            refusing: self.refusing,
         })
     }
 
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -26,11 +26,11 @@
 };
 
 use crate::{
-    call_run::{entry_reply, is_held_back, outcome_label},
+    call_run::{entry_reply, is_held_back, outcome_label, relayed_reply},
     copy_manager::{CopyManager, KvCopy},
     crash_watch::report_crash,
     front_state::FrontState,
-    reply::{CallerReply, ReplyReason, StreamChunk, buffered_reply, stream_reply},
+    reply::{CallerReply, ReplyReason, StreamChunk, stream_reply},
     return_watch::watch_for_return,
     routed_request::RoutedRequest,
     server_exchange::{ServerAnswer, ServerLoss, send, wait_until_lost},
@@ -422,7 +422,8 @@
         {
             Err(outcome) => AttemptEnd::Ended(outcome),
             Ok(answer) => {
-                let reply = Box::new(buffered_reply(answer.parts, answer.body));
+                let reply = relayed_reply(&self.state, &self.request, answer);
+                let reply = Box::new(reply);
                 if let Some(head) = self.head.take() {
                     // Fails if the caller has disconnected in the meantime.
                     let _ = head.send(StreamHead::Buffered(reply));
