End everything in a drain by the grace in force at the signal

Callers saw: connections that ended without an answer in a planned stop, if the grace had changed since their stream began.

Cause: each stream took the length of the grace when it began, the process when it got the signal.

Change: the drain holds its limits from the signal on, and tasks wait for its phases.

--- a/crates/domain/src/entry_drain.rs
+++ b/crates/domain/src/entry_drain.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 /// Time after the stop signal for which all new requests are admitted: two
 /// readiness probes of the load balancer, one second apart, and their duration.
 const LEAVING_TIME: Duration = Duration::from_millis(3_000);
@@ -74,3 +76,34 @@
         self.grace * ABORT_PERCENT / 100
     }
 }
+
+/// Drain of this process. Its limits are those in force when the stop signal arrived,
+/// so that everything in the process ends by the same ones.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryDrain {
+    /// Time of the stop signal.
+    pub stopped_at: Instant,
+    /// Limits in force at that time.
+    pub times: DrainTimes,
+}
+
+impl EntryDrain {
+    /// Returns the phase at `now`.
+    pub fn phase(&self, now: Instant) -> DrainPhase {
+        self.times.phase(Some(self.since_stop(now)))
+    }
+
+    /// Returns when a phase begins.
+    pub fn start_of(&self, phase: DrainPhase) -> Instant {
+        match phase {
+            DrainPhase::Serving | DrainPhase::Leaving => self.stopped_at,
+            DrainPhase::Closing => self.stopped_at + self.times.closing_after(),
+            DrainPhase::Cutting => self.stopped_at + self.times.cutting_after(),
+        }
+    }
+
+    /// Returns the time since the stop signal.
+    pub fn since_stop(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.stopped_at)
+    }
+}
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use domain::{
     desired_state::{CallerLimits, DesiredState, RouteDecision, RouteQuery},
-    entry_drain::DrainPhase,
+    entry_drain::{DrainPhase, EntryDrain},
     kv_placement::ServiceOutlook,
     retry_advice::RefusedRequest,
     run_evidence::SendLedger,
@@ -79,9 +79,9 @@
     let accepting = tokio::spawn(accept_callers(Arc::clone(&state), listener.0));
     stop.stopped().await;
     let stopped_at = Instant::now();
-    state.drain.start(stopped_at);
-    log::info!(connections = state.connections.load(Relaxed); "drain");
     let times = state.drain_times();
+    state.drain.start(EntryDrain { stopped_at, times });
+    log::info!(connections = state.connections.load(Relaxed); "drain");
     let exit_at = stopped_at + times.grace * EXIT_PERCENT / 100;
     let mut accepted = state.accepted.load(Relaxed);
     let mut quiet_since = stopped_at;
@@ -147,8 +147,7 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let closing = async {
-        let closing_after = state.drain_times().closing_after();
-        state.drain.wait_elapsed(closing_after).await;
+        state.drain.wait_phase(DrainPhase::Closing).await;
         // The first request may be on its way. Hyper would close the connection
         // without reading it.
         let _ = timeout(FIRST_REQUEST_TIMEOUT, first_request.notified()).await;
@@ -238,10 +237,9 @@
         .timeout
         .unwrap_or(TIMEOUT_DEFAULT)
         .min(route.timeout);
-    let since_stop = state.drain.since_stop(received);
     if !state
-        .drain_times()
-        .admits(since_stop, route.kind.is_stream(), timeout)
+        .drain
+        .admits(received, route.kind.is_stream(), timeout)
     {
         return Err(reject(ReplyReason::Closing, id.as_str()));
     }
--- a/crates/front/src/drain_clock.rs
+++ b/crates/front/src/drain_clock.rs
@@ -1,56 +1,64 @@
-//! Time of the stop signal, from which the drain phases are measured.
+//! The drain of this process, for the tasks that wait for its phases.
 
 use std::time::Duration;
 
-use domain::entry_drain::{DrainPhase, DrainTimes};
+use domain::entry_drain::{DrainPhase, EntryDrain};
 use tokio::{
     sync::watch,
     time::{Instant, sleep_until},
 };
 
-/// Time at which the process received the stop signal, if it did.
+/// The drain, once the process received the stop signal.
 #[derive(Debug)]
 pub(crate) struct DrainClock {
-    stopped_at: watch::Sender<Option<Instant>>,
+    drain: watch::Sender<Option<EntryDrain>>,
 }
 
 impl DrainClock {
     pub(crate) fn new() -> Self {
         Self {
-            stopped_at: watch::Sender::new(None),
+            drain: watch::Sender::new(None),
         }
     }
 
-    /// Records the time of the stop signal; later calls have no effect.
-    pub(crate) fn start(&self, now: Instant) {
-        self.stopped_at.send_if_modified(|stopped_at| {
-            let is_first = stopped_at.is_none();
-            stopped_at.get_or_insert(now);
+    /// Starts the drain; later calls have no effect.
+    pub(crate) fn start(&self, drain: EntryDrain) {
+        self.drain.send_if_modified(|current| {
+            let is_first = current.is_none();
+            current.get_or_insert(drain);
             is_first
         });
     }
 
-    /// Returns the time since the stop signal; `None` if there was none.
-    pub(crate) fn since_stop(&self, now: Instant) -> Option<Duration> {
-        let stopped_at = *self.stopped_at.borrow();
-        stopped_at.map(|stopped_at| now.saturating_duration_since(stopped_at))
+    /// Returns the drain; `None` if there was no stop signal.
+    pub(crate) fn drain(&self) -> Option<EntryDrain> {
+        *self.drain.borrow()
     }
 
     /// Returns the phase at `now`.
-    pub(crate) fn phase(&self, times: DrainTimes, now: Instant) -> DrainPhase {
-        times.phase(self.since_stop(now))
+    pub(crate) fn phase(&self, now: Instant) -> DrainPhase {
+        self.drain()
+            .map_or(DrainPhase::Serving, |drain| drain.phase(now))
     }
 
-    /// Waits until `elapsed` has passed since the stop signal.
-    pub(crate) async fn wait_elapsed(&self, elapsed: Duration) {
-        let mut receiver = self.stopped_at.subscribe();
+    /// Returns whether a request that takes up to `needed` is admitted at `now`.
+    pub(crate) fn admits(&self, now: Instant, is_stream: bool, needed: Duration) -> bool {
+        self.drain().is_none_or(|drain| {
+            let since_stop = drain.since_stop(now);
+            drain.times.admits(Some(since_stop), is_stream, needed)
+        })
+    }
+
+    /// Waits until a phase of the drain begins.
+    pub(crate) async fn wait_phase(&self, phase: DrainPhase) {
+        let mut receiver = self.drain.subscribe();
         // `self` owns the sender, so the channel stays open while this waits.
-        let stopped_at = match receiver.wait_for(Option::is_some).await {
-            Ok(stopped_at) => *stopped_at,
+        let drain = match receiver.wait_for(Option::is_some).await {
+            Ok(drain) => *drain,
             Err(_) => None,
         };
-        if let Some(stopped_at) = stopped_at {
-            sleep_until(stopped_at + elapsed).await;
+        if let Some(drain) = drain {
+            sleep_until(drain.start_of(phase)).await;
         }
     }
 }
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -204,7 +204,7 @@
 
     /// Returns the drain phase at `now`.
     pub(crate) fn phase(&self, now: Instant) -> DrainPhase {
-        self.drain.phase(self.drain_times(), now)
+        self.drain.phase(now)
     }
 
     /// Adds the instance that answered at the address of `old`, provided that `old`
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -12,6 +12,7 @@
 
 use domain::{
     crash_evidence::AnswerProgress,
+    entry_drain::DrainPhase,
     event_relay::{EventCursor, StreamTimeouts},
     kv_placement::{EngineEstimate, TokenCounts},
     prompt_cache::CachedPrompt,
@@ -143,7 +144,6 @@
         let caller = self.chunks.clone();
         let state = Arc::clone(&self.state);
         let request = Arc::clone(&self.request);
-        let cutting_after = state.drain_times().cutting_after();
         let outcome = tokio::select! {
             outcome = self.run_attempts() => outcome,
             () = caller.closed() => "caller_left",
@@ -151,7 +151,7 @@
                 self.abort(ReplyReason::Timeout);
                 "timeout"
             }
-            () = state.drain.wait_elapsed(cutting_after) => {
+            () = state.drain.wait_phase(DrainPhase::Cutting) => {
                 self.abort(ReplyReason::Closing);
                 "drained"
             }
