Answer the calls that a drain cuts off

Callers saw: connections that ended without an answer at the end of a planned stop, if their call was still at a silent server.

Cause: only streams were given up before the process exits. Calls, and requests whose body was still arriving, ended with the process.

Change: both are answered when the drain gives streams up: refused if nothing was sent or they may be repeated, otherwise 502.

Evidence: planned_stop::call_in_progress_is_answered_before_the_process_ends failed in both cases before (no answer) and passes.

--- a/crates/domain/src/entry_drain.rs
+++ b/crates/domain/src/entry_drain.rs
@@ -3,9 +3,13 @@
 //! The load balancer needs a few seconds to detect that an entry is not ready,
 //! and callers keep using open connections. The entry therefore keeps serving
 //! for a while, then admits only requests that finish in time, and near the end
-//! of the grace period aborts the open streams, which their callers resume at
-//! another entry. If all entries are stopped within seconds, requests still
+//! of the grace period gives up what is in progress: streams are aborted, and calls
+//! are answered. If all entries are stopped within seconds, requests still
 //! arrive, because the load balancer has no other entry to route them to.
+//!
+//! A request is judged when it could be passed on, not only when its head was read:
+//! it may have waited for its body or for a server. What has not run can be refused
+//! and sent to another entry; what was passed on and cut off cannot.
 
 use std::time::Duration;
 
@@ -14,7 +18,7 @@
 /// Time after the stop signal for which all new requests are admitted: two
 /// readiness probes of the load balancer, one second apart, and their duration.
 const LEAVING_TIME: Duration = Duration::from_millis(3_000);
-/// Part of the grace period after which open streams are aborted, in percent.
+/// Part of the grace period after which requests in progress are given up, in percent.
 /// The value lies in the last sixth of the grace period, in which a request in
 /// progress does not count as lost.
 const ABORT_PERCENT: u32 = 88;
@@ -28,7 +32,7 @@
     Leaving,
     /// Only plain requests that finish before the next phase are admitted.
     Closing,
-    /// Open streams are aborted, and no request is admitted.
+    /// Requests in progress are given up, and none is admitted.
     Cutting,
 }
 
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -31,7 +31,7 @@
 };
 
 use crate::{
-    call_run::run_call,
+    call_run::{entry_reply, run_call},
     front_state::FrontState,
     http_server::{accept, bind},
     reply::{CallerReply, ReplyReason, problem_reply, refusal_reply},
@@ -187,7 +187,7 @@
     let phase = state.phase(received);
     let mut reply = match admit(&state, request, received).await {
         Ok(task) if task.route.kind.is_stream() => run_stream(state, task).await,
-        Ok(task) => run_call(&state, &task).await,
+        Ok(task) => run_call_until_cut(&state, &task).await,
         Err(reply) => *reply,
     };
     if phase >= DrainPhase::Leaving {
@@ -198,6 +198,18 @@
     reply
 }
 
+/// Runs a call until the drain, if there is one, cuts it off. Its caller then gets an
+/// answer while the process still runs.
+async fn run_call_until_cut(state: &Arc<FrontState>, request: &RoutedRequest) -> CallerReply {
+    tokio::select! {
+        biased;
+        reply = run_call(state, request) => reply,
+        () = state.drain.wait_phase(DrainPhase::Cutting) => {
+            entry_reply(state, request, ReplyReason::Closing)
+        }
+    }
+}
+
 /// Checks a request against the desired state and reads its body.
 async fn admit(
     state: &FrontState,
@@ -254,7 +266,11 @@
         decoded.shared_parts.into(),
         decoded.position,
     );
-    let body = match read_body(&desired, body).await {
+    let read = tokio::select! {
+        read = read_body(&desired, body) => read,
+        () = state.drain.wait_phase(DrainPhase::Cutting) => Err(ReplyReason::Closing),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(reason) => return Err(reject(reason, id.as_str())),
     };
