Begin no stream during a drain that would be lost if it were cut

Callers saw: streams that may not be resumed were begun in the first three seconds of a drain, like those that may, and cut off at 0.88 of the grace if they lasted. They can neither be resumed nor sent again.

Cause: the drain admitted streams late because their callers can resume them, and did not ask which can.

Change: such a stream is refused from the signal on, unless its time limit ends before the cut, with a time to come back at which the balancer sends it elsewhere.

--- a/crates/domain/src/entry_drain.rs
+++ b/crates/domain/src/entry_drain.rs
@@ -15,6 +15,8 @@
 
 use tokio::time::Instant;
 
+use crate::desired_state::RouteKind;
+
 /// Time after the stop signal for which all new requests are admitted: two
 /// readiness probes of the load balancer, one second apart, and their duration.
 const LEAVING_TIME: Duration = Duration::from_millis(3_000);
@@ -28,7 +30,7 @@
 pub enum DrainPhase {
     /// Not draining.
     Serving,
-    /// Reported as not ready, but all requests are served.
+    /// Reported as not ready, but requests are served.
     Leaving,
     /// Only plain requests that finish before the next phase are admitted.
     Closing,
@@ -55,16 +57,16 @@
         }
     }
 
-    /// Returns whether a request that takes up to `needed` is admitted. A stream
-    /// is admitted in the leaving phase although it may be aborted, because its
-    /// caller can resume it.
-    pub fn admits(&self, since_stop: Option<Duration>, is_stream: bool, needed: Duration) -> bool {
+    /// Returns whether a request of this kind that takes up to `needed` is admitted. A
+    /// stream that may be resumed is admitted in the leaving phase although it may be
+    /// aborted, and a call because it usually takes far less than its time limit. A
+    /// stream that may not be resumed would be lost if it were aborted.
+    pub fn admits(&self, since_stop: Option<Duration>, kind: RouteKind, needed: Duration) -> bool {
+        let ends_in_time = since_stop.is_none_or(|since| since + needed <= self.cutting_after());
         match self.phase(since_stop) {
-            DrainPhase::Serving | DrainPhase::Leaving => true,
-            DrainPhase::Closing if is_stream => false,
-            DrainPhase::Closing => {
-                since_stop.is_some_and(|since| since + needed <= self.cutting_after())
-            }
+            DrainPhase::Serving => true,
+            DrainPhase::Leaving => kind != RouteKind::Stream || ends_in_time,
+            DrainPhase::Closing => !kind.is_stream() && ends_in_time,
             DrainPhase::Cutting => false,
         }
     }
--- a/crates/domain/tests/entry_life.rs
+++ b/crates/domain/tests/entry_life.rs
@@ -4,6 +4,7 @@
 
 use domain::{
     FailureDomain,
+    desired_state::RouteKind,
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::{EntryRecord, EntryRoster, EntryRow, FOLLOWERS_MAX},
     retry_share::{RetryBounds, RetryShare},
@@ -25,20 +26,29 @@
     assert_eq!(times.phase(since_ms.map(Duration::from_millis)), expected);
 }
 
-/// Requests still arrive if all entries are stopped within seconds. A plain request
-/// is admitted as long as it can finish before the cutting phase, a stream only
-/// before the closing phase.
+/// Requests still arrive if all entries are stopped within seconds. A call is
+/// admitted as long as it can finish before the cutting phase, a stream only before
+/// the closing phase. One that may not be resumed would be lost if it were cut off, so
+/// it is not begun after the signal unless it can finish.
 #[rstest]
-#[case(None, true, 60_000, true)]
-#[case(Some(2_900), true, 25_000, true)]
-#[case(Some(3_100), true, 1_000, false)]
-#[case(Some(3_100), false, 1_000, true)]
-#[case(Some(6_040), false, 1_000, true)]
-#[case(Some(6_041), false, 1_000, false)]
-#[case(Some(7_100), false, 0, false)]
+#[case(None, RouteKind::ResumableStream, 60_000, true)]
+#[case(None, RouteKind::Stream, 60_000, true)]
+#[case(Some(2_900), RouteKind::ResumableStream, 25_000, true)]
+#[case(Some(3_100), RouteKind::ResumableStream, 1_000, false)]
+#[case(Some(0), RouteKind::Stream, 25_000, false)]
+#[case(Some(0), RouteKind::Stream, 7_040, true)]
+#[case(Some(2_900), RouteKind::Stream, 4_140, true)]
+#[case(Some(2_900), RouteKind::Stream, 4_141, false)]
+#[case(Some(3_100), RouteKind::Stream, 1_000, false)]
+#[case(Some(2_900), RouteKind::Unsafe, 25_000, true)]
+#[case(Some(3_100), RouteKind::Unsafe, 1_000, true)]
+#[case(Some(3_100), RouteKind::Safe, 1_000, true)]
+#[case(Some(6_040), RouteKind::Unsafe, 1_000, true)]
+#[case(Some(6_041), RouteKind::Unsafe, 1_000, false)]
+#[case(Some(7_100), RouteKind::Unsafe, 0, false)]
 fn admission_during_drain(
     #[case] since_ms: Option<u64>,
-    #[case] is_stream: bool,
+    #[case] kind: RouteKind,
     #[case] needed_ms: u64,
     #[case] expected: bool,
 ) {
@@ -47,7 +57,7 @@
     };
     let since = since_ms.map(Duration::from_millis);
     let needed = Duration::from_millis(needed_ms);
-    assert_eq!(times.admits(since, is_stream, needed), expected);
+    assert_eq!(times.admits(since, kind, needed), expected);
 }
 
 #[test]
--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -252,10 +252,19 @@
     let deadline = received + timeout;
     let is_admitted = |now: Instant| {
         let needed = deadline.saturating_duration_since(now);
-        state.drain.admits(now, route.kind.is_stream(), needed)
+        state.drain.admits(now, route.kind, needed)
+    };
+    let refuse = |now: Instant| {
+        let refused = RefusedRequest {
+            is_stream: route.kind.is_stream(),
+            remaining: deadline.saturating_duration_since(now),
+            outlook: drain_outlook(state, now),
+        };
+        record_local_reply(state, ReplyReason::Closing, id.as_str());
+        Box::new(refusal_reply(ReplyReason::Closing, refused))
     };
     if !is_admitted(received) {
-        return Err(reject(ReplyReason::Closing, id.as_str()));
+        return Err(refuse(received));
     }
     let Some(service) = route.pick_target(rand::rng().random()).cloned() else {
         return Err(reject(ReplyReason::NoServer, id.as_str()));
@@ -275,8 +284,9 @@
         Err(reason) => return Err(reject(reason, id.as_str())),
     };
     // The body may have taken long.
-    if !is_admitted(Instant::now()) {
-        return Err(reject(ReplyReason::Closing, id.as_str()));
+    let now = Instant::now();
+    if !is_admitted(now) {
+        return Err(refuse(now));
     }
     Ok(RoutedRequest {
         id,
@@ -327,9 +337,7 @@
 
 /// Counts and logs a request that the entry answers itself, and creates the reply.
 fn local_reply(state: &FrontState, reason: ReplyReason, id: &str) -> CallerReply {
-    let label = reason.to_string();
-    state.metrics.refusals.with_label_values(&[&label]).inc();
-    log::info!(request = id, reason = label.as_str(); "answered by the entry");
+    record_local_reply(state, reason, id);
     match reason {
         ReplyReason::StateUnsure | ReplyReason::Closing | ReplyReason::NoServer => {
             let refused = RefusedRequest {
@@ -342,3 +350,20 @@
         _ => problem_reply(reason),
     }
 }
+
+fn record_local_reply(state: &FrontState, reason: ReplyReason, id: &str) {
+    let label = reason.to_string();
+    state.metrics.refusals.with_label_values(&[&label]).inc();
+    log::info!(request = id, reason = label.as_str(); "answered by the entry");
+}
+
+/// When a caller that is refused because of the drain should come back: the load balancer
+/// may still send it here until the entry closes.
+fn drain_outlook(state: &FrontState, now: Instant) -> ServiceOutlook {
+    match state.drain.drain() {
+        Some(drain) if drain.phase(now) == DrainPhase::Leaving => {
+            ServiceOutlook::Paused(drain.start_of(DrainPhase::Closing))
+        }
+        _ => ServiceOutlook::Open,
+    }
+}
--- a/crates/front/src/drain_clock.rs
+++ b/crates/front/src/drain_clock.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use domain::entry_drain::{DrainPhase, EntryDrain};
+use domain::{
+    desired_state::RouteKind,
+    entry_drain::{DrainPhase, EntryDrain},
+};
 use tokio::{
     sync::watch,
     time::{Instant, sleep_until},
@@ -41,11 +44,12 @@
             .map_or(DrainPhase::Serving, |drain| drain.phase(now))
     }
 
-    /// Returns whether a request that takes up to `needed` is admitted at `now`.
-    pub(crate) fn admits(&self, now: Instant, is_stream: bool, needed: Duration) -> bool {
+    /// Returns whether a request of this kind that takes up to `needed` is admitted at
+    /// `now`.
+    pub(crate) fn admits(&self, now: Instant, kind: RouteKind, needed: Duration) -> bool {
         self.drain().is_none_or(|drain| {
             let since_stop = drain.since_stop(now);
-            drain.times.admits(Some(since_stop), is_stream, needed)
+            drain.times.admits(Some(since_stop), kind, needed)
         })
     }
 
--- a/crates/front/src/routed_request.rs
+++ b/crates/front/src/routed_request.rs
@@ -49,8 +49,7 @@
     /// Returns whether a drain leaves the request time to be passed on at `now`. One that
     /// a server may have already goes on until the drain cuts it off.
     pub(crate) fn is_admitted(&self, drain: &DrainClock, now: Instant) -> bool {
-        let is_stream = self.route.kind.is_stream();
-        self.sends.budget().runs > 0 || drain.admits(now, is_stream, self.remaining(now))
+        self.sends.budget().runs > 0 || drain.admits(now, self.route.kind, self.remaining(now))
     }
 
     /// Order to a server with only the target instance, the team and the time
--- a/crates/front/tests/site/planned_stop.rs
+++ b/crates/front/tests/site/planned_stop.rs
@@ -248,4 +248,14 @@
     let answered = site.call(path, "r1").await;
     assert_eq!(answered.status, expected);
     assert_eq!(worker.ran().len(), usize::from(expected == StatusCode::OK));
+    if expected == StatusCode::SERVICE_UNAVAILABLE {
+        let retry_after = answered.headers.get("retry-after").expect("a time");
+        let seconds: f64 = retry_after
+            .to_str()
+            .expect("text")
+            .parse()
+            .expect("seconds");
+        // The load balancer needs about two seconds to send callers elsewhere.
+        assert!((2.0..=5.0).contains(&seconds), "{seconds}");
+    }
 }
