Go on with a drain when the signal is sent again

Callers saw: connections that ended without an answer when a supervisor or a script sent SIGTERM to an entry that was draining.

Cause: the second signal ended the process at once, as a way out for operators.

Change: SIGTERM during a drain is logged and changes nothing, in all daemons. The way out is SIGINT, with the same exit code.

--- a/crates/front/tests/site/planned_stop.rs
+++ b/crates/front/tests/site/planned_stop.rs
@@ -214,6 +214,17 @@
     assert!(site.wait_exit().await.success());
 }
 
+/// An operator who does not want to wait can still end a drain.
+#[tokio::test]
+async fn interrupt_during_a_drain_ends_at_once() {
+    let worker = start_worker("i1").await;
+    let mut site = TestSite::start(&[(DESK, &worker, "a")]).await;
+    site.signal(Signal::SIGTERM);
+    site.wait_state(|text| text.contains("Leaving")).await;
+    site.signal(Signal::SIGINT);
+    assert_eq!(site.wait_exit().await.code(), Some(4));
+}
+
 /// Guards against requests on connections that are about to close: the answer to a
 /// request from before the signal did not say so.
 #[tokio::test]
--- a/crates/telemetry/src/daemon_command.rs
+++ b/crates/telemetry/src/daemon_command.rs
@@ -17,7 +17,7 @@
     Usage = 2,
     /// Findings in the settings or in a release note.
     Findings = 3,
-    /// Ended by a second signal, with work in flight.
+    /// Ended by SIGINT during a drain, with work in flight.
     Cut = 4,
     /// Refused by the state in force or by another operator's change.
     Conflict = 5,
@@ -34,7 +34,7 @@
   1  failed while running
   2  wrong command line
   3  findings in the settings
-  4  ended by a second SIGTERM with work in flight";
+  4  ended by SIGINT during a drain with work in flight";
 
 /// What a daemon's command line says.
 #[derive(Clone, Debug)]
--- a/crates/telemetry/src/stop_signal.rs
+++ b/crates/telemetry/src/stop_signal.rs
@@ -1,4 +1,5 @@
-//! SIGTERM: the first one drains, the second one ends at once.
+//! SIGTERM and SIGINT drain. SIGINT during a drain ends the process at once; SIGTERM
+//! does not, because supervisors and scripts repeat it.
 
 use std::{io, process};
 
@@ -23,15 +24,18 @@
         let (sender, receiver) = watch::channel(false);
         tokio::spawn(async move {
             loop {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
-                if *sender.borrow() {
-                    log::warn!("second signal, ending at once");
+                let is_interrupt = tokio::select! {
+                    _ = terminate.recv() => false,
+                    _ = interrupt.recv() => true,
+                };
+                let is_stopping = sender.send_replace(true);
+                if is_stopping && is_interrupt {
+                    log::warn!("SIGINT during a drain, ending at once");
                     process::exit(ExitStatus::Cut as i32);
                 }
-                sender.send_replace(true);
+                if is_stopping {
+                    log::info!("SIGTERM during a drain, which goes on");
+                }
             }
         });
         Ok(Self { receiver })
--- a/xtask/tests/command_line.rs
+++ b/xtask/tests/command_line.rs
@@ -69,7 +69,7 @@
 
 #[rstest]
 #[case("bamboocross-entry", &["--settings", "--check", "  3  findings in the settings"])]
-#[case("bamboocross-agent", &["--settings", "--check", "  4  ended by a second SIGTERM"])]
+#[case("bamboocross-agent", &["--settings", "--check", "  4  ended by SIGINT during a drain"])]
 #[case("bamboocross", &["status", "dump", "  5  refused by the state in force"])]
 fn help_tells_exit_codes(#[case] program: &str, #[case] expected: &[&str]) -> Result<()> {
     check(program, &["--help"], 0, expected)
