Announce the close in answers to requests from before the signal

Callers saw: an answer during a drain without Connection: close if their request had come before the signal. They used the connection again, and could meet its close.

Cause: the phase of the drain was taken when the request arrived.

Change: it is taken when the reply is ready.

Evidence: planned_stop::answer_during_a_drain_announces_the_close failed before and passes.

--- a/crates/front/src/caller_front.rs
+++ b/crates/front/src/caller_front.rs
@@ -184,13 +184,13 @@
 
 async fn serve_request(state: Arc<FrontState>, request: Request<Incoming>) -> CallerReply {
     let received = Instant::now();
-    let phase = state.phase(received);
     let mut reply = match admit(&state, request, received).await {
-        Ok(task) if task.route.kind.is_stream() => run_stream(state, task).await,
+        Ok(task) if task.route.kind.is_stream() => run_stream(Arc::clone(&state), task).await,
         Ok(task) => run_call_until_cut(&state, &task).await,
         Err(reply) => *reply,
     };
-    if phase >= DrainPhase::Leaving {
+    // The signal may have come while the request was served.
+    if state.phase(Instant::now()) >= DrainPhase::Leaving {
         reply
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
