Soak: reassigned addresses, series of signals, kept connections

The soak draws what found the faults of the review: an entry stands still while a crashed worker's address goes to another service; SIGTERM and SIGHUP come in series, with changes of the grace; callers keep one connection until its entry closes it or is gone; streams that may not be resumed. Runs may have up to 120 entries, and a broken seed does not end a series of seeds.

New promises: requests run at their service only; a request that ran is answered unless its entry was killed or paused.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -23,7 +23,8 @@
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
 pub use row_store::{RowStore, StoreMode};
 pub use scripted_worker::{
-    STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerArrival, WorkerRequest,
+    STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerArrival, WorkerIdentity,
+    WorkerRequest, WorkerRun,
 };
 pub use service_server::{ServiceCounts, ServiceFaults, run_service};
 pub use token_stamps::{TokenStamp, wall_clock_us};
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -33,6 +33,8 @@
     Rejected,
     /// Another lifetime, of this name, holds the address.
     Misdirected(&'static str),
+    /// The same, if the name was given at run time.
+    MisdirectedTo(String),
     /// Reset after the request was read.
     Reset,
     /// No answer, until the caller closes.
@@ -95,6 +97,11 @@
 }
 
 impl WorkerRequest {
+    /// Path of the request.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+
     /// Value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().find_map(|line| {
@@ -115,6 +122,28 @@
     pub at: Instant,
 }
 
+/// One run of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRun {
+    /// Id of the request.
+    pub id: String,
+    /// Its path.
+    pub path: String,
+    /// Service of the worker at that time, if it was named.
+    pub service: Option<&'static str>,
+}
+
+/// Who a worker is. It rejects requests that are addressed to another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerIdentity {
+    /// Name of the instance.
+    pub name: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Whether it is a model worker.
+    pub has_models: bool,
+}
+
 /// What the system asks of a worker on its own account.
 #[derive(Clone, Copy, Debug)]
 enum OwnQuestion {
@@ -157,6 +186,9 @@
     is_leaving: bool,
     has_restarted: bool,
     is_other_service: bool,
+    identity: Option<WorkerIdentity>,
+    crash_time: Option<Duration>,
+    runs: Vec<WorkerRun>,
     own_questions: usize,
     late: String,
     endless_listings: Option<EndlessPart>,
@@ -268,6 +300,33 @@
         state.is_other_service = true;
     }
 
+    /// Be this instance of this service.
+    pub fn serve_as(&self, identity: WorkerIdentity) {
+        self.state().identity = Some(identity);
+    }
+
+    /// Who the worker is, if it was named.
+    pub fn identity(&self) -> Option<WorkerIdentity> {
+        self.state().identity.clone()
+    }
+
+    /// Crash, and after `down` let another worker have the address.
+    pub fn crash_and_reassign(&self, identity: WorkerIdentity, down: Duration) {
+        {
+            let mut state = self.state();
+            state.identity = Some(identity);
+            state.crash_time = Some(down);
+            state.is_leaving = false;
+            state.lifetimes += 1;
+        }
+        self.crashes.send_modify(|crashes| *crashes += 1);
+    }
+
+    /// All runs of requests.
+    pub fn runs(&self) -> Vec<WorkerRun> {
+        self.state().runs.clone()
+    }
+
     /// Crash at the beginning of each answer to a prompt with this part, and come back
     /// after `down`.
     pub fn crash_on_part(&self, part: &str, down: Duration) {
@@ -291,6 +350,9 @@
 
     /// Name of the present lifetime: as tests register it, until a restart.
     fn lifetime(&self) -> String {
+        if let Some(identity) = self.identity() {
+            return identity.name;
+        }
         if self.state().has_restarted {
             self.instance.to_owned()
         } else {
@@ -387,7 +449,11 @@
     /// Close the listener for the time that a crash lasts.
     async fn come_back(&self, listener: Option<TcpListener>) -> Option<TcpListener> {
         drop(listener);
-        let down = self.state().deadly_part.as_ref().map(|(_, down)| *down);
+        let down = {
+            let mut state = self.state();
+            let deadly = state.deadly_part.as_ref().map(|(_, down)| *down);
+            state.crash_time.take().or(deadly)
+        };
         sleep(down.unwrap_or_default()).await;
         TcpListener::bind(self.address).await.ok()
     }
@@ -418,7 +484,11 @@
                     state.mute_reports -= 1;
                     return None;
                 }
-                if state.is_other_service {
+                let has_models = state
+                    .identity
+                    .as_ref()
+                    .map_or(!state.is_other_service, |identity| identity.has_models);
+                if !has_models {
                     r#"{"models":[]}"#.to_owned()
                 } else {
                     r#"{"models":[{"name":"m","version":1}]}"#.to_owned()
@@ -476,6 +546,12 @@
                 if !act.is_rejection() {
                     let id = request.header("x-bamboocross-request-id").unwrap_or("");
                     state.ran.push(id.to_owned());
+                    let run = WorkerRun {
+                        id: id.to_owned(),
+                        path: request.path().to_owned(),
+                        service: state.identity.as_ref().map(|identity| identity.service),
+                    };
+                    state.runs.push(run);
                 }
                 act
             };
@@ -563,10 +639,8 @@
                 self.state().endless_bytes += sent;
                 return Ok(false);
             }
-            WorkerAct::Misdirected(other) => format!(
-                "HTTP/1.1 421 X\r\nx-bamboocross-request-id: {id}\r\n\
-                 x-bamboocross-instance: {other}\r\ncontent-length: 0\r\n\r\n"
-            ),
+            WorkerAct::Misdirected(other) => misdirected(id, other),
+            WorkerAct::MisdirectedTo(other) => misdirected(id, &other),
             WorkerAct::Extra => whole(id, 200, "ok") + &whole("other", 200, "of another"),
             WorkerAct::Foreign => whole("other", 200, "of another"),
             WorkerAct::NoSeal => format!(
@@ -647,7 +721,10 @@
 
 impl WorkerAct {
     fn is_rejection(&self) -> bool {
-        matches!(self, Self::Rejected | Self::Pause(_) | Self::Misdirected(_))
+        matches!(
+            self,
+            Self::Rejected | Self::Pause(_) | Self::Misdirected(_) | Self::MisdirectedTo(_)
+        )
     }
 }
 
@@ -676,10 +753,17 @@
     }
 
     fn next_act(&mut self, request: &WorkerRequest) -> WorkerAct {
+        let target = request.header("x-bamboocross-target-instance");
+        if let Some(identity) = &self.identity
+            && target.is_some_and(|target| target != identity.name)
+        {
+            return WorkerAct::MisdirectedTo(identity.name.clone());
+        }
         if let Some(act) = self.script.pop_front() {
             return act;
         }
-        let is_stream = request.head.starts_with("POST /report/");
+        let is_stream =
+            request.path().starts_with("/report/") || request.path().starts_with("/once/");
         if let Some(draw) = &mut self.faults
             && draw.rng.random_range(0..100) < draw.percent
         {
@@ -728,6 +812,13 @@
     stream.write_all(chunk.as_bytes()).await
 }
 
+fn misdirected(id: &str, other: &str) -> String {
+    format!(
+        "HTTP/1.1 421 X\r\nx-bamboocross-request-id: {id}\r\n\
+         x-bamboocross-instance: {other}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
 fn reset(stream: &TcpStream) -> io::Result<bool> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
     Ok(false)
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -107,19 +107,35 @@
         .arg(number("seed", "Seed of the first run", "1"))
         .arg(number("seeds", "Runs, one a seed", "1"))
         .arg(number("seconds", "Seconds of faults in each run", "20"))
+        .arg(
+            Arg::new("entries")
+                .long("entries")
+                .help("Entries in each run")
+                .value_parser(value_parser!(u8).range(1..=i64::from(soak::ENTRIES_MAX)))
+                .default_value("4"),
+        )
 }
 
 fn run_soak(matches: &ArgMatches) -> Result<()> {
     let number = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    let entries = *matches.get_one("entries").expect("it has a default");
     build()?;
+    let mut broken = Vec::new();
     for seed in number("seed")..number("seed") + number("seeds") {
         let options = SoakOptions {
             seed,
             seconds: number("seconds"),
+            entries,
         };
-        block_on(soak::run(options))?;
+        if let Err(report) = block_on(soak::run(options)) {
+            eprintln!("{report}");
+            broken.push(seed);
+        }
     }
-    Ok(())
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(miette!("promises broken with seeds {broken:?}"))
 }
 
 fn build() -> Result<()> {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! Store and workers are stand-ins in this process. Entries are paused, killed,
 //! stopped and started again; the store falls silent, refuses and forgets;
-//! workers spoil a share of their answers. Callers go on all the while, and
+//! workers spoil a share of their answers, and lose their addresses to others. Callers go on all the while, and
 //! what they got is held against what the workers ran.
 
 mod soak_callers;
@@ -17,15 +17,16 @@
 
 pub use soak_callers::recovers;
 pub use soak_faults::{FaultCounts, draw_faults};
-pub use soak_site::SoakSite;
+pub use soak_site::{ENTRIES_MAX, SoakSite};
 pub use witness::{
-    ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, SoakWitness, StreamRecord,
+    ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, OnceRecord, SoakWitness,
+    StreamRecord, wrong_services,
 };
 
 /// Looks whether an entry serves again; 20 ms apart they take half a minute.
 const RECOVER_LOOKS: u32 = 1_500;
-/// Callers at once.
-const CALLERS: u64 = 12;
+/// Callers at once for each entry, besides one that keeps its connection.
+const CALLERS_PER_ENTRY: u64 = 5;
 
 /// One run.
 #[derive(Clone, Copy, Debug)]
@@ -34,33 +35,43 @@
     pub seed: u64,
     /// Seconds of faults.
     pub seconds: u64,
+    /// Entries, at most [`ENTRIES_MAX`].
+    pub entries: u8,
 }
 
 /// Play one run; a broken promise is an error.
 pub async fn run(options: SoakOptions) -> Result<()> {
-    let site = Arc::new(SoakSite::start(options.seed).await?);
+    let site = Arc::new(SoakSite::start(options.seed, options.entries).await?);
     let witness = Arc::new(SoakWitness::default());
     let end = Instant::now() + Duration::from_secs(options.seconds);
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS {
+    for number in 0..CALLERS_PER_ENTRY * u64::from(options.entries) {
         let (site, witness) = (Arc::clone(&site), Arc::clone(&witness));
         let seed = options.seed * 1_000 + number;
         callers.spawn(soak_callers::call_until(site, witness, seed, end));
     }
+    for number in 0..site.entry_count() {
+        let (site, witness) = (Arc::clone(&site), Arc::clone(&witness));
+        let kept = soak_callers::book_on_kept_connections(site, witness, number, end);
+        callers.spawn(kept);
+    }
     let faults = draw_faults(&site, options.seed, end).await;
     while callers.join_next().await.is_some() {}
     let recovered = recovers(&site, RECOVER_LOOKS).await;
     let ran = site.ran();
     let mut broken = witness.broken(&ran);
     broken.extend(witness.sent_to_leaving(&site.arrivals()));
+    broken.extend(witness.lost_answers(&ran, &site.harmed()));
+    broken.extend(wrong_services(&site.runs()));
     if !recovered {
         broken.push(BrokenPromise::NotRecovered);
     }
     let (calls, streams, marks) = witness.counts();
     println!(
-        "soak seed={} seconds={} calls={calls} streams={streams} marks={marks} {faults} broken={}",
+        "soak seed={} seconds={} entries={} calls={calls} streams={streams} marks={marks} {faults} broken={}",
         options.seed,
         options.seconds,
+        options.entries,
         broken.len()
     );
     if broken.is_empty() {
--- a/xtask/src/soak/soak_callers.rs
+++ b/xtask/src/soak/soak_callers.rs
@@ -21,7 +21,7 @@
 };
 
 use super::{
-    CallRecord, LeavingRecord, MarkRecord, SoakSite, SoakWitness, StreamRecord,
+    CallRecord, LeavingRecord, MarkRecord, OnceRecord, SoakSite, SoakWitness, StreamRecord,
     soak_faults::revive_all,
 };
 
@@ -31,6 +31,8 @@
 const GAP_TIMEOUT: Duration = Duration::from_secs(4);
 /// Attempts of one caller at one stream.
 const STREAM_ATTEMPTS: u32 = 4;
+/// Pause between two bookings on one connection.
+const KEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between two looks whether an entry serves again.
 const RECOVER_PAUSE: Duration = Duration::from_millis(20);
 
@@ -47,9 +49,10 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     while Instant::now() < end {
         let number = rng.random_range(0..site.entry_count());
-        match rng.random_range(0..4) {
+        match rng.random_range(0..5) {
             0 => report(&site, &witness, &mut rng).await,
             1 => mark(&site, &witness, number, &mut rng).await,
+            2 => once(&site, &witness, number).await,
             _ => book(&site, &witness, number).await,
         }
         sleep(Duration::from_millis(rng.random_range(1..30))).await;
@@ -77,38 +80,108 @@
     true
 }
 
+/// Send a booking on a connection of its own.
 async fn book(site: &SoakSite, witness: &SoakWitness, number: usize) {
-    let (listen, lifetime) = site.entry(number);
-    let id = site.name_request(next_id(), lifetime);
+    if let Some(mut connection) = CallerConnection::open(site, number).await {
+        send_booking(site, witness, &mut connection).await;
+    }
+}
+
+/// Send bookings to one entry until `end`, each time on one connection until the entry
+/// closes it, or is gone.
+pub(super) async fn book_on_kept_connections(
+    site: Arc<SoakSite>,
+    witness: Arc<SoakWitness>,
+    number: usize,
+    end: Instant,
+) {
+    while Instant::now() < end {
+        if let Some(mut connection) = CallerConnection::open(&site, number).await {
+            while Instant::now() < end && send_booking(&site, &witness, &mut connection).await {
+                sleep(KEPT_PAUSE).await;
+            }
+        }
+        sleep(KEPT_PAUSE).await;
+    }
+}
+
+/// Send a booking; tells whether the connection can carry another one.
+async fn send_booking(
+    site: &SoakSite,
+    witness: &SoakWitness,
+    connection: &mut CallerConnection,
+) -> bool {
+    let id = site.name_request(next_id(), connection.lifetime);
     let mut record = CallRecord {
         id: id.clone(),
+        entry: connection.lifetime,
         status: None,
+        is_cut: false,
         seal: None,
         body: String::new(),
     };
-    if let Some(response) = send(listen, "/book/1", &id, None).await {
-        let seal = response.headers().get("x-bamboocross-server-seal");
-        record.seal = seal.and_then(|seal| seal.to_str().ok()).map(str::to_owned);
-        let status = response.status().as_u16();
-        if response.headers().contains_key("server-leaving") {
-            let worker = response.headers().get("x-stand-in-lifetime");
-            let worker = worker.and_then(|worker| worker.to_str().ok());
-            // The entry may have been another process by the time of the answer.
-            if site.entry(number).1 == lifetime {
+    let mut is_kept = false;
+    match connection.send("/book/1", &id, None).await {
+        Ok(response) => {
+            let header = |name| {
+                let value = response.headers().get(name)?;
+                value.to_str().ok().map(str::to_owned)
+            };
+            record.seal = header("x-bamboocross-server-seal");
+            is_kept = header("connection").as_deref() != Some("close");
+            let status = response.status().as_u16();
+            if response.headers().contains_key("server-leaving") {
                 witness.note_leaving(LeavingRecord {
-                    entry: lifetime,
-                    worker: worker.unwrap_or_default().to_owned(),
+                    entry: connection.lifetime,
+                    worker: header("x-stand-in-lifetime").unwrap_or_default(),
                     at: Instant::now(),
                 });
             }
+            // An answer that ends early is none.
+            match response.into_body().collect().await {
+                Ok(body) => {
+                    record.status = Some(status);
+                    record.body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+                }
+                Err(_) => record.is_cut = true,
+            }
         }
-        // An answer that ends early is none.
-        if let Ok(body) = response.into_body().collect().await {
-            record.status = Some(status);
-            record.body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
-        }
+        Err(error) => record.is_cut = error == CallerError::Closed,
     }
+    is_kept &= record.status.is_some();
     witness.note_call(record);
+    is_kept
+}
+
+/// Send a stream that may not be resumed.
+async fn once(site: &SoakSite, witness: &SoakWitness, number: usize) {
+    let Some(mut connection) = CallerConnection::open(site, number).await else {
+        return;
+    };
+    let id = site.name_request(next_id(), connection.lifetime);
+    let sent = connection.send("/once/1", &id, None).await;
+    let mut record = OnceRecord {
+        id: id.clone(),
+        entry: connection.lifetime,
+        status: None,
+        is_cut: false,
+    };
+    match sent {
+        Ok(response) => {
+            record.status = Some(response.status().as_u16());
+            if response.status().is_success() {
+                let mut positions = Vec::new();
+                let complete = read_events(response, &mut positions).await;
+                witness.note_stream(StreamRecord {
+                    id,
+                    positions,
+                    complete,
+                });
+            }
+        }
+        Err(error) => record.is_cut = error == CallerError::Closed,
+    }
+    witness.note_once(record);
 }
 
 async fn mark(site: &SoakSite, witness: &SoakWitness, number: usize, rng: &mut SmallRng) {
@@ -183,12 +256,54 @@
     format!("r{}", NEXT_ID.fetch_add(1, SeqCst))
 }
 
-async fn send(
-    listen: SocketAddr,
-    path: &str,
-    id: &str,
-    last: Option<u64>,
-) -> Option<Response<Incoming>> {
+/// Why a caller got no head of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallerError {
+    /// The connection ended.
+    Closed,
+    /// The caller lost patience.
+    Timeout,
+}
+
+/// A connection to one process of an entry.
+struct CallerConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// Lifetime of the entry.
+    lifetime: u64,
+}
+
+impl CallerConnection {
+    /// Connect; none if the entry does not listen or is started again meanwhile, so that its
+    /// lifetime is uncertain.
+    async fn open(site: &SoakSite, number: usize) -> Option<Self> {
+        let (listen, lifetime) = site.entry(number);
+        let sender = connect(listen).await?;
+        (site.entry(number).1 == lifetime).then_some(Self { sender, lifetime })
+    }
+
+    async fn send(
+        &mut self,
+        path: &str,
+        id: &str,
+        last: Option<u64>,
+    ) -> Result<Response<Incoming>, CallerError> {
+        let sent = self.sender.send_request(request(path, id, last));
+        match timeout(HEAD_TIMEOUT, sent).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(_)) => Err(CallerError::Closed),
+            Err(_) => Err(CallerError::Timeout),
+        }
+    }
+}
+
+async fn connect(listen: SocketAddr) -> Option<http1::SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(listen).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+fn request(path: &str, id: &str, last: Option<u64>) -> Request<Full<Bytes>> {
     let mut request = Request::post(path)
         .header("host", "a.example")
         .header("x-bamboocross-request-id", id)
@@ -196,12 +311,20 @@
     if let Some(last) = last {
         request = request.header("last-event-id", last);
     }
-    let request = request.body(Full::new(Bytes::from_static(b"body"))).ok()?;
+    request
+        .body(Full::new(Bytes::from_static(b"body")))
+        .expect("the parts of the request are valid")
+}
+
+async fn send(
+    listen: SocketAddr,
+    path: &str,
+    id: &str,
+    last: Option<u64>,
+) -> Option<Response<Incoming>> {
     let sent = async {
-        let stream = TcpStream::connect(listen).await.ok()?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(connection);
-        sender.send_request(request).await.ok()
+        let mut sender = connect(listen).await?;
+        sender.send_request(request(path, id, last)).await.ok()
     };
     timeout(HEAD_TIMEOUT, sent).await.ok()?
 }
--- a/xtask/src/soak/soak_faults.rs
+++ b/xtask/src/soak/soak_faults.rs
@@ -8,20 +8,24 @@
 use stand_ins::{LinkMode, StoreMode};
 use tokio::time::{Instant, sleep};
 
-use super::SoakSite;
+use super::{SoakSite, soak_site::REASSIGN_TIME};
 
 /// Faults of each kind that were made.
 #[derive(Clone, Copy, Debug, Default, Display)]
 #[display(
-    "kills={kills} stops={stops} pauses={pauses} links={links} store={store} leaving={leaving} versions={versions}"
+    "kills={kills} stops={stops} signals={signals} pauses={pauses} reassigned={reassigned} links={links} store={store} leaving={leaving} versions={versions}"
 )]
 pub struct FaultCounts {
     /// Entries killed.
     pub kills: u32,
     /// Entries told to stop.
     pub stops: u32,
+    /// Further signals to entries that were told to stop.
+    pub signals: u32,
     /// Entries paused.
     pub pauses: u32,
+    /// Addresses of crashed workers that another service got.
+    pub reassigned: u32,
     /// Links between processes that were harmed.
     pub links: u32,
     /// Changes of the store's behaviour.
@@ -47,7 +51,7 @@
             }
             still
         });
-        match rng.random_range(0..15) {
+        match rng.random_range(0..18) {
             0 => {
                 site.signal(number, Signal::SIGKILL);
                 counts.kills += 1;
@@ -56,6 +60,18 @@
                 site.signal(number, Signal::SIGTERM);
                 counts.stops += 1;
             }
+            15 | 16 => {
+                counts.stops += 1;
+                counts.signals += stop_with_series(site, number, &mut rng).await;
+            }
+            17 => {
+                let worker = rng.random_range(0..site.worker_count());
+                let is_paused = rng.random_bool(0.7);
+                if reassign(site, worker, is_paused.then_some(number), &mut rng).await {
+                    counts.reassigned += 1;
+                    counts.pauses += u32::from(is_paused);
+                }
+            }
             2 => {
                 site.signal(number, Signal::SIGSTOP);
                 sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
@@ -99,6 +115,54 @@
     counts
 }
 
+/// Stop an entry, with more signals and changes of its settings before and after.
+/// Returns the number of further signals.
+async fn stop_with_series(site: &SoakSite, number: usize, rng: &mut SmallRng) -> u32 {
+    let mut signals = 0;
+    let count = rng.random_range(1..5);
+    let stop_at = rng.random_range(0..=count);
+    for position in 0..=count {
+        let signal = if position == stop_at || (position > stop_at && rng.random_bool(0.5)) {
+            Signal::SIGTERM
+        } else {
+            if rng.random_bool(0.5)
+                && let Err(error) = site.change_grace(number, rng.random_range(2..6))
+            {
+                eprintln!("settings of entry {number} cannot be changed: {error}");
+            }
+            Signal::SIGHUP
+        };
+        signals += u32::from(position != stop_at);
+        site.signal(number, signal);
+        sleep(Duration::from_millis(rng.random_range(0..300))).await;
+    }
+    signals
+}
+
+/// Let a worker of another service get a crashed one's address, while an entry stands
+/// still. Its registration comes some time after its first answers. Returns whether the
+/// worker could be spared.
+async fn reassign(
+    site: &SoakSite,
+    worker: usize,
+    paused: Option<usize>,
+    rng: &mut SmallRng,
+) -> bool {
+    let signal = |signal| paused.iter().for_each(|entry| site.signal(*entry, signal));
+    signal(Signal::SIGSTOP);
+    sleep(Duration::from_millis(rng.random_range(50..300))).await;
+    let is_spared = site.reassign(worker);
+    if is_spared {
+        sleep(REASSIGN_TIME + Duration::from_millis(rng.random_range(50..300))).await;
+    }
+    signal(Signal::SIGCONT);
+    if is_spared {
+        sleep(Duration::from_millis(rng.random_range(0..800))).await;
+        site.register(worker, site.worker_lifetime(worker) + 1);
+    }
+    is_spared
+}
+
 fn draw_harm(rng: &mut SmallRng) -> LinkMode {
     match rng.random_range(0..6) {
         0 => LinkMode::Delay {
--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -1,7 +1,7 @@
 //! Entries, store and workers of a soak.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -9,6 +9,7 @@
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU16, AtomicU64, Ordering::SeqCst},
     },
+    time::Duration,
 };
 
 use miette::{IntoDiagnostic, Result, miette};
@@ -17,7 +18,7 @@
     unistd::Pid,
 };
 use serde_json::{Value, json};
-use stand_ins::{LinkMode, ProxyLink, RowStore, ScriptedWorker};
+use stand_ins::{LinkMode, ProxyLink, RowStore, ScriptedWorker, WorkerIdentity, WorkerRun};
 use tempfile::TempDir;
 
 use super::ArrivalRecord;
@@ -26,11 +27,19 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Services, one worker each in a failure domain.
 const SERVICES: [&str; 2] = ["pool", "desk"];
-/// Failure domains of the entries; those of one domain follow each other.
+/// Failure domains of the entries, in turn; those of one domain follow each other.
 const ENTRY_DOMAINS: [&str; 4] = ["a", "a", "b", "c"];
+/// Largest number of entries: each has a loopback network of its own.
+pub const ENTRIES_MAX: u8 = 120;
 /// Ports of the first site of this process, and those that each site takes.
 const FIRST_PORT: u16 = 7_000;
 const SITE_PORTS: u16 = 10;
+/// Time after which the address of a crashed worker is given to another service: longer
+/// than the `address_reuse_seconds` of the settings.
+pub const REASSIGN_TIME: Duration = Duration::from_millis(2_200);
+/// Pause between two events of a stream: long enough that streams are open when their
+/// entry stands still or is told to stop.
+const EVENT_PAUSE: Duration = Duration::from_millis(30);
 /// Share of requests that a worker spoils, in percent.
 const FAULT_PERCENT: u32 = 12;
 
@@ -54,6 +63,8 @@
     entries: Vec<Mutex<SoakEntry>>,
     /// Lifetime of the entry to which a request was sent, by its id.
     addressees: Mutex<HashMap<String, u64>>,
+    /// Lifetimes of entries that were killed or paused.
+    harmed: Mutex<HashSet<u64>>,
     version: AtomicU64,
     lifetimes: AtomicU64,
     _folder: TempDir,
@@ -61,22 +72,20 @@
 
 impl SoakSite {
     /// Start all.
-    pub async fn start(seed: u64) -> Result<Self> {
+    pub async fn start(seed: u64, entry_count: u8) -> Result<Self> {
         let store = RowStore::start().await.into_diagnostic()?;
         let mut workers = Vec::new();
         let mut links = Vec::new();
         for (number, domain) in (0_u64..).zip(DOMAINS) {
             for service in SERVICES {
                 let worker = ScriptedWorker::start("w").await.into_diagnostic()?;
+                worker.set_event_pause(EVENT_PAUSE);
                 worker.draw_faults(seed * 100 + number, FAULT_PERCENT);
+                let identity = identity(&worker, 0, service);
                 let link = start_link(worker.address).await?;
-                store.put(
-                    "servers",
-                    &format!("i-{}", worker.address.port()),
-                    registration(service, link.listen, domain)
-                        .to_string()
-                        .as_bytes(),
-                );
+                let row = registration(service, link.listen, domain).to_string();
+                store.put("servers", &identity.name, row.as_bytes());
+                worker.serve_as(identity);
                 workers.push(worker);
                 links.push(link);
             }
@@ -86,7 +95,8 @@
         static SITES: AtomicU16 = AtomicU16::new(0);
         let ports = FIRST_PORT + SITES.fetch_add(1, SeqCst) * SITE_PORTS;
         let mut entries = Vec::new();
-        for (number, domain) in (0_u8..).zip(ENTRY_DOMAINS) {
+        let entry_domains = ENTRY_DOMAINS.into_iter().cycle();
+        for (number, domain) in (0..entry_count.min(ENTRIES_MAX)).zip(entry_domains) {
             let link = start_link(store.address).await?;
             let entry = SoakEntry::new(&folder, link.listen, number, domain, ports)?;
             entries.push(Mutex::new(entry));
@@ -98,6 +108,7 @@
             workers,
             links,
             addressees: Mutex::default(),
+            harmed: Mutex::default(),
             version: AtomicU64::new(0),
             lifetimes: AtomicU64::new(0),
             _folder: folder,
@@ -166,12 +177,69 @@
             return;
         }
         let born = worker.begin_lifetime() + 1;
-        let service = SERVICES[number % SERVICES.len()];
+        self.register(number, born);
+    }
+
+    /// Let a worker crash, and after [`REASSIGN_TIME`] give its address to a worker of
+    /// another service, which is not registered yet. Returns whether its service can
+    /// spare it.
+    pub fn reassign(&self, number: usize) -> bool {
+        let worker = &self.workers[number];
+        let Some(known) = worker.identity() else {
+            return false;
+        };
+        let of_service = self.workers.iter().filter(|other| {
+            other
+                .identity()
+                .is_some_and(|identity| identity.service == known.service)
+        });
+        if of_service.count() < 2 {
+            return false;
+        }
+        let service = SERVICES
+            .into_iter()
+            .find(|service| *service != known.service);
+        let next = identity(
+            worker,
+            worker.lifetime_number() + 1,
+            service.unwrap_or(SERVICES[0]),
+        );
+        self.store.remove("servers", &known.name);
+        worker.crash_and_reassign(next, REASSIGN_TIME);
+        true
+    }
+
+    /// Register a worker under its present name and service.
+    pub fn register(&self, number: usize, born: u64) {
+        let worker = &self.workers[number];
+        let Some(identity) = worker.identity() else {
+            return;
+        };
         let domain = DOMAINS[number / SERVICES.len()];
-        let mut row = registration(service, self.links[number].listen, domain);
+        let mut row = registration(identity.service, self.links[number].listen, domain);
         row["born"] = json!(born);
-        let key = format!("i-{}", worker.address.port());
-        self.store.put("servers", &key, row.to_string().as_bytes());
+        let row = row.to_string();
+        self.store.put("servers", &identity.name, row.as_bytes());
+    }
+
+    /// Number of the present lifetime of a worker.
+    pub fn worker_lifetime(&self, number: usize) -> u64 {
+        self.workers[number].lifetime_number()
+    }
+
+    /// Lifetimes of entries that were killed or paused.
+    pub fn harmed(&self) -> HashSet<u64> {
+        let harmed = self.harmed.lock().unwrap_or_else(PoisonError::into_inner);
+        harmed.clone()
+    }
+
+    /// Change the grace period in an entry's settings file.
+    pub fn change_grace(&self, number: usize, seconds: u64) -> Result<()> {
+        let entry = self.lock(number);
+        let text = std::fs::read_to_string(&entry.settings).into_diagnostic()?;
+        let mut settings: Value = serde_json::from_str(&text).into_diagnostic()?;
+        settings["grace_seconds"] = json!(seconds);
+        std::fs::write(&entry.settings, settings.to_string()).into_diagnostic()
     }
 
     /// Requests that arrived at the workers, as far as their entry is known.
@@ -205,9 +273,19 @@
         self.workers.iter().flat_map(ScriptedWorker::ran).collect()
     }
 
+    /// All runs of requests.
+    pub fn runs(&self) -> Vec<WorkerRun> {
+        self.workers.iter().flat_map(ScriptedWorker::runs).collect()
+    }
+
     /// Send a signal to an entry that runs.
     pub fn signal(&self, number: usize, signal: Signal) {
-        if let Some(process) = &self.lock(number).process {
+        let entry = self.lock(number);
+        if matches!(signal, Signal::SIGKILL | Signal::SIGSTOP) {
+            let mut harmed = self.harmed.lock().unwrap_or_else(PoisonError::into_inner);
+            harmed.insert(entry.lifetime);
+        }
+        if let Some(process) = &entry.process {
             let id = i32::try_from(process.id()).unwrap_or(i32::MAX);
             // The process may have ended in this moment.
             let _ = kill(Pid::from_raw(id), signal);
@@ -294,6 +372,14 @@
     }
 }
 
+fn identity(worker: &ScriptedWorker, lifetime: u64, service: &'static str) -> WorkerIdentity {
+    WorkerIdentity {
+        name: format!("i-{}-{lifetime}", worker.address.port()),
+        service,
+        has_models: service == SERVICES[0],
+    }
+}
+
 async fn start_link(target: SocketAddr) -> Result<ProxyLink> {
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     ProxyLink::start(listen, target).await.into_diagnostic()
@@ -312,12 +398,13 @@
             "name": prefix, "host": "a.example", "prefix": format!("/{prefix}/"), "kind": kind,
             "timeout-ms": 8_000, "target-latency-ms": 500, "priority": 1, "service": service,
             "attempts": if kind == "unsafe" { 1 } else { 4 }, "public": true,
-            "can-resume": kind == "stream", "gap-aim-ms": 300,
+            "can-resume": prefix == "report", "gap-aim-ms": 300,
         })
     };
     let mut routes = vec![
         route("book".to_owned(), "unsafe", "desk"),
         route("report".to_owned(), "stream", "pool"),
+        route("once".to_owned(), "stream", "pool"),
     ];
     routes.extend((1..=version).map(|version| route(format!("mark-{version}"), "safe", "desk")));
     json!({
@@ -325,7 +412,8 @@
         "services": [
             {"name": "desk", "health-path": "/healthz"},
             {"name": "pool", "health-path": "/healthz",
-             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true}},
+             "engine": {"slots": 8, "kv-tokens": 88_000, "backups": true,
+                        "models": [{"name": "m"}]}},
         ],
     })
 }
--- a/xtask/src/soak/witness.rs
+++ b/xtask/src/soak/witness.rs
@@ -1,13 +1,13 @@
 //! What callers saw, held against what workers ran.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use derive_more::Display;
-use stand_ins::STREAM_EVENTS;
+use stand_ins::{STREAM_EVENTS, WorkerRun};
 use tokio::time::Instant;
 
 /// One booking as its caller saw it.
@@ -15,6 +15,10 @@
 pub struct CallRecord {
     /// Id of the attempt.
     pub id: String,
+    /// Lifetime of the entry that was asked.
+    pub entry: u64,
+    /// Whether the connection ended before the answer did.
+    pub is_cut: bool,
     /// Status; none if the connection broke.
     pub status: Option<u16>,
     /// Seal of the answer.
@@ -23,6 +27,19 @@
     pub body: String,
 }
 
+/// One stream that may not be resumed, as its caller saw its head.
+#[derive(Clone, Debug)]
+pub struct OnceRecord {
+    /// Id of the attempt.
+    pub id: String,
+    /// Lifetime of the entry that was asked.
+    pub entry: u64,
+    /// Status; none if no head came.
+    pub status: Option<u16>,
+    /// Whether the connection ended before the head of the answer.
+    pub is_cut: bool,
+}
+
 /// One stream over all of its caller's attempts.
 #[derive(Clone, Debug)]
 pub struct StreamRecord {
@@ -96,6 +113,13 @@
     /// An older desired state came back.
     #[display("lifetime {_0} went back behind version {_1}")]
     WentBack(u64, u64),
+    /// A request was passed on and its connection ended without an answer, though its
+    /// entry was neither killed nor paused.
+    #[display("{_0} ran and got no answer from lifetime {_1}, which was only told to stop")]
+    LostAnswer(String, u64),
+    /// A request ran at another service.
+    #[display("{_0} for {_1} ran at service {_2}")]
+    WrongService(String, String, String),
     /// A request reached a worker that had said that it leaves.
     #[display("lifetime {_0} sent to {_1} after it had said that it leaves")]
     SentToLeaving(u64, String),
@@ -107,6 +131,7 @@
 #[derive(Debug, Default)]
 struct Records {
     calls: Vec<CallRecord>,
+    once: Vec<OnceRecord>,
     streams: Vec<StreamRecord>,
     marks: Vec<MarkRecord>,
     leaving: Vec<LeavingRecord>,
@@ -128,6 +153,11 @@
         self.records().calls.push(record);
     }
 
+    /// Keep a stream that may not be resumed.
+    pub fn note_once(&self, record: OnceRecord) {
+        self.records().once.push(record);
+    }
+
     /// Keep a stream.
     pub fn note_stream(&self, record: StreamRecord) {
         self.records().streams.push(record);
@@ -175,6 +205,24 @@
         )
     }
 
+    /// Requests that ran and got no answer from an entry that was only told to stop, given
+    /// the ids that ran and the lifetimes of entries that were killed or paused.
+    pub fn lost_answers(&self, ran: &[String], harmed: &HashSet<u64>) -> Vec<BrokenPromise> {
+        let ran: HashSet<&str> = ran.iter().map(String::as_str).collect();
+        let records = self.records();
+        let calls = records.calls.iter();
+        let calls = calls.map(|call| (&call.id, call.entry, call.is_cut));
+        let once = records.once.iter();
+        let once = once.map(|stream| (&stream.id, stream.entry, stream.is_cut));
+        calls
+            .chain(once)
+            .filter(|(id, entry, is_cut)| {
+                *is_cut && ran.contains(id.as_str()) && !harmed.contains(entry)
+            })
+            .map(|(id, entry, _)| BrokenPromise::LostAnswer(id.clone(), entry))
+            .collect()
+    }
+
     /// All broken promises, given the ids that ran, one entry a run.
     pub fn broken(&self, ran: &[String]) -> Vec<BrokenPromise> {
         let mut runs: HashMap<&str, usize> = HashMap::new();
@@ -190,6 +238,10 @@
                 &mut broken,
             );
         }
+        for stream in &records.once {
+            let runs = runs.get(stream.id.as_str()).copied().unwrap_or(0);
+            check_runs(&stream.id, stream.status, runs, &mut broken);
+        }
         for stream in &records.streams {
             check_stream(stream, &mut broken);
         }
@@ -198,14 +250,35 @@
     }
 }
 
-fn check_call(call: &CallRecord, runs: usize, broken: &mut Vec<BrokenPromise>) {
+/// Requests of callers for a service that ran at another one. An entry's own calls, such
+/// as that for a copy of a KV cache, have no id.
+pub fn wrong_services(runs: &[WorkerRun]) -> Vec<BrokenPromise> {
+    let expected = |path: &str| {
+        let is_stream = path.starts_with("/report/") || path.starts_with("/once/");
+        if is_stream { "pool" } else { "desk" }
+    };
+    let wrong = runs.iter().filter_map(|run| {
+        let service = run.service?;
+        let is_wrong = !run.id.is_empty() && service != expected(&run.path);
+        is_wrong.then(|| {
+            BrokenPromise::WrongService(run.id.clone(), run.path.clone(), service.to_owned())
+        })
+    });
+    wrong.collect()
+}
+
+fn check_runs(id: &str, status: Option<u16>, runs: usize, broken: &mut Vec<BrokenPromise>) {
     if runs > 1 {
-        broken.push(BrokenPromise::RanTwice(call.id.clone(), runs));
+        broken.push(BrokenPromise::RanTwice(id.to_owned(), runs));
     }
-    let refused = matches!(call.status, Some(503 | 429 | 408 | 421));
+    let refused = matches!(status, Some(503 | 429 | 408 | 421));
     if refused && runs > 0 {
-        broken.push(BrokenPromise::RefusedAndRan(call.id.clone()));
+        broken.push(BrokenPromise::RefusedAndRan(id.to_owned()));
     }
+}
+
+fn check_call(call: &CallRecord, runs: usize, broken: &mut Vec<BrokenPromise>) {
+    check_runs(&call.id, call.status, runs, broken);
     let is_success = call
         .status
         .is_some_and(|status| (200..300).contains(&status));
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -5,16 +5,18 @@
 
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use stand_ins::LinkMode;
+use stand_ins::{LinkMode, WorkerRun};
 use tokio::time::Instant;
 use xtask::soak::{
-    self, ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, SoakOptions,
-    SoakSite, SoakWitness, StreamRecord,
+    self, ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, OnceRecord,
+    SoakOptions, SoakSite, SoakWitness, StreamRecord,
 };
 
 fn call(id: &str, status: u16, seal: &str, body: &str) -> CallRecord {
     CallRecord {
         id: id.to_owned(),
+        entry: 1,
+        is_cut: false,
         status: Some(status),
         seal: Some(seal.to_owned()),
         body: body.to_owned(),
@@ -119,11 +121,94 @@
     assert_eq!(!witness.sent_to_leaving(&[arrival]).is_empty(), broken);
 }
 
+#[rstest]
+#[case::served(Some(200), &["r1"], None)]
+#[case::unknown(Some(502), &["r1"], None)]
+#[case::refused(Some(503), &[], None)]
+#[case::twice(Some(200), &["r1", "r1"], Some(BrokenPromise::RanTwice("r1".into(), 2)))]
+#[case::untrue(Some(503), &["r1"], Some(BrokenPromise::RefusedAndRan("r1".into())))]
+fn streams_that_run_once(
+    #[case] status: Option<u16>,
+    #[case] ran: &[&str],
+    #[case] expected: Option<BrokenPromise>,
+) {
+    let witness = SoakWitness::default();
+    witness.note_once(OnceRecord {
+        id: "r1".to_owned(),
+        entry: 1,
+        status,
+        is_cut: false,
+    });
+    let ran: Vec<String> = ran.iter().map(ToString::to_string).collect();
+    assert_eq!(witness.broken(&ran), Vec::from_iter(expected));
+}
+
+/// Whether the connection ended, whether the request ran, and whether its entry was
+/// killed or paused.
+#[rstest]
+#[case::lost(true, true, false, true)]
+#[case::answered(false, true, false, false)]
+#[case::not_passed_on(true, false, false, false)]
+#[case::entry_killed(true, true, true, false)]
+fn answers_of_stopped_entries(
+    #[case] is_cut: bool,
+    #[case] has_run: bool,
+    #[case] is_harmed: bool,
+    #[case] broken: bool,
+    #[values(true, false)] is_stream: bool,
+) {
+    let witness = SoakWitness::default();
+    if is_stream {
+        witness.note_once(OnceRecord {
+            id: "r1".to_owned(),
+            entry: 7,
+            status: None,
+            is_cut,
+        });
+    } else {
+        witness.note_call(CallRecord {
+            entry: 7,
+            is_cut,
+            status: None,
+            ..call("r1", 0, "", "")
+        });
+    }
+    let ran: Vec<String> = has_run.then(|| "r1".to_owned()).into_iter().collect();
+    let harmed = is_harmed.then_some(7).into_iter().collect();
+    let lost = witness.lost_answers(&ran, &harmed);
+    let expected = broken.then(|| BrokenPromise::LostAnswer("r1".into(), 7));
+    assert_eq!(lost, Vec::from_iter(expected));
+}
+
+#[rstest]
+#[case("r1", "/book/1", "desk", false)]
+#[case("r1", "/mark-3/1", "desk", false)]
+#[case("r1", "/report/1", "pool", false)]
+#[case("r1", "/book/1", "pool", true)]
+#[case("r1", "/report/1", "desk", true)]
+#[case("r1", "/once/1", "desk", true)]
+#[case("", "/v1/kv-move", "pool", false)]
+fn services_of_runs(
+    #[case] id: &str,
+    #[case] path: &str,
+    #[case] service: &'static str,
+    #[case] broken: bool,
+) {
+    let run = WorkerRun {
+        id: id.to_owned(),
+        path: path.to_owned(),
+        service: Some(service),
+    };
+    assert_eq!(!soak::wrong_services(&[run]).is_empty(), broken);
+}
+
+#[rstest]
 #[tokio::test(flavor = "multi_thread")]
-async fn short_run_breaks_no_promise() -> miette::Result<()> {
+async fn short_run_breaks_no_promise(#[values(1, 2, 3)] seed: u64) -> miette::Result<()> {
     let options = SoakOptions {
-        seed: 1,
-        seconds: 6,
+        seed,
+        seconds: 12,
+        entries: 4,
     };
     soak::run(options).await
 }
@@ -131,7 +216,7 @@
 /// Entries that never find their store again after all died are noticed.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_that_do_not_serve_again() {
-    let site = SoakSite::start(1).await.expect("a site");
+    let site = SoakSite::start(1, 4).await.expect("a site");
     let all_links = |mode| (0..site.link_count()).for_each(|link| site.set_link(link, mode));
     all_links(LinkMode::Cut);
     (0..site.entry_count()).for_each(|entry| site.signal(entry, Signal::SIGKILL));
@@ -143,7 +228,7 @@
 /// Two sites of one process have entries of their own.
 #[tokio::test(flavor = "multi_thread")]
 async fn sites_do_not_meet() {
-    let sites = [SoakSite::start(1).await, SoakSite::start(2).await];
+    let sites = [SoakSite::start(1, 4).await, SoakSite::start(2, 4).await];
     let sites = sites.map(|site| site.expect("a site"));
     for number in 0..sites[0].entry_count() {
         let [first, second] = sites.each_ref().map(|site| site.entry(number).0);
