Count the age of another entry's reply from the call

Change: an entry says for how long it held a call; the follower counts from its call. Entries of an earlier build say nothing, which counts as not held.

Evidence: list_relay::age_of_a_reply_counts_from_the_call (new function; its case read_late is the fault); tests of peers as before.

--- a/crates/domain/src/list_relay.rs
+++ b/crates/domain/src/list_relay.rs
@@ -131,6 +131,25 @@
     pub observed_at: Instant,
 }
 
+/// What another entry says about the time of its knowledge, in its own durations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayAge {
+    /// Time since the store confirmed it.
+    pub age: Duration,
+    /// Time for which the entry held the call before it said so.
+    pub held: Duration,
+}
+
+impl RelayAge {
+    /// Time of the store's confirmation, for an entry that called at `called_at` and has
+    /// the reply at `now`. The reply may have waited to be read, so it counts from the
+    /// call. `None` if the time cannot be represented.
+    pub fn confirmed_at(self, called_at: Instant, now: Instant) -> Option<Instant> {
+        let said_at = called_at.checked_add(self.held)?.min(now);
+        said_at.checked_sub(self.age)
+    }
+}
+
 /// Timing of the relay, derived from the poll period.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayRule {
--- a/crates/domain/tests/list_relay.rs
+++ b/crates/domain/tests/list_relay.rs
@@ -4,7 +4,7 @@
 
 use domain::{
     FailureDomain, ServerName, ServiceName,
-    list_relay::{ChangeLog, RelayRule},
+    list_relay::{ChangeLog, RelayAge, RelayRule},
     server_registry::{RegistryChange, ServerRecord, ServerState},
 };
 use rstest::rstest;
@@ -135,3 +135,32 @@
     assert_eq!(rule.is_fresh(observed_at, now), is_fresh);
     assert!(rule.backoff_until(now) > now);
 }
+
+/// Guards against a reply that looks newer than it is: the follower stood still, and the
+/// reply waited to be read. Times are in milliseconds after the call.
+#[rstest]
+#[case::at_once(0, 100, 10, -100)]
+#[case::held(1_000, 100, 1_010, 900)]
+#[case::read_late(1_000, 100, 5_000, 900)]
+#[case::held_longer_than_it_took(9_000, 100, 1_000, 900)]
+#[tokio::test(start_paused = true)]
+async fn age_of_a_reply_counts_from_the_call(
+    #[case] held_ms: u64,
+    #[case] age_ms: u64,
+    #[case] read_ms: u64,
+    #[case] expected_ms: i64,
+) {
+    let origin = Instant::now();
+    let called_ms = 60_000;
+    let called_at = origin + Duration::from_millis(called_ms);
+    let said = RelayAge {
+        age: Duration::from_millis(age_ms),
+        held: Duration::from_millis(held_ms),
+    };
+    let confirmed_at = said.confirmed_at(called_at, called_at + Duration::from_millis(read_ms));
+    let expected_ms = called_ms.saturating_add_signed(expected_ms);
+    assert_eq!(
+        confirmed_at,
+        Some(origin + Duration::from_millis(expected_ms))
+    );
+}
--- a/crates/front/src/list_follower.rs
+++ b/crates/front/src/list_follower.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use domain::{
-    list_relay::{LeavingServer, ListCursor, RelayRule},
+    list_relay::{LeavingServer, ListCursor, RelayAge, RelayRule},
     server_registry::RegistryChange,
 };
 use tokio::time::Instant;
@@ -42,17 +42,22 @@
         EntryPeerClient::changes(client, known.newest_row_version, known.read_version).await
     };
     peers
-        .request(state, choice, rule, deadline, call, |reply| {
-            decode_reply(reply, rule)
+        .request(state, choice, rule, deadline, call, |reply, called_at| {
+            decode_reply(reply, rule, called_at)
         })
         .await
 }
 
-fn decode_reply(reply: ChangesReply, rule: RelayRule) -> Result<ListUpdate, PeerError> {
+fn decode_reply(
+    reply: ChangesReply,
+    rule: RelayRule,
+    called_at: Instant,
+) -> Result<ListUpdate, PeerError> {
     let ChangesReply::Changes {
         version,
         read,
         age_ms,
+        held_ms,
         changes,
         leaving,
     } = reply
@@ -63,11 +68,15 @@
         });
     };
     let now = Instant::now();
-    let age = Duration::from_millis(age_ms);
+    let age = RelayAge {
+        age: Duration::from_millis(age_ms),
+        held: Duration::from_millis(held_ms),
+    };
+    let confirmed_at = age.confirmed_at(called_at, now);
     let cursor = ListCursor {
         newest_row_version: version,
         read_version: read,
-        observed_at: now.checked_sub(age).ok_or(PeerError::Outdated)?,
+        observed_at: confirmed_at.ok_or(PeerError::Outdated)?,
     };
     if !rule.is_fresh(cursor.observed_at, now) {
         return Err(PeerError::Outdated);
--- a/crates/front/src/peer_client.rs
+++ b/crates/front/src/peer_client.rs
@@ -57,7 +57,7 @@
 }
 
 impl PeerClient {
-    /// Calls an entry and decodes its reply. Returns `None` if there is no entry to
+    /// Calls an entry and decodes its reply, given the time of the call. Returns `None` if there is no entry to
     /// call or it sent nothing usable before `deadline`.
     pub(crate) async fn request<R, U>(
         &mut self,
@@ -66,7 +66,7 @@
         rule: RelayRule,
         deadline: Instant,
         call: impl AsyncFnOnce(&HttpClient) -> Result<R, ClientError>,
-        decode: impl FnOnce(R) -> Result<U, PeerError>,
+        decode: impl FnOnce(R, Instant) -> Result<U, PeerError>,
     ) -> Option<U> {
         let now = Instant::now();
         let peer = match choice {
@@ -77,8 +77,9 @@
             let client = self.connect(peer)?;
             call(&client).await
         };
+        let called_at = Instant::now();
         let update = match timeout_at(deadline, called).await {
-            Ok(Ok(reply)) => decode(reply),
+            Ok(Ok(reply)) => decode(reply, called_at),
             Ok(Err(error)) => Err(PeerError::Call(error)),
             Err(_) => Err(PeerError::Timeout),
         };
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -44,18 +44,20 @@
 #[async_trait]
 impl EntryPeerServer for PeerFront {
     async fn changes(&self, newest_row_version: u64, read_version: u64) -> RpcResult<ChangesReply> {
+        let received = Instant::now();
         let wait_max = self.state.list_rule().poll_period * 2;
         let result = timeout(wait_max, self.next_cursor(newest_row_version)).await;
         let cursor = result.ok().flatten();
         Ok(cursor.map_or(ChangesReply::Nothing, |cursor| {
-            self.reply(read_version, cursor)
+            self.reply(read_version, cursor, received)
         }))
     }
 
     async fn state(&self, row: u64) -> RpcResult<StateReply> {
-        self.state.record_follower(Instant::now());
+        let received = Instant::now();
+        self.state.record_follower(received);
         let wait_max = self.state.state_rule().poll_period * 2;
-        let result = timeout(wait_max, self.next_state(row)).await;
+        let result = timeout(wait_max, self.next_state(row, received)).await;
         Ok(result.ok().flatten().unwrap_or(StateReply::Nothing))
     }
 
@@ -69,17 +71,18 @@
 impl PeerFront {
     /// Waits for a desired state in a row after `known`, or for the next confirmation
     /// of the known one. Returns `None` if nobody confirms it any more.
-    async fn next_state(&self, known: u64) -> Option<StateReply> {
+    async fn next_state(&self, known: u64, received: Instant) -> Option<StateReply> {
         let mut cursors = self.state.state_cursor.subscribe();
         let mut is_next = false;
         loop {
             let current = (*cursors.borrow_and_update())?;
             if current.row_version > known || is_next {
                 let row = self.state.desired_row.load_full()?;
-                let age = Instant::now().saturating_duration_since(current.confirmed_at);
+                let now = Instant::now();
                 return Some(StateReply::State {
                     row: row.version,
-                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                    age_ms: millis_between(current.confirmed_at, now),
+                    held_ms: millis_between(received, now),
                     value: (row.version > known).then(|| row.value.clone()),
                 });
             }
@@ -109,16 +112,17 @@
         }
     }
 
-    fn reply(&self, read_version: u64, cursor: ListCursor) -> ChangesReply {
+    fn reply(&self, read_version: u64, cursor: ListCursor, received: Instant) -> ChangesReply {
         let log = self.state.change_log.load();
         let Some(changes) = log.changes_since(read_version) else {
             return ChangesReply::HistoryGone;
         };
-        let age = Instant::now().saturating_duration_since(cursor.observed_at);
+        let now = Instant::now();
         ChangesReply::Changes {
             version: cursor.newest_row_version,
             read: cursor.read_version,
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis_between(cursor.observed_at, now),
+            held_ms: millis_between(received, now),
             changes: changes.into_iter().map(ChangeMessage::from).collect(),
             leaving: self
                 .state
@@ -130,3 +134,8 @@
         }
     }
 }
+
+fn millis_between(earlier: Instant, later: Instant) -> u64 {
+    let time = later.saturating_duration_since(earlier);
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/front/src/state_follower.rs
+++ b/crates/front/src/state_follower.rs
@@ -4,7 +4,7 @@
 
 use domain::{
     desired_state::DesiredState,
-    list_relay::RelayRule,
+    list_relay::{RelayAge, RelayRule},
     state_relay::{StateCursor, StateNews},
 };
 use platform::{desired_state_row::decode_desired_state, store_call::RowVersion};
@@ -40,8 +40,8 @@
     };
     let call = async |client: &_| EntryPeerClient::state(client, known.row_version).await;
     peers
-        .request(state, choice, rule, deadline, call, |reply| {
-            decode_reply(reply, known, rule)
+        .request(state, choice, rule, deadline, call, |reply, called_at| {
+            decode_reply(reply, known, rule, called_at)
         })
         .await
 }
@@ -50,15 +50,26 @@
     reply: StateReply,
     known: StateCursor,
     rule: RelayRule,
+    called_at: Instant,
 ) -> Result<StateUpdate, PeerError> {
-    let StateReply::State { row, age_ms, value } = reply else {
+    let StateReply::State {
+        row,
+        age_ms,
+        held_ms,
+        value,
+    } = reply
+    else {
         return Err(PeerError::NoUpdate);
     };
     let now = Instant::now();
-    let age = Duration::from_millis(age_ms);
+    let age = RelayAge {
+        age: Duration::from_millis(age_ms),
+        held: Duration::from_millis(held_ms),
+    };
+    let confirmed_at = age.confirmed_at(called_at, now);
     let cursor = StateCursor {
         row_version: row,
-        confirmed_at: now.checked_sub(age).ok_or(PeerError::Outdated)?,
+        confirmed_at: confirmed_at.ok_or(PeerError::Outdated)?,
     };
     match known.judge(cursor, rule, now) {
         StateNews::Behind | StateNews::Outdated => Err(PeerError::Outdated),
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -12,7 +12,7 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
-use crate::crash_evidence::EvidenceMessage;
+use crate::{crash_evidence::EvidenceMessage, default_field::is_default};
 
 /// Row with which an entry announces itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
@@ -72,6 +72,9 @@
         read: u64,
         /// Time since the store said so.
         age_ms: u64,
+        /// Time for which the call was held before this was said.
+        #[serde(default, skip_serializing_if = "is_default")]
+        held_ms: u64,
         /// The changes.
         changes: Vec<ChangeMessage>,
         /// All servers that announced that they are leaving.
@@ -94,6 +97,9 @@
         row: u64,
         /// Time since the store confirmed it as the newest.
         age_ms: u64,
+        /// Time for which the call was held before this was said.
+        #[serde(default, skip_serializing_if = "is_default")]
+        held_ms: u64,
         /// Value of the row; none if the caller has it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         value: Option<String>,
