Let a trial of a held prompt part run

Cause: a stream that was let through as a trial was given up at once, since one of its parts is held. The trial was spent and not repeated.

Change: the verdict tells a trial from a free request, and a stream that is one does not stop for the hold. A trial without a result is followed by another after a minute. A request with two held parts waits until one of each is due.

--- a/crates/domain/src/crash_evidence.rs
+++ b/crates/domain/src/crash_evidence.rs
@@ -28,7 +28,7 @@
 use crate::{PartDigest, ServerName};
 
 pub use crash_ledger::CrashLedger;
-pub use held_parts::{HeldPart, HeldParts};
+pub use held_parts::{HeldPart, HeldParts, HoldVerdict};
 
 /// Time from the head of an answer within which it counts as just begun.
 const BEGINNING: Duration = Duration::from_millis(250);
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -6,8 +6,8 @@
 use domain::{
     PartDigest, ServerName,
     crash_evidence::{
-        AnswerProgress, CrashEvidence, CrashLedger, CrashReport, HeldParts, PartAcquittal,
-        REPORTS_MAX, ReportId,
+        AnswerProgress, CrashEvidence, CrashLedger, CrashReport, HeldParts, HoldVerdict,
+        PartAcquittal, REPORTS_MAX, ReportId,
     },
 };
 use proptest::prelude::*;
@@ -130,6 +130,46 @@
     check(&crashes, &acquittals, expected);
 }
 
+/// Guards against a trial of the wrong part: a request with two parts that are held back
+/// was let through when a trial of the first was due.
+#[test]
+fn request_with_two_held_parts_waits_for_both() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::default();
+    for (id, ms) in [(1, 0), (2, 1_000), (3, 2_000)] {
+        ledger.add_report(crash(start, id, ms, "dead"));
+        ledger.add_report(crash(start, id + 10, ms + 30_000, "late"));
+    }
+    let held = ledger.held_parts(&HeldParts::default());
+    let part = PartDigest::of;
+    let both = digests("sound dead late");
+    let judge = |parts: &[PartDigest], may_try, ms| held.judge(parts, may_try, at(start, ms));
+    assert_eq!(judge(&digests("sound"), true, 63_000), HoldVerdict::Free);
+    assert_eq!(judge(&both, true, 63_000), HoldVerdict::Held(part("late")));
+    assert_eq!(
+        judge(&digests("dead"), false, 63_000),
+        HoldVerdict::Held(part("dead")),
+        "another entry lets requests through"
+    );
+    assert_eq!(
+        judge(&digests("dead"), true, 63_000),
+        HoldVerdict::Trial(part("dead"))
+    );
+    assert_eq!(
+        judge(&both, true, 93_000),
+        HoldVerdict::Held(part("dead")),
+        "its trial is under way"
+    );
+    assert_eq!(
+        judge(&both, true, 123_000),
+        HoldVerdict::Trial(part("dead"))
+    );
+    assert_eq!(
+        judge(&digests("late"), true, 123_000),
+        HoldVerdict::Held(part("late"))
+    );
+}
+
 /// One request is let through after a time that grows with each crash; an answer that
 /// goes on ends the verdict.
 #[test]
@@ -151,6 +191,10 @@
         !part.claim_trial(at(start, 65_000)),
         "the trial is still under way"
     );
+    assert!(
+        part.claim_trial(at(start, 124_000)),
+        "the trial may have been lost"
+    );
     ledger.add_report(crash(start, 4, 64_000, "dead"));
     let again = ledger.held_parts(&same);
     let part = again.find(&digests("dead")).expect("it is held back");
--- a/crates/front/src/call_run.rs
+++ b/crates/front/src/call_run.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
+    crash_evidence::HoldVerdict,
     entry_drain::DrainPhase,
     kv_placement::{EngineRates, PlacementQuery, ServiceOutlook, pick_server},
     retry_advice::RefusedRequest,
@@ -13,7 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
-    crash_watch::{held_part, report_crash},
+    crash_watch::{judge_parts, report_crash},
     front_state::FrontState,
     reply::{CallerReply, ReplyReason, buffered_reply, problem_reply, refusal_reply},
     return_watch::watch_for_return,
@@ -42,7 +43,7 @@
         if !request.is_admitted(&state.drain, now) {
             return finish(state, request, last_answer, ReplyReason::Closing);
         }
-        if is_held_back(state, request) {
+        if matches!(judge_request(state, request), HoldVerdict::Held(_)) {
             return finish(state, request, last_answer, ReplyReason::CrashesServers);
         }
         let Some(server) = pick(state, request, &tried, now) else {
@@ -109,10 +110,10 @@
     }
 }
 
-/// Returns whether a part of the request's prompt is held back, and logs it.
-pub(crate) fn is_held_back(state: &FrontState, request: &RoutedRequest) -> bool {
-    let part = held_part(state, &request.shared_parts);
-    if let Some(part) = part {
+/// Judges a request by the parts of its prompt, and logs what holds it back.
+pub(crate) fn judge_request(state: &FrontState, request: &RoutedRequest) -> HoldVerdict {
+    let verdict = judge_parts(state, &request.shared_parts);
+    if let HoldVerdict::Held(part) = verdict {
         log::info!(
             request = request.id.as_str(),
             part:% = part,
@@ -120,7 +121,7 @@
             "request held back"
         );
     }
-    part.is_some()
+    verdict
 }
 
 /// Records what the outcome of a send says about the parts of the request's prompt. The
--- a/crates/front/src/crash_watch.rs
+++ b/crates/front/src/crash_watch.rs
@@ -8,7 +8,9 @@
 use arc_swap::ArcSwap;
 use domain::{
     PartDigest,
-    crash_evidence::{CrashEvidence, CrashLedger, CrashReport, HeldParts, PartAcquittal, ReportId},
+    crash_evidence::{
+        CrashEvidence, CrashLedger, CrashReport, HeldParts, HoldVerdict, PartAcquittal, ReportId,
+    },
     server_registry::RegisteredServer,
 };
 use rand::Rng;
@@ -159,19 +161,22 @@
     state.crash_watch.report(report).await;
 }
 
-/// Returns the part of a request for which it is sent to no server. Lets one request
-/// through when a trial of the part is due.
-pub(crate) fn held_part(state: &FrontState, parts: &[PartDigest]) -> Option<PartDigest> {
+/// Judges a request by the parts of its prompt. Lets one request through when a trial
+/// of a held part is due.
+pub(crate) fn judge_parts(state: &FrontState, parts: &[PartDigest]) -> HoldVerdict {
     let held = state.crash_watch.held();
-    let held = held.find(parts)?;
+    if held.find(parts).is_none() {
+        return HoldVerdict::Free;
+    }
     let now = Instant::now();
     let settings = state.settings.load();
     let roster = state.roster.load();
-    if roster.is_first(&settings.name, ENTRY_LIFETIME, now) && held.claim_trial(now) {
-        log::warn!(part:% = held.part, crashes = held.crashes; "request let through as a trial");
-        return None;
+    let may_try = roster.is_first(&settings.name, ENTRY_LIFETIME, now);
+    let verdict = held.judge(parts, may_try, now);
+    if let HoldVerdict::Trial(part) = verdict {
+        log::warn!(part:% = part; "request let through as a trial");
     }
-    Some(held.part)
+    verdict
 }
 
 /// Spawns the task that owns the evidence.
--- a/crates/front/src/stream_run.rs
+++ b/crates/front/src/stream_run.rs
@@ -11,7 +11,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
-    crash_evidence::AnswerProgress,
+    crash_evidence::{AnswerProgress, HoldVerdict},
     entry_drain::DrainPhase,
     event_relay::{EventCursor, StreamTimeouts},
     kv_placement::{EngineEstimate, TokenCounts},
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    call_run::{entry_reply, is_held_back, outcome_label, relayed_reply},
+    call_run::{entry_reply, judge_request, outcome_label, relayed_reply},
     copy_manager::{CopyManager, KvCopy},
     crash_watch::report_crash,
     front_state::FrontState,
@@ -105,6 +105,8 @@
     timing: StreamTiming,
     /// Progress of the present attempt.
     progress: AnswerProgress,
+    /// Whether the present attempt is a trial of a part that is held back.
+    is_trial: bool,
 }
 
 /// Timing of a stream as seen by its caller.
@@ -137,6 +139,7 @@
             last_chunk_at: None,
             timing: StreamTiming::default(),
             progress: AnswerProgress::default(),
+            is_trial: false,
         }
     }
 
@@ -181,9 +184,14 @@
                 self.abort(ReplyReason::Timeout);
                 return "timeout";
             }
-            if is_held_back(&self.state, &self.request) {
-                self.abort(ReplyReason::CrashesServers);
-                return "held_back";
+            // A trial goes on until a server may have run it.
+            if !self.is_trial || self.request.sends.budget().runs > 0 {
+                let verdict = judge_request(&self.state, &self.request);
+                if matches!(verdict, HoldVerdict::Held(_)) {
+                    self.abort(ReplyReason::CrashesServers);
+                    return "held_back";
+                }
+                self.is_trial = matches!(verdict, HoldVerdict::Trial(_));
             }
             let server = match self.next_server().await {
                 Ok(server) => server,
@@ -383,7 +391,7 @@
                 server.note_failure(Instant::now(), SUSPECT_BASE);
                 Err(SendOutcome::Silent)
             }
-            () = self.state.crash_watch.wait_held(&request.shared_parts) => {
+            () = self.state.crash_watch.wait_held(&request.shared_parts), if !self.is_trial => {
                 return AttemptEnd::HeldBack;
             }
         };
--- a/crates/front/tests/site/crashing_prompts.rs
+++ b/crates/front/tests/site/crashing_prompts.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode};
 use stand_ins::{RowStore, ScriptedWorker, StreamEnd, WorkerAct};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Part that crashes servers.
 const DEADLY: &str = "dead1";
@@ -188,3 +188,30 @@
         assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
     }
 }
+
+/// Guards against a verdict without end: the trial of a stream was given up at once
+/// because a part of it is held back. A trial is due a minute after the last crash.
+#[tokio::test]
+async fn trial_of_a_stream_ends_the_verdict_on_a_sound_part() {
+    let site = CrashSite::start(1, 4).await;
+    for number in 0..4 {
+        site.send_deadly(number).await;
+    }
+    let entry = &site.entries[0];
+    entry.wait_state(|text| text.contains("\"crashes\"")).await;
+    for worker in &site.workers {
+        worker.crash_on_part("none", DOWN_TIME);
+    }
+    let convicted = Instant::now();
+    let mut number = 10;
+    while site.send_deadly(number).await.status != StatusCode::OK {
+        number += 1;
+        assert!(convicted.elapsed() < Duration::from_secs(75), "still held");
+        sleep(Duration::from_millis(500)).await;
+    }
+    assert!(
+        convicted.elapsed() > Duration::from_secs(50),
+        "the part was held"
+    );
+    assert_eq!(site.send_deadly(number + 1).await.status, StatusCode::OK);
+}
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -209,6 +209,8 @@
     instance: &'static str,
     state: Arc<Mutex<WorkerState>>,
     crashes: Arc<watch::Sender<u64>>,
+    /// Crashes after which no connection is accepted any more; connections end then.
+    closings: Arc<watch::Sender<u64>>,
 }
 
 /// Events of a whole stream of a worker without a script.
@@ -229,6 +231,7 @@
             instance,
             state: Arc::default(),
             crashes: Arc::new(watch::Sender::new(0)),
+            closings: Arc::new(watch::Sender::new(0)),
         };
         tokio::spawn(worker.clone().serve(listener));
         Ok(worker)
@@ -322,6 +325,12 @@
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
+    /// Crash whatever the worker runs, and come back after `down`.
+    pub fn crash_for(&self, down: Duration) {
+        self.state().crash_time = Some(down);
+        self.crashes.send_modify(|crashes| *crashes += 1);
+    }
+
     /// All runs of requests.
     pub fn runs(&self) -> Vec<WorkerRun> {
         self.state().runs.clone()
@@ -435,20 +444,22 @@
                 else => return,
             };
             let worker = self.clone();
+            let mut closings = self.closings.subscribe();
             tokio::spawn(async move {
-                let mut crashes = worker.crashes.subscribe();
                 // A connection that breaks is what many scripts are about.
                 tokio::select! {
                     served = worker.serve_connection(stream) => served.ok(),
-                    _ = crashes.changed() => None,
+                    _ = closings.changed() => None,
                 }
             });
         }
     }
 
-    /// Close the listener for the time that a crash lasts.
+    /// Close the listener, then all connections, for the time that a crash lasts. A process
+    /// that ends closes them together; whoever loses a connection finds no listener.
     async fn come_back(&self, listener: Option<TcpListener>) -> Option<TcpListener> {
         drop(listener);
+        self.closings.send_modify(|closings| *closings += 1);
         let down = {
             let mut state = self.state();
             let deadly = state.deadly_part.as_ref().map(|(_, down)| *down);
@@ -681,8 +692,10 @@
         stream.write_all(head.as_bytes()).await?;
         if self.crashes_on(request) {
             sleep(CRASH_DELAY).await;
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
             self.crashes.send_modify(|crashes| *crashes += 1);
-            return reset(stream);
+            // The connection ends with the others.
+            return std::future::pending().await;
         }
         let pause = self.state().event_pause.unwrap_or(EVENT_PAUSE);
         for position in first..=last {
