Accuse no prompt part of the end of several servers

Cause: a server's end at the beginning of an answer was evidence against the parts of its prompt, whether or not other servers ended with it.

Change: nothing is reported if another server of the service has failed since the answer began. A request that ends servers one after the other begins each answer after the last of these failures, and is found as before.

--- a/crates/domain/src/server_registry/registered_server.rs
+++ b/crates/domain/src/server_registry/registered_server.rs
@@ -316,6 +316,12 @@
             && self.elapsed_ms(now).saturating_sub(failed) < millis(window)
     }
 
+    /// Whether the last failure of the server was seen at `since` or later.
+    pub fn has_failed_since(&self, since: Instant) -> bool {
+        let failed = self.stats.last_failure_ms.load(Relaxed);
+        failed != 0 && failed >= self.elapsed_ms(since)
+    }
+
     /// Whether the server was heard from within `window`.
     pub fn is_alive(&self, window: Duration, now: Instant) -> bool {
         self.silence(now) < window
--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -222,6 +222,16 @@
             .is_some_and(|known| known.is_same_instance(server.record()))
     }
 
+    /// Whether another server of the same service failed at `since` or later. Several that
+    /// fail together have a cause that none of them has alone.
+    pub fn has_other_failure(&self, server: &RegisteredServer, since: Instant) -> bool {
+        let domains = self.ready_servers(&server.record().service).iter();
+        domains
+            .flat_map(|domain| &domain.servers)
+            .filter(|other| other.record().instance != server.record().instance)
+            .any(|other| other.has_failed_since(since))
+    }
+
     /// Records that the store answers again after an outage.
     pub fn store_recovered(&mut self, now: Instant) {
         self.store_recovered_at = Some(now);
--- a/crates/front/src/crash_watch.rs
+++ b/crates/front/src/crash_watch.rs
@@ -16,7 +16,7 @@
 use rand::Rng;
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
-    time::{Instant, MissedTickBehavior, interval, timeout},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
 use crate::{
@@ -29,6 +29,8 @@
 /// Time that a stream waits until its report counts. The verdict on its parts may
 /// depend on it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which the losses of other servers are noticed that ended at the same moment.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Time between two removals of old reports.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(60);
 
@@ -123,7 +125,8 @@
 }
 
 /// Reports that `server` broke off an answer to a prompt with these parts at its
-/// beginning, if the server has ended. A lost connection alone accuses nobody.
+/// beginning, if the server has ended. A lost connection alone accuses nobody, nor does
+/// the end of several servers since the answer began.
 pub(crate) async fn report_crash(
     state: &FrontState,
     server: &RegisteredServer,
@@ -140,6 +143,14 @@
     {
         return;
     }
+    sleep(SETTLE_TIME).await;
+    if state.registry.load().has_other_failure(server, begun_at) {
+        log::info!(
+            server = server.record().instance.as_str();
+            "server ended as it began to answer, together with others"
+        );
+        return;
+    }
     let report = CrashReport {
         id: ReportId::from(rand::rng().random::<u64>()),
         server: server.record().instance.clone(),
--- a/crates/front/tests/site/crashing_prompts.rs
+++ b/crates/front/tests/site/crashing_prompts.rs
@@ -215,3 +215,42 @@
     );
     assert_eq!(site.send_deadly(number + 1).await.status, StatusCode::OK);
 }
+
+/// Guards against a verdict on a part that all requests share: all servers crash at the
+/// same moments, whatever they run.
+#[tokio::test]
+async fn crashes_of_all_servers_hold_nothing_back() {
+    let site = CrashSite::start(1, 4).await;
+    for worker in &site.workers {
+        worker.set_event_pause(Duration::from_millis(150));
+    }
+    let crashing = async {
+        for _ in 0..4 {
+            sleep(Duration::from_millis(700)).await;
+            site.workers
+                .iter()
+                .for_each(|worker| worker.crash_for(DOWN_TIME));
+        }
+    };
+    let sending = join_all((0..60).map(|number| {
+        let site = &site;
+        async move {
+            sleep(Duration::from_millis(50) * number as u32).await;
+            site.send_sound(number).await
+        }
+    }));
+    let ((), answers) = futures_util::join!(crashing, sending);
+    let denied = answers
+        .iter()
+        .filter(|answer| answer.status == StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(denied.count(), 0);
+    let held = site.entries[0].metric("bamboocross_front_held_parts").await;
+    assert_eq!(held, 0.0);
+    for worker in &site.workers {
+        worker.set_event_pause(Duration::from_millis(2));
+    }
+    for number in 100..106 {
+        let answer = site.send_sound(number).await;
+        assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+    }
+}
