--- a/crates/front/src/crash_watch.rs
+++ b/crates/front/src/crash_watch.rs
@@ -8,13 +8,15 @@
 use arc_swap::ArcSwap;
 use domain::{
     PartDigest,
-    crash_evidence::{CrashEvidence, CrashLedger, CrashReport, HeldParts, PartAcquittal, ReportId},
+    crash_evidence::{
+        CrashEvidence, CrashLedger, CrashReport, HeldParts, HoldVerdict, PartAcquittal, ReportId,
+    },
     server_registry::RegisteredServer,
 };
 use rand::Rng;
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
-    time::{Instant, MissedTickBehavior, interval, timeout},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
 use crate::{
@@ -27,6 +29,8 @@
 /// Time that a stream waits until its report counts. The verdict on its parts may
 /// depend on it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which the losses of other servers are noticed that ended at the same moment.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Time between two removals of old reports.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(60);
 
@@ -121,7 +125,8 @@
 }
 
 /// Reports that `server` broke off an answer to a prompt with these parts at its
-/// beginning, if the server has ended. A lost connection alone accuses nobody.
+/// beginning, if the server has ended. A lost connection alone accuses nobody, nor does
+/// the end of several servers since the answer began.
 pub(crate) async fn report_crash(
     state: &FrontState,
     server: &RegisteredServer,
@@ -138,6 +143,14 @@
     {
         return;
     }
+    sleep(SETTLE_TIME).await;
+    if state.registry.load().has_other_failure(server, begun_at) {
+        log::info!(
+            server = server.record().instance.as_str();
+            "server ended as it began to answer, together with others"
+        );
+        return;
+    }
     let report = CrashReport {
         id: ReportId::from(rand::rng().random::<u64>()),
         server: server.record().instance.clone(),
@@ -159,19 +172,22 @@
     state.crash_watch.report(report).await;
 }
 
-/// Returns the part of a request for which it is sent to no server. Lets one request
-/// through when a trial of the part is due.
-pub(crate) fn held_part(state: &FrontState, parts: &[PartDigest]) -> Option<PartDigest> {
+/// Judges a request by the parts of its prompt. Lets one request through when a trial
+/// of a held part is due.
+pub(crate) fn judge_parts(state: &FrontState, parts: &[PartDigest]) -> HoldVerdict {
     let held = state.crash_watch.held();
-    let held = held.find(parts)?;
+    if held.find(parts).is_none() {
+        return HoldVerdict::Free;
+    }
     let now = Instant::now();
     let settings = state.settings.load();
     let roster = state.roster.load();
-    if roster.is_first(&settings.name, ENTRY_LIFETIME, now) && held.claim_trial(now) {
-        log::warn!(part:% = held.part, crashes = held.crashes; "request let through as a trial");
-        return None;
+    let may_try = roster.is_first(&settings.name, ENTRY_LIFETIME, now);
+    let verdict = held.judge(parts, may_try, now);
+    if let HoldVerdict::Trial(part) = verdict {
+        log::warn!(part:% = part; "request let through as a trial");
     }
-    Some(held.part)
+    verdict
 }
 
 /// Spawns the task that owns the evidence.
--- a/crates/front/tests/site/crashing_prompts.rs
+++ b/crates/front/tests/site/crashing_prompts.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode};
 use stand_ins::{RowStore, ScriptedWorker, StreamEnd, WorkerAct};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Part that crashes servers.
 const DEADLY: &str = "dead1";
@@ -188,3 +188,69 @@
         assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
     }
 }
+
+/// Guards against a verdict without end: the trial of a stream was given up at once
+/// because a part of it is held back. A trial is due a minute after the last crash.
+#[tokio::test]
+async fn trial_of_a_stream_ends_the_verdict_on_a_sound_part() {
+    let site = CrashSite::start(1, 4).await;
+    for number in 0..4 {
+        site.send_deadly(number).await;
+    }
+    let entry = &site.entries[0];
+    entry.wait_state(|text| text.contains("\"crashes\"")).await;
+    for worker in &site.workers {
+        worker.crash_on_part("none", DOWN_TIME);
+    }
+    let convicted = Instant::now();
+    let mut number = 10;
+    while site.send_deadly(number).await.status != StatusCode::OK {
+        number += 1;
+        assert!(convicted.elapsed() < Duration::from_secs(75), "still held");
+        sleep(Duration::from_millis(500)).await;
+    }
+    assert!(
+        convicted.elapsed() > Duration::from_secs(50),
+        "the part was held"
+    );
+    assert_eq!(site.send_deadly(number + 1).await.status, StatusCode::OK);
+}
+
+/// Guards against a verdict on a part that all requests share: all servers crash at the
+/// same moments, whatever they run.
+#[tokio::test]
+async fn crashes_of_all_servers_hold_nothing_back() {
+    let site = CrashSite::start(1, 4).await;
+    for worker in &site.workers {
+        worker.set_event_pause(Duration::from_millis(150));
+    }
+    let crashing = async {
+        for _ in 0..4 {
+            sleep(Duration::from_millis(700)).await;
+            site.workers
+                .iter()
+                .for_each(|worker| worker.crash_for(DOWN_TIME));
+        }
+    };
+    let sending = join_all((0..60).map(|number| {
+        let site = &site;
+        async move {
+            sleep(Duration::from_millis(50) * number as u32).await;
+            site.send_sound(number).await
+        }
+    }));
+    let ((), answers) = futures_util::join!(crashing, sending);
+    let denied = answers
+        .iter()
+        .filter(|answer| answer.status == StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(denied.count(), 0);
+    let held = site.entries[0].metric("bamboocross_front_held_parts").await;
+    assert_eq!(held, 0.0);
+    for worker in &site.workers {
+        worker.set_event_pause(Duration::from_millis(2));
+    }
+    for number in 100..106 {
+        let answer = site.send_sound(number).await;
+        assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+    }
+}
