Let a server that moves give up its old address

Cause: a server that started again at another address still counted as the holder of its old one. When that was reassigned, the registry removed it; followers, which are told of changes only, did not get it back.

Change: a registration at another address releases the old one.

--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -315,6 +315,15 @@
             return;
         }
         self.removal_deadlines.remove(&record.instance);
+        // A server that moved no longer holds its old address.
+        if let Some(known) = self.servers_by_name.get(&record.instance) {
+            let old_address = known.record().address;
+            if old_address != record.address
+                && self.address_holders.get(&old_address) == Some(&record.instance)
+            {
+                self.address_holders.remove(&old_address);
+            }
+        }
         // An address has one holder: the instance with the later start time. An
         // instance whose start time is unknown replaces the holder and is itself
         // replaced by any other.
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -192,6 +192,28 @@
     check(&registry, &["old"]);
 }
 
+/// Guards against the loss of a server that is up: it started again under its name at
+/// another address, and its old address went to a server that started later.
+#[tokio::test(start_paused = true)]
+async fn server_that_moved_outlives_the_reassignment_of_its_old_address() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(&[record("i1", 1, 5)], now);
+    registry.apply(&[present(record("i1", 2, 6))], now);
+    let other = ServerRecord {
+        service: ServiceName::from("other"),
+        ..record("i2", 1, 9)
+    };
+    registry.apply(&[present(other)], now);
+    check(&registry, &["i1"]);
+    assert!(registry.contains(&ServerName::from("i2")));
+    let moved = registry.find(&ServerName::from("i1")).expect("it is up");
+    assert_eq!(moved.record().address.port(), 2);
+    // Each still gives way at the address that it holds.
+    registry.apply(&[present(record("i3", 2, 10))], now);
+    check(&registry, &["i3"]);
+}
+
 /// A model that only one service serves is proof, however long the address was
 /// silent.
 #[tokio::test(start_paused = true)]
