Soak: lose no bytes in the middle of a connection, allow streams broken off

The link drops bytes of an open connection for a while and passes the next ones on, which TCP never does; whole chunks were missing, and positions need not be consecutive.

The rule leaves out what the worker broke off, and so does the checker, for streams whose worker did so or crashed as they began; calls are answered in any case.

--- a/crates/stand-ins/src/fault_proxy.rs
+++ b/crates/stand-ins/src/fault_proxy.rs
@@ -256,6 +256,8 @@
     way: Way,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
+    // TCP delivers nothing after bytes that are missing.
+    let mut has_lost_bytes = false;
     while let Ok(length) = from.read(&mut chunk).await {
         let state = *link.modes.borrow();
         let is_silenced = opened < state.silenced_before;
@@ -265,7 +267,8 @@
             LinkMode::LoseBackward => way == Way::Backward,
             _ => false,
         };
-        if is_silenced || is_lost {
+        if is_silenced || is_lost || has_lost_bytes {
+            has_lost_bytes |= length > 0;
             if length == 0 {
                 // Not even the end of the connection comes through.
                 return std::future::pending().await;
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -131,6 +131,10 @@
     pub path: String,
     /// Service of the worker at that time, if it was named.
     pub service: Option<&'static str>,
+    /// Whether the worker broke its answer off, or crashed as it began.
+    pub is_broken_off: bool,
+    /// When the run began.
+    pub at: Instant,
 }
 
 /// Who a worker is. It rejects requests that are addressed to another one.
@@ -217,6 +221,8 @@
 pub const STREAM_EVENTS: u64 = 30;
 /// Time from the head of an answer to the crash that it brings about.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// Time from the beginning of a run to the head of its answer, at most.
+const RUN_BEGINNING: Duration = Duration::from_millis(200);
 /// Pause between two pieces of a stream that makes no progress.
 const DRIBBLE_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two events: long enough that they come as pieces.
@@ -321,13 +327,18 @@
             state.crash_time = Some(down);
             state.is_leaving = false;
             state.lifetimes += 1;
+            state.break_off_beginnings();
         }
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
     /// Crash whatever the worker runs, and come back after `down`.
     pub fn crash_for(&self, down: Duration) {
-        self.state().crash_time = Some(down);
+        {
+            let mut state = self.state();
+            state.crash_time = Some(down);
+            state.break_off_beginnings();
+        }
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
@@ -561,6 +572,8 @@
                         id: id.to_owned(),
                         path: request.path().to_owned(),
                         service: state.identity.as_ref().map(|identity| identity.service),
+                        is_broken_off: act.breaks_off(),
+                        at: Instant::now(),
                     };
                     state.runs.push(run);
                 }
@@ -733,6 +746,13 @@
 }
 
 impl WorkerAct {
+    fn breaks_off(&self) -> bool {
+        matches!(
+            self,
+            Self::Reset | Self::Truncated | Self::Events(_, StreamEnd::Cut | StreamEnd::Torn)
+        )
+    }
+
     fn is_rejection(&self) -> bool {
         matches!(
             self,
@@ -742,6 +762,16 @@
 }
 
 impl WorkerState {
+    /// Records that the worker crashes, for the runs that just began.
+    fn break_off_beginnings(&mut self) {
+        let just_begun = self
+            .runs
+            .iter_mut()
+            .rev()
+            .take_while(|run| run.at.elapsed() < RUN_BEGINNING);
+        just_begun.for_each(|run| run.is_broken_off = true);
+    }
+
     /// Header lines with which the worker speaks of itself.
     fn notice_lines(&self) -> String {
         let leaving = if self.is_leaving {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -61,7 +61,7 @@
     let ran = site.ran();
     let mut broken = witness.broken(&ran);
     broken.extend(witness.sent_to_leaving(&site.arrivals()));
-    broken.extend(witness.lost_answers(&ran, &site.harmed()));
+    broken.extend(witness.lost_answers(&site.runs(), &site.harmed()));
     broken.extend(wrong_services(&site.runs()));
     if !recovered {
         broken.push(BrokenPromise::NotRecovered);
--- a/xtask/src/soak/witness.rs
+++ b/xtask/src/soak/witness.rs
@@ -206,20 +206,27 @@
     }
 
     /// Requests that ran and got no answer from an entry that was only told to stop, given
-    /// the ids that ran and the lifetimes of entries that were killed or paused.
-    pub fn lost_answers(&self, ran: &[String], harmed: &HashSet<u64>) -> Vec<BrokenPromise> {
-        let ran: HashSet<&str> = ran.iter().map(String::as_str).collect();
+    /// the runs and the lifetimes of entries that were killed or paused. The head of a
+    /// stream is handed on at once, so its connection ends if its worker breaks it off.
+    pub fn lost_answers(&self, runs: &[WorkerRun], harmed: &HashSet<u64>) -> Vec<BrokenPromise> {
+        let ran: HashMap<&str, &WorkerRun> =
+            runs.iter().map(|run| (run.id.as_str(), run)).collect();
         let records = self.records();
         let calls = records.calls.iter();
-        let calls = calls.map(|call| (&call.id, call.entry, call.is_cut));
+        let calls = calls
+            .filter(|call| call.is_cut && ran.contains_key(call.id.as_str()))
+            .map(|call| (&call.id, call.entry));
         let once = records.once.iter();
-        let once = once.map(|stream| (&stream.id, stream.entry, stream.is_cut));
+        let once = once
+            .filter(|stream| {
+                let run = ran.get(stream.id.as_str());
+                stream.is_cut && run.is_some_and(|run| !run.is_broken_off)
+            })
+            .map(|stream| (&stream.id, stream.entry));
         calls
             .chain(once)
-            .filter(|(id, entry, is_cut)| {
-                *is_cut && ran.contains(id.as_str()) && !harmed.contains(entry)
-            })
-            .map(|(id, entry, _)| BrokenPromise::LostAnswer(id.clone(), entry))
+            .filter(|(_, entry)| !harmed.contains(entry))
+            .map(|(id, entry)| BrokenPromise::LostAnswer(id.clone(), entry))
             .collect()
     }
 
