Log and count desired states that are older than the one in force

An entry that reads a desired state and does not put it in force wrote nothing, so the logs could not tell a row that was never read from one that was dropped.

--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -16,6 +16,7 @@
     pub(crate) store_calls: IntCounterVec,
     pub(crate) list_updates: IntCounterVec,
     pub(crate) state_updates: IntCounterVec,
+    pub(crate) older_states: IntCounter,
     pub(crate) odd_rows: IntCounterVec,
     pub(crate) crash_reports: IntCounterVec,
     pub(crate) evidence_calls: IntCounterVec,
@@ -98,6 +99,10 @@
                 "News of the desired state, and confirmations, from other entries",
                 "source",
             ),
+            older_states: set.counter(
+                "bamboocross_front_older_states_total",
+                "Desired states that were read and are older than the one in force",
+            ),
             odd_rows: set.counters(
                 "bamboocross_front_odd_rows_total",
                 "Rows of the store, or of another entry, that cannot be used, by table",
--- a/crates/front/src/store_watch/state_table.rs
+++ b/crates/front/src/store_watch/state_table.rs
@@ -226,10 +226,21 @@
 }
 
 fn apply_state(state: &FrontState, desired: DesiredState, value: String) {
-    if !desired.supersedes(state.desired.load().as_deref()) {
+    let version = desired.version();
+    let current = state.desired.load();
+    if !desired.supersedes(current.as_deref()) {
+        if let Some(current) = current.as_ref().filter(|current| current.version() != version) {
+            state.metrics.older_states.inc();
+            log::warn!(
+                state_version = version.number,
+                row_version = version.row,
+                in_force_version = current.version().number,
+                in_force_row = current.version().row;
+                "desired state is older than the one in force"
+            );
+        }
         return;
     }
-    let version = desired.version();
     log::info!(
         state_version = version.number,
         row_version = version.row,
