Order desired states by the operator's number

Callers saw versions that were confirmed and not in force, and 404 on routes that had been added. An entry took a desired state for newer if its row had a higher version.

The operator's number now decides, in an entry and between entries; the row's version only tells states of one number apart. A call between entries carries the number; entries of the release before leave it out and are answered by rows as before.

--- a/crates/domain/src/desired_state/accepted_state.rs
+++ b/crates/domain/src/desired_state/accepted_state.rs
@@ -11,15 +11,15 @@
     urgency::{ServiceRanks, Urgency, UrgencyClass},
 };
 
-/// Version of an accepted desired state; the row version decides which of two
-/// states is newer.
+/// Version of an accepted desired state. The operator's number decides which of two
+/// states is newer: a store that comes back from an older copy gives out row versions
+/// again. The row's version decides among states of the same number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StateVersion {
-    /// Version of the store row that holds the state; increases with every
-    /// accepted state.
-    pub row: u64,
     /// Version number assigned by the operator.
     pub number: u64,
+    /// Version of the store row that holds the state.
+    pub row: u64,
 }
 
 /// A team and its API keys.
@@ -169,7 +169,7 @@
 
     /// Returns whether this version is newer than `current`.
     pub fn supersedes(&self, current: Option<&Self>) -> bool {
-        current.is_none_or(|current| self.version.row > current.version.row)
+        current.is_none_or(|current| self.version > current.version)
     }
 
     /// Finds the route and the team of a request.
--- a/crates/domain/src/state_relay.rs
+++ b/crates/domain/src/state_relay.rs
@@ -9,13 +9,13 @@
 
 use tokio::time::Instant;
 
-use crate::list_relay::RelayRule;
+use crate::{desired_state::StateVersion, list_relay::RelayRule};
 
 /// What an entry knows of the desired state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StateCursor {
-    /// Version of the row that contains the desired state.
-    pub row_version: u64,
+    /// Version of the desired state.
+    pub version: StateVersion,
     /// Time at which the store confirmed this version as the newest.
     pub confirmed_at: Instant,
 }
@@ -36,13 +36,13 @@
 impl StateCursor {
     /// Judges the state `offered` by another entry.
     pub fn judge(&self, offered: Self, rule: RelayRule, now: Instant) -> StateNews {
-        if offered.row_version < self.row_version {
+        if offered.version < self.version {
             return StateNews::Behind;
         }
         if !rule.is_fresh(offered.confirmed_at, now) {
             return StateNews::Outdated;
         }
-        if offered.row_version > self.row_version {
+        if offered.version > self.version {
             StateNews::Newer
         } else {
             StateNews::Confirmed
--- a/crates/domain/tests/desired_state.rs
+++ b/crates/domain/tests/desired_state.rs
@@ -32,13 +32,17 @@
 }
 
 fn state(row: u64) -> DesiredState {
+    state_of(StateVersion { number: 7, row })
+}
+
+fn state_of(version: StateVersion) -> DesiredState {
     let team = TeamSpec {
         name: TeamName::from("north"),
         keys: vec![ApiKey::from("k1")],
         priority: Some(1),
     };
     DesiredState::new(
-        StateVersion { row, number: 7 },
+        version,
         vec![
             route("a.example", "/x/", false),
             route("a.example", "/x/deep/", false),
@@ -93,11 +97,19 @@
 }
 
 #[rstest]
-#[case(5, 4, true)]
-#[case(4, 4, false)]
-#[case(3, 4, false)]
-fn only_a_newer_version_supersedes(#[case] row: u64, #[case] known: u64, #[case] expected: bool) {
-    assert_eq!(state(row).supersedes(Some(&state(known))), expected);
+#[case::later_row((7, 5), (7, 4), true)]
+#[case::same((7, 4), (7, 4), false)]
+#[case::earlier_row((7, 3), (7, 4), false)]
+#[case::later_number_in_the_same_row((8, 4), (7, 4), true)]
+#[case::later_number_in_an_earlier_row((8, 3), (7, 4), true)]
+#[case::earlier_number_in_a_later_row((6, 9), (7, 4), false)]
+fn only_a_newer_version_supersedes(
+    #[case] offered: (u64, u64),
+    #[case] known: (u64, u64),
+    #[case] expected: bool,
+) {
+    let state = |(number, row)| state_of(StateVersion { number, row });
+    assert_eq!(state(offered).supersedes(Some(&state(known))), expected);
 }
 
 #[test]
--- a/crates/domain/tests/state_relay.rs
+++ b/crates/domain/tests/state_relay.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use domain::{
+    desired_state::StateVersion,
     list_relay::RelayRule,
     state_relay::{StateCursor, StateNews},
 };
@@ -11,16 +12,18 @@
 
 /// With a poll period of 1,100 ms a confirmation may be 1,700 ms old.
 #[rstest]
-#[case::newer(8, 0, StateNews::Newer)]
-#[case::newer_at_the_limit(8, 1_700, StateNews::Newer)]
-#[case::newer_but_old(8, 1_701, StateNews::Outdated)]
-#[case::confirmed(7, 900, StateNews::Confirmed)]
-#[case::confirmed_long_ago(7, 1_701, StateNews::Outdated)]
-#[case::behind(6, 0, StateNews::Behind)]
-#[case::behind_and_old(6, 9_000, StateNews::Behind)]
+#[case::newer((3, 8), 0, StateNews::Newer)]
+#[case::newer_at_the_limit((3, 8), 1_700, StateNews::Newer)]
+#[case::newer_but_old((3, 8), 1_701, StateNews::Outdated)]
+#[case::confirmed((3, 7), 900, StateNews::Confirmed)]
+#[case::confirmed_long_ago((3, 7), 1_701, StateNews::Outdated)]
+#[case::behind((3, 6), 0, StateNews::Behind)]
+#[case::behind_and_old((3, 6), 9_000, StateNews::Behind)]
+#[case::newer_in_a_reused_row((4, 6), 0, StateNews::Newer)]
+#[case::behind_in_a_later_row((2, 9), 0, StateNews::Behind)]
 #[tokio::test(start_paused = true)]
 async fn offers_are_judged_by_version_and_age(
-    #[case] row_version: u64,
+    #[case] (number, row): (u64, u64),
     #[case] age_ms: u64,
     #[case] expected: StateNews,
 ) {
@@ -30,11 +33,11 @@
         poll_period: Duration::from_millis(1_100),
     };
     let known = StateCursor {
-        row_version: 7,
+        version: StateVersion { number: 3, row: 7 },
         confirmed_at: now,
     };
     let offered = StateCursor {
-        row_version,
+        version: StateVersion { number, row },
         confirmed_at,
     };
     assert_eq!(known.judge(offered, rule, now), expected);
@@ -49,7 +52,7 @@
     };
     let start = Instant::now();
     let mut cursors = [StateCursor {
-        row_version: 7,
+        version: StateVersion { number: 3, row: 7 },
         confirmed_at: start,
     }; 5];
     let mut adopted = 0;
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -12,7 +12,7 @@
 use domain::{
     ServerName,
     buffer_budget::BufferBudget,
-    desired_state::{DesiredState, StateFreshness},
+    desired_state::{DesiredState, StateFreshness, StateVersion},
     entry_drain::{DrainPhase, DrainTimes},
     entry_roster::EntryRoster,
     list_relay::{ChangeLog, ListCursor, RelayRule},
@@ -48,8 +48,8 @@
 /// Row of the desired state in force, as it is handed on to other entries.
 #[derive(Debug)]
 pub(crate) struct StateRow {
-    /// Version of the row.
-    pub(crate) version: u64,
+    /// Version of the desired state.
+    pub(crate) version: StateVersion,
     /// Value of the row.
     pub(crate) value: String,
 }
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -7,7 +7,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use domain::{desired_state::CallerLimits, kv_placement::SpeedReport, list_relay::ListCursor};
+use domain::{
+    desired_state::{CallerLimits, StateVersion},
+    kv_placement::SpeedReport,
+    list_relay::ListCursor,
+};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, service::Service};
 use hyper_util::service::TowerToHyperService;
@@ -124,11 +128,11 @@
         }))
     }
 
-    async fn state(&self, row: u64) -> RpcResult<StateReply> {
+    async fn state(&self, row: u64, number: Option<u64>) -> RpcResult<StateReply> {
         let received = Instant::now();
         self.state.record_follower(received);
         let wait_max = self.state.state_rule().poll_period * 2;
-        let result = timeout(wait_max, self.next_state(row, received)).await;
+        let result = timeout(wait_max, self.next_state(number, row, received)).await;
         Ok(result.ok().flatten().unwrap_or(StateReply::Nothing))
     }
 
@@ -159,21 +163,30 @@
 }
 
 impl PeerFront {
-    /// Waits for a desired state in a row after `known`, or for the next confirmation
-    /// of the known one. Returns `None` if nobody confirms it any more.
-    async fn next_state(&self, known: u64, received: Instant) -> Option<StateReply> {
+    /// Waits for a desired state after the one that is known, or for the next confirmation
+    /// of that one. Returns `None` if nobody confirms it any more.
+    async fn next_state(
+        &self,
+        number: Option<u64>,
+        row: u64,
+        received: Instant,
+    ) -> Option<StateReply> {
         let mut cursors = self.state.state_cursor.subscribe();
         let mut is_next = false;
         loop {
             let current = (*cursors.borrow_and_update())?;
-            if current.row_version > known || is_next {
-                let row = self.state.desired_row.load_full()?;
+            let known = StateVersion {
+                number: number.unwrap_or(current.version.number),
+                row,
+            };
+            if current.version > known || is_next {
+                let newest = self.state.desired_row.load_full()?;
                 let now = Instant::now();
                 return Some(StateReply::State {
-                    row: row.version,
+                    row: newest.version.row,
                     age_ms: millis_between(current.confirmed_at, now),
                     held_ms: millis_between(received, now),
-                    value: (row.version > known).then(|| row.value.clone()),
+                    value: (newest.version > known).then(|| newest.value.clone()),
                     orders: order_rows(&self.state),
                 });
             }
--- a/crates/front/src/state_follower.rs
+++ b/crates/front/src/state_follower.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use domain::{
-    desired_state::DesiredState,
+    desired_state::{DesiredState, StateVersion},
     list_relay::{RelayAge, RelayRule},
     state_relay::{StateCursor, StateNews},
 };
@@ -43,7 +43,8 @@
         PeerChoice::Leader => rule.reply_deadline(known.confirmed_at),
         PeerChoice::Neighbour => rule.reply_deadline(Instant::now()),
     };
-    let call = async |client: &_| EntryPeerClient::state(client, known.row_version).await;
+    let StateVersion { number, row } = known.version;
+    let call = async |client: &_| EntryPeerClient::state(client, row, Some(number)).await;
     peers
         .request(state, choice, rule, deadline, call, |reply, called_at| {
             decode_reply(reply, known, rule, called_at)
@@ -73,28 +74,34 @@
         held: Duration::from_millis(held_ms),
     };
     let confirmed_at = age.confirmed_at(called_at, now);
+    let confirmed_at = confirmed_at.ok_or(PeerError::Outdated)?;
+    let newer = value
+        .map(|value| {
+            let desired = decode_desired_state(value.as_bytes(), RowVersion(row))?;
+            Ok((Box::new(desired), value))
+        })
+        .transpose()
+        .map_err(PeerError::InvalidState)?;
+    // A reply without a value speaks of the known version or of an older one.
+    let version = newer.as_ref().map_or(
+        StateVersion {
+            row,
+            ..known.version
+        },
+        |(desired, _)| desired.version(),
+    );
     let cursor = StateCursor {
-        row_version: row,
-        confirmed_at: confirmed_at.ok_or(PeerError::Outdated)?,
+        version,
+        confirmed_at,
     };
-    let orders: Vec<StoreRow> = orders.into_iter().map(order_row).collect();
     match known.judge(cursor, rule, now) {
         StateNews::Behind | StateNews::Outdated => Err(PeerError::Outdated),
-        StateNews::Confirmed => Ok(StateUpdate {
+        StateNews::Newer if newer.is_none() => Err(PeerError::NoUpdate),
+        StateNews::Confirmed | StateNews::Newer => Ok(StateUpdate {
             cursor,
-            newer: None,
-            orders,
+            newer,
+            orders: orders.into_iter().map(order_row).collect(),
         }),
-        StateNews::Newer => {
-            let value = value.ok_or(PeerError::NoUpdate)?;
-            let desired = decode_desired_state(value.as_bytes(), RowVersion(row))
-                .map_err(PeerError::InvalidState)?;
-            Ok(StateUpdate {
-                cursor,
-                newer: Some((Box::new(desired), value)),
-                orders,
-            })
-        }
     }
 }
 
--- a/crates/front/src/store_watch/state_table.rs
+++ b/crates/front/src/store_watch/state_table.rs
@@ -139,7 +139,7 @@
     fn known(&self, state: &FrontState) -> Option<StateCursor> {
         let desired = state.desired.load();
         Some(StateCursor {
-            row_version: desired.as_ref()?.version().row,
+            version: desired.as_ref()?.version(),
             confirmed_at: self.confirmed_at?,
         })
     }
@@ -161,7 +161,7 @@
             .inc();
         TableUpdate {
             version: since
-                .max(Some(RowVersion(cursor.row_version)))
+                .max(Some(RowVersion(cursor.version.row)))
                 .unwrap_or_default(),
             observed_at: cursor.confirmed_at,
             changes: StateChanges::Relayed(update.newer, update.orders),
@@ -229,7 +229,10 @@
     let version = desired.version();
     let current = state.desired.load();
     if !desired.supersedes(current.as_deref()) {
-        if let Some(current) = current.as_ref().filter(|current| current.version() != version) {
+        if let Some(current) = current
+            .as_ref()
+            .filter(|current| current.version() != version)
+        {
             state.metrics.older_states.inc();
             log::warn!(
                 state_version = version.number,
@@ -250,8 +253,7 @@
     let number = i64::try_from(version.number).unwrap_or(i64::MAX);
     state.metrics.state_version.set(number);
     state.desired.store(Some(Arc::new(desired)));
-    state.desired_row.store(Some(Arc::new(StateRow {
-        version: version.row,
-        value,
-    })));
+    state
+        .desired_row
+        .store(Some(Arc::new(StateRow { version, value })));
 }
--- a/crates/front/tests/site/main.rs
+++ b/crates/front/tests/site/main.rs
@@ -14,6 +14,7 @@
 mod refusals;
 mod reported;
 mod reported_answers;
+mod restored;
 mod retry_room;
 mod rollouts;
 mod store_faults;
--- a/crates/front/tests/site/store_faults.rs
+++ b/crates/front/tests/site/store_faults.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::support::{DESK, POOL, TestSite, desired_state, wait_for};
+use crate::support::{
+    DESK, POOL, TestSite, desired_state, put_desired_state, wait_for, wait_for_status,
+};
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -16,19 +18,6 @@
     ScriptedWorker::start(instance).await.expect("a port")
 }
 
-fn put_desired_state(store: &RowStore, version: u64, route: &str) {
-    let mut state = desired_state(version);
-    state["routes"][0]["prefix"] = json!(route);
-    store.put("op", "config", state.to_string().as_bytes());
-}
-
-async fn wait_for_status(site: &TestSite, path: &str, expected: StatusCode) {
-    wait_for("the expected status", async || {
-        site.call(path, "r").await.status == expected
-    })
-    .await;
-}
-
 #[tokio::test]
 async fn new_version_replaces_the_old_one_and_stays() {
     let worker = start_worker("i1").await;
--- a/crates/front/tests/site/support.rs
+++ b/crates/front/tests/site/support.rs
@@ -359,6 +359,21 @@
     panic!("timed out waiting for {what}");
 }
 
+/// Writes a desired state in which the route `look` has the prefix `route`.
+pub fn put_desired_state(store: &RowStore, version: u64, route: &str) {
+    let mut state = desired_state(version);
+    state["routes"][0]["prefix"] = json!(route);
+    store.put("op", "config", state.to_string().as_bytes());
+}
+
+/// Waits until a call is answered with a status.
+pub async fn wait_for_status(site: &TestSite, path: &str, expected: StatusCode) {
+    wait_for("the expected status", async || {
+        site.call(path, "r").await.status == expected
+    })
+    .await;
+}
+
 /// Returns events with the positions in `range`, as the workers encode them.
 pub fn events(range: std::ops::RangeInclusive<u64>) -> String {
     range
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -21,7 +21,7 @@
 pub use engine_server::{EngineCounts, EngineFaults, EngineOptions, run_engine};
 pub use fault_proxy::{LinkCounts, LinkMode, ModeMessage, ProxyLink, ProxyMessage, run_proxies};
 pub use platform_server::{PlatformCounts, PlatformFaults, PlatformOptions, run_platform};
-pub use row_store::{RowStore, StoreMode};
+pub use row_store::{RowStore, StoreCopy, StoreMode};
 pub use scripted_worker::{
     STREAM_EVENTS, ScriptedWorker, StreamEnd, WorkerAct, WorkerArrival, WorkerIdentity,
     WorkerRequest, WorkerRun,
--- a/crates/stand-ins/src/row_store.rs
+++ b/crates/stand-ins/src/row_store.rs
@@ -2,7 +2,7 @@
 //!
 //! Rows lie in tables and have versions from one counter; a feed waits for
 //! changes. The store can be told to refuse, to fall silent, to cut its
-//! callers off, or to forget its history.
+//! callers off, to forget its history, or to come back from an older copy of itself.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -39,19 +39,27 @@
     HistoryGone,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoreRow {
     version: u64,
     value: Option<Vec<u8>>,
 }
 
+/// Contents of a store at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    version: u64,
+    tables: HashMap<String, BTreeMap<String, StoreRow>>,
+}
+
 #[derive(Debug)]
 struct StoreState {
     mode: StoreMode,
     /// Table whose reads are refused.
     refused: Option<String>,
-    version: u64,
-    tables: HashMap<String, BTreeMap<String, StoreRow>>,
+    contents: StoreCopy,
+    /// Times that an older copy was restored.
+    restores: u64,
     calls: Vec<String>,
 }
 
@@ -73,8 +81,8 @@
             state: Arc::new(Mutex::new(StoreState {
                 mode: StoreMode::Serving,
                 refused: None,
-                version: 0,
-                tables: HashMap::new(),
+                contents: StoreCopy::default(),
+                restores: 0,
                 calls: Vec::new(),
             })),
             changed: watch::Sender::new(0),
@@ -94,6 +102,22 @@
         self.state().refused = table.map(str::to_owned);
     }
 
+    /// Copies the contents.
+    pub fn copy(&self) -> StoreCopy {
+        self.state().contents.clone()
+    }
+
+    /// Replaces the contents by an older copy. What was written since is gone, its
+    /// versions are given out again, and calls that wait for changes are refused.
+    pub fn restore(&self, copy: StoreCopy) {
+        {
+            let mut state = self.state();
+            state.contents = copy;
+            state.restores += 1;
+        }
+        self.changed.send_modify(|_| {});
+    }
+
     /// Write a row of the empty part.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.write(table, key, Some(value.to_vec()));
@@ -107,7 +131,7 @@
     /// Keys of the rows of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state();
-        let rows = state.tables.get(table).into_iter().flatten();
+        let rows = state.contents.tables.get(table).into_iter().flatten();
         rows.filter(|(_, row)| row.value.is_some())
             .map(|(key, _)| key.clone())
             .collect()
@@ -116,7 +140,7 @@
     /// Value of a row.
     pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.state();
-        state.tables.get(table)?.get(key)?.value.clone()
+        state.contents.tables.get(table)?.get(key)?.value.clone()
     }
 
     /// Version of a row; 0 if it is absent or was removed.
@@ -136,10 +160,10 @@
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let version = {
             let mut state = self.state();
-            state.version += 1;
-            let version = state.version;
+            state.contents.version += 1;
+            let version = state.contents.version;
             let row = StoreRow { version, value };
-            let rows = state.tables.entry(table.to_owned()).or_default();
+            let rows = state.contents.tables.entry(table.to_owned()).or_default();
             rows.insert(key.to_owned(), row);
             version
         };
@@ -203,7 +227,7 @@
     fn listing(&self, table: &str, from: &str) -> Response<Full<Bytes>> {
         let from = percent_decode(from);
         let state = self.state();
-        let rows = state.tables.get(table).into_iter().flatten();
+        let rows = state.contents.tables.get(table).into_iter().flatten();
         let mut present = rows
             .filter(|(key, row)| row.value.is_some() && key.as_bytes() >= from.as_slice())
             .peekable();
@@ -217,27 +241,38 @@
             }
         }
         let has_more = present.peek().is_some();
-        page(rows, state.version, has_more)
+        page(rows, state.contents.version, has_more)
     }
 
     async fn feed(&self, table: &str, since: u64, wait: Duration) -> Response<Full<Bytes>> {
         let mut changed = self.changed.subscribe();
+        let restores = self.state().restores;
+        if since > self.state().contents.version {
+            return plain(StatusCode::GONE);
+        }
         let newer = async {
             loop {
-                if !self.rows_after(table, since).0.is_empty() || changed.changed().await.is_err() {
+                let is_restored = self.state().restores != restores;
+                if is_restored
+                    || !self.rows_after(table, since).0.is_empty()
+                    || changed.changed().await.is_err()
+                {
                     return;
                 }
             }
         };
         // Without a change the answer is an empty page.
         let _ = timeout(wait, newer).await;
+        if self.state().restores != restores {
+            return plain(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let (rows, version) = self.rows_after(table, since);
         page(rows, version, false)
     }
 
     fn rows_after(&self, table: &str, since: u64) -> (Vec<Value>, u64) {
         let state = self.state();
-        let rows = state.tables.get(table).into_iter().flatten();
+        let rows = state.contents.tables.get(table).into_iter().flatten();
         let mut newer: Vec<(&String, &StoreRow)> =
             rows.filter(|(_, row)| row.version > since).collect();
         newer.sort_by_key(|(_, row)| row.version);
@@ -245,7 +280,7 @@
             .into_iter()
             .map(|(key, row)| encode(table, key, row))
             .collect();
-        (rows, state.version)
+        (rows, state.contents.version)
     }
 
     fn transact(&self, body: &[u8]) -> Response<Full<Bytes>> {
@@ -268,13 +303,17 @@
         for row in call["remove"].as_array().into_iter().flatten() {
             self.remove(&text(row, "table"), &text(row, "key"));
         }
-        let version = self.state().version;
+        let version = self.state().contents.version;
         json_answer(&json!({"ver": version, "now-ms": 0}))
     }
 }
 
 fn version_in(state: &StoreState, table: &str, key: &str) -> u64 {
-    let row = state.tables.get(table).and_then(|rows| rows.get(key));
+    let row = state
+        .contents
+        .tables
+        .get(table)
+        .and_then(|rows| rows.get(key));
     let present = row.filter(|row| row.value.is_some());
     present.map_or(0, |row| row.version)
 }
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -139,10 +139,11 @@
     #[method(name = "changes")]
     async fn changes(&self, since: u64, read: u64) -> RpcResult<ChangesReply>;
 
-    /// Wait for a desired state in a row after `row`, or for the next confirmation
-    /// that there is none.
+    /// Wait for a desired state after the one with the operator's `number` in row version
+    /// `row`, or for the next confirmation that there is none. Entries of earlier releases
+    /// leave the number out.
     #[method(name = "state")]
-    async fn state(&self, row: u64) -> RpcResult<StateReply>;
+    async fn state(&self, row: u64, number: Option<u64>) -> RpcResult<StateReply>;
 
     /// Take what the other entry knows of crashes, and tell what this one knows.
     #[method(name = "evidence")]
