Read, log and show the era of the store

Nothing told on-call that the store had come back from an older copy: entries logged an outage, and 410 only if their position was gone. The client now reads Store-Era from all answers; one line names the era before and after, and a gauge shows it.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,7 +7,8 @@
 //!   [`desired_state`], [`entry_drain`], [`entry_roster`], [`event_relay`], [`ingress_budget`],
 //!   [`kv_placement`], [`list_relay`], [`prompt_cache`], [`rate_limit`], [`reachability`],
 //!   [`repeat_odds`], [`retry_advice`], [`retry_pool`], [`retry_share`], [`rollout`],
-//!   [`run_evidence`], [`server_registry`], [`state_relay`], [`urgency`] and [`wait_queue`], an
+//!   [`run_evidence`], [`server_registry`], [`state_relay`],
+//!   [`store_position`], [`urgency`] and [`wait_queue`], an
 //!   entry is a process of this program.
 //! - `bamboocross-entry` reaches each server through its agent, a process of
 //!   `bamboocross-agent` beside the server. In the other modules, an entry is a
@@ -48,6 +49,7 @@
 pub mod service_call;
 pub mod serving_config;
 pub mod state_relay;
+pub mod store_position;
 pub mod team_budget;
 pub mod urgency;
 pub mod vm_membership;
--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) repeats_skipped: IntCounter,
     pub(crate) prompt_searches: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) store_era: IntGauge,
     pub(crate) list_updates: IntCounterVec,
     pub(crate) state_updates: IntCounterVec,
     pub(crate) older_states: IntCounter,
@@ -89,6 +90,10 @@
                 "Calls to the platform's store by outcome",
                 "outcome",
             ),
+            store_era: set.gauge(
+                "bamboocross_front_store_era",
+                "Era of the platform's store; rises when it comes back from an older copy",
+            ),
             list_updates: set.counters(
                 "bamboocross_front_list_news_total",
                 "News of the list of servers, by where they came from",
--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -18,6 +18,7 @@
     list_relay::{ChangeLog, ListCursor, RelayRule},
     server_registry::{AdoptionProof, RegisteredServer, ServerRegistry},
     state_relay::StateCursor,
+    store_position::StoreEra,
 };
 use settings::FrontSettings;
 use tokio::{
@@ -63,6 +64,8 @@
     /// What is known of the desired state, for entries that follow this one; `None`
     /// while nobody confirms it.
     pub(crate) state_cursor: watch::Sender<Option<StateCursor>>,
+    /// The store's newest era that was heard of.
+    pub(crate) store_era: watch::Sender<StoreEra>,
     pub(crate) registry: ArcSwap<ServerRegistry>,
     pub(crate) roster: ArcSwap<EntryRoster>,
     /// Changes of the server list, for entries that follow this one.
@@ -112,6 +115,7 @@
             desired: ArcSwapOption::empty(),
             desired_row: ArcSwapOption::empty(),
             state_cursor: watch::Sender::new(None),
+            store_era: watch::Sender::new(StoreEra::default()),
             registry: ArcSwap::default(),
             roster: ArcSwap::default(),
             change_log: ArcSwap::default(),
@@ -154,6 +158,27 @@
         self.server_list_stale.load(Relaxed)
     }
 
+    /// Records that the store, or another entry, named this era. An earlier one than the
+    /// known one comes with a late answer and changes nothing.
+    pub(crate) fn record_era(&self, era: StoreEra) {
+        let mut before = StoreEra::default();
+        let is_later = self.store_era.send_if_modified(|known| {
+            before = *known;
+            *known = era.max(before);
+            before < era
+        });
+        if !is_later {
+            return;
+        }
+        let gauge = i64::try_from(u64::from(era)).unwrap_or(i64::MAX);
+        self.metrics.store_era.set(gauge);
+        if before == StoreEra::default() {
+            log::info!(era:% = era; "store numbers its eras");
+        } else {
+            log::warn!(era:% = era, era_before:% = before; "store came back from an older copy");
+        }
+    }
+
     /// Records that the known desired state was the newest when the store was
     /// queried at `queried_at`.
     pub(crate) fn record_confirmation(&self, queried_at: Instant) {
--- a/crates/front/src/rollout_status.rs
+++ b/crates/front/src/rollout_status.rs
@@ -156,8 +156,7 @@
         },
     ];
     let body = conditional_write_body(&conditions, STATUS_TABLE, write.key, write.value.as_bytes());
-    let store = state.settings.load().store;
-    let written = client.write_if(store, body).await;
+    let written = client.write_if(state, body).await;
     count_call(state, written.as_ref().err());
     written
 }
@@ -167,8 +166,7 @@
     client: &mut StoreClient,
     key: &str,
 ) -> Result<Option<StoreRow>, StoreError> {
-    let store = state.settings.load().store;
-    let listed = client.list(store, STATUS_TABLE).await;
+    let listed = client.list(state, STATUS_TABLE).await;
     count_call(state, listed.as_ref().err());
     Ok(listed?.rows.into_iter().find(|row| row.key == key))
 }
--- a/crates/front/src/store_client.rs
+++ b/crates/front/src/store_client.rs
@@ -6,10 +6,16 @@
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
-use platform::store_call::{RowPage, RowVersion, WRITE_PATH, decode_write, feed_path, rows_path};
+use domain::store_position::StoreEra;
+use platform::store_call::{
+    RowPage, RowVersion, WRITE_PATH, decode_era, decode_write, feed_path, rows_path,
+};
 use tokio::time::{Instant, timeout_at};
 
-use crate::backend_connection::{BackendConnection, RequestBody};
+use crate::{
+    backend_connection::{BackendConnection, RequestBody},
+    front_state::FrontState,
+};
 
 /// Time for a response in addition to the requested hold of a long poll. The store
 /// usually takes a few milliseconds, and a few hundred when it is slow.
@@ -34,6 +40,13 @@
     Conflict,
 }
 
+/// Response of the store, with its whole body.
+struct StoreResponse {
+    status: StatusCode,
+    era: Option<StoreEra>,
+    body: Bytes,
+}
+
 /// Client that keeps one connection and carries one call at a time.
 #[derive(Debug, Default)]
 pub(crate) struct StoreClient {
@@ -44,14 +57,14 @@
     /// Lists all rows of a table.
     pub(crate) async fn list(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         table: &str,
     ) -> Result<RowPage, StoreError> {
         let mut listed: Option<RowPage> = None;
         loop {
             let from = listed.as_ref().and_then(|page| page.last_key.clone());
             let path = rows_path(table, from.as_deref());
-            let mut page = self.read(store, &path, RESPONSE_TIMEOUT).await?;
+            let mut page = self.read(state, &path, RESPONSE_TIMEOUT).await?;
             if page.has_more && page.last_key <= from {
                 log::warn!(table = table; "store listing does not advance");
                 return Err(StoreError::Unreachable);
@@ -74,27 +87,27 @@
     /// `hold` while there are none.
     pub(crate) async fn feed(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         table: &str,
         since: RowVersion,
         hold: Duration,
     ) -> Result<RowPage, StoreError> {
         let hold_ms = u64::try_from(hold.as_millis()).unwrap_or(u64::MAX);
         let path = feed_path(table, since, hold_ms);
-        self.read(store, &path, hold + RESPONSE_TIMEOUT).await
+        self.read(state, &path, hold + RESPONSE_TIMEOUT).await
     }
 
     /// Writes rows. A write without a response may have been applied, or may still
     /// be applied later, so this is only for idempotent writes.
     pub(crate) async fn write(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         body: Vec<u8>,
     ) -> Result<(), StoreError> {
         let request = Request::post(WRITE_PATH)
             .header(header::CONTENT_TYPE, "application/json")
             .body(RequestBody::from(Bytes::from(body)));
-        self.exchange(store, request, RESPONSE_TIMEOUT)
+        self.exchange(state, request, RESPONSE_TIMEOUT)
             .await
             .map(|_| ())
     }
@@ -103,13 +116,13 @@
     /// without a response may have been applied.
     pub(crate) async fn write_if(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         body: Vec<u8>,
     ) -> Result<RowVersion, StoreError> {
         let request = Request::post(WRITE_PATH)
             .header(header::CONTENT_TYPE, "application/json")
             .body(RequestBody::from(Bytes::from(body)));
-        let body = self.exchange(store, request, RESPONSE_TIMEOUT).await?;
+        let body = self.exchange(state, request, RESPONSE_TIMEOUT).await?;
         decode_write(&body).map_err(|error| {
             log::warn!(error:%; "store response cannot be decoded");
             StoreError::Unreachable
@@ -118,12 +131,12 @@
 
     async fn read(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         path: &str,
         timeout: Duration,
     ) -> Result<RowPage, StoreError> {
         let request = Request::get(path).body(RequestBody::default());
-        let body = self.exchange(store, request, timeout).await?;
+        let body = self.exchange(state, request, timeout).await?;
         RowPage::decode(&body).map_err(|error| {
             log::warn!(error:%; "store response cannot be decoded");
             StoreError::Unreachable
@@ -132,10 +145,11 @@
 
     async fn exchange(
         &mut self,
-        store: SocketAddr,
+        state: &FrontState,
         request: http::Result<Request<RequestBody>>,
         timeout: Duration,
     ) -> Result<Bytes, StoreError> {
+        let store = state.settings.load().store;
         let deadline = Instant::now() + timeout;
         let mut request = request.map_err(|_| StoreError::Unreachable)?;
         let host = HeaderValue::from_str(&store.to_string());
@@ -145,7 +159,10 @@
         // A connection with an outstanding response is not reused.
         let (link, response) = sent.unwrap_or(Err(StoreError::Unreachable))?;
         self.link = Some((store, link));
-        let (status, body) = response;
+        let StoreResponse { status, era, body } = response;
+        if let Some(era) = era {
+            state.record_era(era);
+        }
         match status {
             StatusCode::OK => Ok(body),
             StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
@@ -161,7 +178,7 @@
         &mut self,
         store: SocketAddr,
         request: Request<RequestBody>,
-    ) -> Result<(BackendConnection, (StatusCode, Bytes)), StoreError> {
+    ) -> Result<(BackendConnection, StoreResponse), StoreError> {
         let kept = self
             .link
             .take()
@@ -178,10 +195,12 @@
             .await
             .map_err(|_| StoreError::Unreachable)?;
         let status = response.status();
+        let era = decode_era(response.headers());
         let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX)
             .collect()
             .await
             .map_err(|_| StoreError::Unreachable)?;
-        Ok((link, (status, body.to_bytes())))
+        let body = body.to_bytes();
+        Ok((link, StoreResponse { status, era, body }))
     }
 }
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -131,10 +131,9 @@
     since: Option<RowVersion>,
     hold: Duration,
 ) -> Result<RowPage, StoreError> {
-    let store = state.settings.load().store;
     let result = match since {
-        None => client.list(store, table).await,
-        Some(since) => client.feed(store, table, since, hold).await,
+        None => client.list(state, table).await,
+        Some(since) => client.feed(state, table, since, hold).await,
     };
     count_store_call(state, &result);
     if let Ok(page) = &result
--- a/crates/front/src/store_watch/entry_announcer.rs
+++ b/crates/front/src/store_watch/entry_announcer.rs
@@ -37,7 +37,7 @@
         };
         let value = json!(EntryMessage::from(&record)).to_string();
         let body = write_body(ENTRY_TABLE, &settings.name, value.as_bytes());
-        if let Err(error) = client.write(settings.store, body).await {
+        if let Err(error) = client.write(&state, body).await {
             log::info!(reason:% = error; "could not announce this entry");
         }
         let mut is_listed = list_entries(&state, &mut client).await;
@@ -62,8 +62,7 @@
 
 /// Lists the announcements of all entries. Returns whether the store answered.
 async fn list_entries(state: &FrontState, client: &mut StoreClient) -> bool {
-    let store = state.settings.load().store;
-    let listed = client.list(store, ENTRY_TABLE).await;
+    let listed = client.list(state, ENTRY_TABLE).await;
     count_store_call(state, &listed);
     let Ok(page) = listed else {
         return false;
