Keep servers that an older copy lacks until they can register again

A server that registered within the time that the store lost is missing from the first listing of the new era. Its two seconds of grace began with a failed call to the store only, so where none had failed (a short return, an entry that follows another one) the server was dropped at once, and callers got 503 if it was the last of its service. The registry now knows the era of its listings, and a later one begins the grace. A complete list from another entry marks leaving servers like changes do.

server_missing_in_a_new_era_is_kept_for_the_reregistration_grace fails without the rule.

--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -13,10 +13,11 @@
 use super::RegisteredServer;
 use crate::{
     FailureDomain, ServerName, ServerVersion, ServiceName, boot_instant::BootInstant,
-    kv_placement::ServerSpeed, reachability::is_reachable,
+    kv_placement::ServerSpeed, reachability::is_reachable, store_position::StoreEra,
 };
 
-/// Time within which running servers register again after a store outage.
+/// Time within which running servers register again after the store was away or came
+/// back from an older copy.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
 /// Maximum number of leaving instances that are remembered after their removal:
@@ -141,6 +142,8 @@
     address_holders: HashMap<SocketAddr, ServerName>,
     removal_deadlines: HashMap<ServerName, Instant>,
     store_recovered_at: Option<Instant>,
+    /// Era of the store that the last listing is of; `None` before the first one.
+    era: Option<StoreEra>,
     /// Removed instances that had announced that they are leaving, the oldest first.
     /// A registration that returns meets its mark again.
     departed: VecDeque<Arc<RegisteredServer>>,
@@ -245,6 +248,16 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Records that the next listing is of this era of the store. In a later era than the
+    /// one before, servers that registered within the lost time are missing until they
+    /// register again.
+    pub fn begin_era(&mut self, era: StoreEra, now: Instant) {
+        if self.era.is_some_and(|before| before != era) {
+            self.store_recovered_at = Some(now);
+        }
+        self.era = Some(era);
+    }
+
     /// Replaces the contents by a complete listing.
     pub fn replace(&mut self, records: &[ServerRecord], now: Instant) {
         let listed: HashSet<&ServerName> = records.iter().map(|record| &record.instance).collect();
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -81,6 +81,28 @@
     check(&registry, &["i2"]);
 }
 
+/// A server that registered within the time that the store lost was dropped at once where
+/// no call to the store had failed, though it registers again within two seconds.
+#[tokio::test(start_paused = true)]
+async fn server_missing_in_a_new_era_is_kept_for_the_reregistration_grace() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.begin_era(1.into(), now);
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    let returned_at = now + Duration::from_secs(60);
+    registry.begin_era(2.into(), returned_at);
+    registry.replace(&[record("i1", 1, 5)], returned_at);
+    check(&registry, &["i1", "i2"]);
+    registry.apply(&[], returned_at + Duration::from_millis(1_999));
+    check(&registry, &["i1", "i2"]);
+    registry.apply(&[], returned_at + Duration::from_secs(2));
+    check(&registry, &["i1"]);
+    // A listing of the same era gives no further grace.
+    registry.begin_era(2.into(), returned_at + Duration::from_secs(9));
+    registry.replace(&[], returned_at + Duration::from_secs(9));
+    check(&registry, &[]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn server_missing_from_a_listing_after_the_grace_is_removed_at_once() {
     let now = Instant::now();
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -106,7 +106,12 @@
         let records: Vec<ServerRecord> = changes.iter().filter_map(present).collect();
         let log = ChangeLog::new(update.position, self.newest_row().version, &records);
         state.change_log.store(Arc::new(log));
-        update_registry(state, |registry, now| registry.replace(&records, now));
+        let era = update.position.era;
+        update_registry(state, |registry, now| {
+            registry.begin_era(era, now);
+            registry.replace(&records, now);
+        });
+        mark_leaving(state, &update.changes.leaving);
         state.mark_servers_listed();
         self.publish_cursor(state);
     }
