Do not use a draining server again in the same lifetime

A store that comes back from an older copy may hold the registration that a server had before it was draining. The entry took it as ready again and sent requests to a server that was about to leave. Draining is now final for an instance until it starts again.

draining_server_is_not_ready_again_in_its_lifetime failed before.

--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -327,7 +327,7 @@
         true
     }
 
-    fn insert_unless_older(&mut self, record: ServerRecord) {
+    fn insert_unless_older(&mut self, mut record: ServerRecord) {
         if let Some(known) = self.servers_by_name.get(&record.instance)
             && record.started_ms != STARTED_MS_UNKNOWN
             && record.started_ms < known.record().started_ms
@@ -335,6 +335,13 @@
             // A late registration of the instance's earlier start.
             return;
         }
+        if let Some(known) = self.servers_by_name.get(&record.instance)
+            && known.record().started_ms == record.started_ms
+            && known.record().state == ServerState::Draining
+        {
+            // Draining is final; a store that came back may hold an older registration.
+            record.state = ServerState::Draining;
+        }
         self.removal_deadlines.remove(&record.instance);
         // A server that moved no longer holds its old address.
         if let Some(known) = self.servers_by_name.get(&record.instance) {
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -103,6 +103,24 @@
     check(&registry, &[]);
 }
 
+/// A draining server got requests again because the store came back with an older
+/// registration of it.
+#[tokio::test(start_paused = true)]
+async fn draining_server_is_not_ready_again_in_its_lifetime() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.begin_era(1.into(), now);
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    let mut draining = record("i1", 1, 5);
+    draining.state = ServerState::Draining;
+    registry.apply(&[present(draining)], now);
+    registry.begin_era(2.into(), now);
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    check(&registry, &["i2"]);
+    registry.apply(&[present(record("i1", 1, 6))], now);
+    check(&registry, &["i1", "i2"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn server_missing_from_a_listing_after_the_grace_is_removed_at_once() {
     let now = Instant::now();
