Hold back registrations of servers that had left before the store came back

A server whose registration was removed is listed again by an older copy, until the store removes it once more after three check-in intervals. Entries sent requests there. The registry remembers for two minutes what it removed; in a new era a registration of the same start is held back for 6 s and used only if the store still lists it then. A server that started again is another instance and is used at once.

removed_server_is_held_back_when_an_older_copy_lists_it fails without the time of doubt; held_back_server_that_is_removed_again_is_not_used covers the other end of it.

--- a/crates/domain/src/server_registry.rs
+++ b/crates/domain/src/server_registry.rs
@@ -8,7 +8,9 @@
 //! An instance whose registration disappears is removed at once, except after
 //! an outage of the store. Registrations expire during an outage although the
 //! servers are running, so they are kept until the servers have had time to
-//! register again.
+//! register again. A store that comes back from an older copy may also list instances
+//! that had been removed; their registrations are held back until it has had the time to
+//! remove those that are gone.
 //!
 //! A server that answers under another name than the registered one shows that its
 //! address has a new holder. The registered instance is then marked as superseded,
@@ -25,6 +27,7 @@
 
 mod registered_server;
 mod registry_state;
+mod removal_memory;
 
 pub use registered_server::{
     PAUSE_MAX, RegisteredServer, SendBlock, ServerNotice, ServerStats, WorkGuard, WorkSize,
--- a/crates/domain/src/server_registry/registry_state.rs
+++ b/crates/domain/src/server_registry/registry_state.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error};
 use tokio::time::Instant;
 
-use super::RegisteredServer;
+use super::{RegisteredServer, removal_memory::RemovalMemory};
 use crate::{
     FailureDomain, ServerName, ServerVersion, ServiceName, boot_instant::BootInstant,
     kv_placement::ServerSpeed, reachability::is_reachable, store_position::StoreEra,
@@ -144,6 +144,7 @@
     store_recovered_at: Option<Instant>,
     /// Era of the store that the last listing is of; `None` before the first one.
     era: Option<StoreEra>,
+    removals: RemovalMemory,
     /// Removed instances that had announced that they are leaving, the oldest first.
     /// A registration that returns meets its mark again.
     departed: VecDeque<Arc<RegisteredServer>>,
@@ -191,11 +192,14 @@
                         .get(&record.instance)
                         .is_none_or(|server| server.record() != record)
             }
-            RegistryChange::Absent(name) => self.servers_by_name.contains_key(name),
+            RegistryChange::Absent(name) => {
+                self.servers_by_name.contains_key(name) || self.removals.is_held(name)
+            }
         };
         self.removal_deadlines
             .values()
             .any(|deadline| *deadline <= now)
+            || self.removals.is_release_due(now)
             || changes.iter().any(has_effect)
     }
 
@@ -250,10 +254,12 @@
 
     /// Records that the next listing is of this era of the store. In a later era than the
     /// one before, servers that registered within the lost time are missing until they
-    /// register again.
+    /// register again, and servers that left within it are listed until the store removes
+    /// them again.
     pub fn begin_era(&mut self, era: StoreEra, now: Instant) {
         if self.era.is_some_and(|before| before != era) {
             self.store_recovered_at = Some(now);
+            self.removals.begin_era(now);
         }
         self.era = Some(era);
     }
@@ -261,10 +267,11 @@
     /// Replaces the contents by a complete listing.
     pub fn replace(&mut self, records: &[ServerRecord], now: Instant) {
         let listed: HashSet<&ServerName> = records.iter().map(|record| &record.instance).collect();
-        let missing = self
+        let known = self
             .servers_by_name
             .keys()
-            .filter(|name| !listed.contains(name));
+            .chain(self.removals.held_names());
+        let missing = known.filter(|name| !listed.contains(name));
         let changes: Vec<RegistryChange> = missing
             .cloned()
             .map(RegistryChange::Absent)
@@ -276,10 +283,17 @@
     /// Applies changes in order, then removes absent instances whose grace period
     /// has ended. Without changes, it does only the latter.
     pub fn apply(&mut self, changes: &[RegistryChange], now: Instant) {
+        for record in self.removals.release(now) {
+            self.insert_unless_older(record);
+        }
         for change in changes {
             match change {
+                RegistryChange::Present(record) if self.removals.holds_back(record, now) => {}
                 RegistryChange::Present(record) => self.insert_unless_older(record.clone()),
-                RegistryChange::Absent(name) => self.mark_absent(name.clone(), now),
+                RegistryChange::Absent(name) => {
+                    self.removals.forget_held(name);
+                    self.mark_absent(name.clone(), now);
+                }
             }
         }
         let is_expired = |deadline: &Instant| *deadline <= now;
@@ -289,11 +303,20 @@
             .map(|(name, _)| name)
             .collect();
         for name in expired {
+            if let Some(server) = self.servers_by_name.get(&name) {
+                self.removals.record(server.record().clone(), now);
+            }
             self.remove_server(&name);
         }
         self.rebuild();
     }
 
+    /// Number of listed instances that are not used because they were removed before the
+    /// store came back.
+    pub fn held_back(&self) -> usize {
+        self.removals.held_names().count()
+    }
+
     /// Adds `instance`, which answered at the address of `old`, if `proof` shows
     /// that it provides the same service. It replaces the current holder of that
     /// address and stays until a listing omits it or a change removes it. Returns
--- a/crates/domain/tests/server_registry.rs
+++ b/crates/domain/tests/server_registry.rs
@@ -121,6 +121,67 @@
     check(&registry, &["i1", "i2"]);
 }
 
+/// Servers that had left got requests again because the store came back with their
+/// registrations.
+#[tokio::test(start_paused = true)]
+async fn removed_server_is_held_back_when_an_older_copy_lists_it() {
+    let now = Instant::now();
+    let seconds = |seconds| now + Duration::from_secs(seconds);
+    let mut registry = ServerRegistry::default();
+    registry.begin_era(1.into(), now);
+    let names = [("i1", 1), ("i2", 2), ("i3", 3), ("i4", 4)];
+    let mut listed: Vec<ServerRecord> = names.map(|(name, port)| record(name, port, 5)).into();
+    registry.replace(&listed, now);
+    let mut draining = record("i3", 3, 5);
+    draining.state = ServerState::Draining;
+    registry.apply(&[present(draining)], now);
+    registry.apply(&[absent("i2"), absent("i3"), absent("i4")], now);
+    check(&registry, &["i1"]);
+    registry.begin_era(2.into(), seconds(10));
+    registry.replace(&listed, seconds(10));
+    check(&registry, &["i1"]);
+    assert_eq!(registry.held_back(), 3);
+    // A server that started again is another instance.
+    registry.apply(&[present(record("i4", 4, 9))], seconds(11));
+    check(&registry, &["i1", "i4"]);
+    // Listed again, and without the one that the store has removed meanwhile.
+    listed.retain(|record| record.instance.as_str() != "i4");
+    listed.push(record("i4", 4, 9));
+    registry.replace(&listed, seconds(12));
+    check(&registry, &["i1", "i4"]);
+    assert!(!registry.is_changed_by(&[], seconds(15)));
+    assert!(registry.is_changed_by(&[], seconds(16)));
+    registry.apply(&[], seconds(16));
+    // The one that had been draining is listed, but gets nothing.
+    check(&registry, &["i1", "i2", "i4"]);
+    assert!(registry.contains(&ServerName::from("i3")));
+}
+
+/// A server whose registration came back with an older copy and is removed again was gone.
+#[rstest]
+#[case::by_a_change(false)]
+#[case::by_a_listing(true)]
+#[tokio::test(start_paused = true)]
+async fn held_back_server_that_is_removed_again_is_not_used(#[case] by_listing: bool) {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.begin_era(1.into(), now);
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    registry.apply(&[absent("i2")], now);
+    registry.begin_era(2.into(), now);
+    registry.replace(&[record("i1", 1, 5), record("i2", 2, 5)], now);
+    let later = now + Duration::from_secs(4);
+    if by_listing {
+        registry.replace(&[record("i1", 1, 5)], later);
+    } else {
+        assert!(registry.is_changed_by(&[absent("i2")], later));
+        registry.apply(&[absent("i2")], later);
+    }
+    assert_eq!(registry.held_back(), 0);
+    registry.apply(&[], now + Duration::from_secs(20));
+    check(&registry, &["i1"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn server_missing_from_a_listing_after_the_grace_is_removed_at_once() {
     let now = Instant::now();
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -112,6 +112,10 @@
             registry.replace(&records, now);
         });
         mark_leaving(state, &update.changes.leaving);
+        let held_back = state.registry.load().held_back();
+        if held_back > 0 {
+            log::info!(servers = held_back; "listed servers not used: they had left before the store came back");
+        }
         state.mark_servers_listed();
         self.publish_cursor(state);
     }
