Take an older desired state for no confirmation of the one in force

After a return from an older copy the store shows an older desired state until the operator has written its newest one again. An entry counted that as a confirmation that there is none after the one in force, and answered 404 and 401 for good to requests that a lost version may allow, for as long as the operator took. Now nothing is confirmed until the store shows a version of at least that number: requests on known routes are served, and denials turn into 503 with Retry-After once the last confirmation is too old. Entries that follow are not told a confirmation either and read the store.

older_desired_state_confirms_nothing failed before.

--- a/crates/domain/src/desired_state/accepted_state.rs
+++ b/crates/domain/src/desired_state/accepted_state.rs
@@ -23,6 +23,14 @@
     pub row: StorePosition,
 }
 
+impl StateVersion {
+    /// Whether a store that shows this version confirms that there is none after `known`.
+    /// One that came back from an older copy does not.
+    pub fn confirms(self, known: Self) -> bool {
+        self.number >= known.number
+    }
+}
+
 /// A team and its API keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamSpec {
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -71,11 +71,11 @@
         since: Option<StorePosition>,
     ) -> impl Future<Output = Result<TableUpdate<Self::Changes>, StoreError>> + Send;
     /// Applies a complete listing.
-    fn apply_listing(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>);
+    fn apply_listing(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>);
     /// Applies changes since the last poll.
-    fn apply_changes(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>);
+    fn apply_changes(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>);
     /// Called after a successful poll of what the store held at `observed_at`.
-    fn record_confirmation(&self, state: &FrontState, observed_at: Instant);
+    fn record_confirmation(&mut self, state: &FrontState, observed_at: Instant);
     /// Called at the first failed poll.
     fn on_store_lost(&self, state: &FrontState);
     /// Called at the first successful poll after failed ones.
--- a/crates/front/src/store_watch/server_table.rs
+++ b/crates/front/src/store_watch/server_table.rs
@@ -97,7 +97,7 @@
         })
     }
 
-    fn apply_listing(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
+    fn apply_listing(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
         let present = |change: &RegistryChange| match change {
             RegistryChange::Present(record) => Some(record.clone()),
             RegistryChange::Absent(_) => None,
@@ -120,7 +120,7 @@
         self.publish_cursor(state);
     }
 
-    fn apply_changes(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
+    fn apply_changes(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
         let log = state.change_log.load();
         let ListChanges {
             registry: seen,
@@ -139,7 +139,7 @@
         self.publish_cursor(state);
     }
 
-    fn record_confirmation(&self, _state: &FrontState, _observed_at: Instant) {}
+    fn record_confirmation(&mut self, _state: &FrontState, _observed_at: Instant) {}
 
     fn on_store_lost(&self, state: &FrontState) {
         state.set_server_list_stale(true);
--- a/crates/front/src/store_watch/state_table.rs
+++ b/crates/front/src/store_watch/state_table.rs
@@ -31,6 +31,9 @@
     peers: PeerClient,
     /// Time of the last confirmation of the version in force.
     confirmed_at: Option<Instant>,
+    /// Whether the store holds an older version than the one in force, since it came back
+    /// from an older copy. It then confirms nothing.
+    is_behind: bool,
 }
 
 /// One update of the desired state.
@@ -78,7 +81,6 @@
                 };
                 let observed_at = queried_at + held;
                 let statuses = self.read_statuses(state, since, &page.rows).await?;
-                self.confirmed_at = Some(observed_at);
                 Ok(TableUpdate {
                     position: page.position,
                     is_complete: since.is_none(),
@@ -96,15 +98,22 @@
         }
     }
 
-    fn apply_listing(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
-        apply_update(state, update.changes, OrderOrigin::Found);
+    fn apply_listing(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
+        // A listing without a desired state is behind any that is in force.
+        self.is_behind = state.desired.load().is_some();
+        self.apply_update(state, update.changes, OrderOrigin::Found);
     }
 
-    fn apply_changes(&self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
-        apply_update(state, update.changes, OrderOrigin::Announced);
+    fn apply_changes(&mut self, state: &Arc<FrontState>, update: TableUpdate<Self::Changes>) {
+        self.apply_update(state, update.changes, OrderOrigin::Announced);
     }
 
-    fn record_confirmation(&self, state: &FrontState, observed_at: Instant) {
+    fn record_confirmation(&mut self, state: &FrontState, observed_at: Instant) {
+        if self.is_behind {
+            state.state_cursor.send_replace(None);
+            return;
+        }
+        self.confirmed_at = Some(observed_at);
         state.record_confirmation(observed_at);
         // Published after the version is in force, so that followers get its row.
         state.state_cursor.send_replace(self.known(state));
@@ -157,7 +166,7 @@
         source: &str,
     ) -> TableUpdate<StateChanges> {
         let cursor = update.cursor;
-        self.confirmed_at = Some(cursor.confirmed_at);
+        self.is_behind = false;
         state
             .metrics
             .state_updates
@@ -171,50 +180,64 @@
             changes: StateChanges::Relayed(update.newer, update.orders),
         }
     }
-}
 
-fn apply_update(state: &Arc<FrontState>, changes: StateChanges, origin: OrderOrigin) {
-    let (rows, statuses, is_relayed) = match changes {
-        StateChanges::Rows(rows, statuses) => (rows, statuses, false),
-        StateChanges::Relayed(newer, orders) => {
-            if let Some((desired, value)) = newer {
-                apply_state(state, *desired, value);
+    fn apply_update(
+        &mut self,
+        state: &Arc<FrontState>,
+        changes: StateChanges,
+        origin: OrderOrigin,
+    ) {
+        let (rows, statuses, is_relayed) = match changes {
+            StateChanges::Rows(rows, statuses) => (rows, statuses, false),
+            StateChanges::Relayed(newer, orders) => {
+                if let Some((desired, value)) = newer {
+                    apply_state(state, *desired, value);
+                }
+                (orders, Vec::new(), true)
+            }
+        };
+        for row in rows {
+            if row.key == DESIRED_STATE_KEY {
+                self.apply_row(state, row);
+            } else if order_service(&row.key).is_some() {
+                let status = statuses.iter().find(|status| status.key == row.key);
+                let status = status.cloned();
+                state.rollouts.offer_row(&OrderRow {
+                    row,
+                    origin,
+                    status,
+                    is_relayed,
+                });
             }
-            (orders, Vec::new(), true)
-        }
-    };
-    for row in rows {
-        if row.key == DESIRED_STATE_KEY {
-            apply_row(state, row);
-        } else if order_service(&row.key).is_some() {
-            let status = statuses.iter().find(|status| status.key == row.key);
-            let status = status.cloned();
-            state.rollouts.offer_row(&OrderRow {
-                row,
-                origin,
-                status,
-                is_relayed,
-            });
         }
     }
-}
 
-fn apply_row(state: &Arc<FrontState>, row: StoreRow) {
-    let Some(value) = row.value else {
-        log::warn!("desired state was removed from the store; the last version stays in force");
-        return;
-    };
-    let decoded = decode_desired_state(&value, row.version);
-    match (decoded, String::from_utf8(value)) {
-        (Ok(desired), Ok(value)) => apply_state(state, desired, value),
-        (Err(error), _) => {
-            count_odd_rows(state, OPERATOR_TABLE, 1);
-            log::error!(error:%; "desired state cannot be decoded");
-            report_error(state, row.version, error.to_string());
-        }
-        (Ok(_), Err(error)) => {
-            log::error!(error:%; "desired state is not text");
-            report_error(state, row.version, error.to_string());
+    fn apply_row(&mut self, state: &Arc<FrontState>, row: StoreRow) {
+        let Some(value) = row.value else {
+            log::warn!("desired state was removed from the store; the last version stays in force");
+            return;
+        };
+        let decoded = decode_desired_state(&value, row.version);
+        match (decoded, String::from_utf8(value)) {
+            (Ok(desired), Ok(value)) => {
+                let current = state.desired.load();
+                let shown = desired.version();
+                self.is_behind = current
+                    .as_ref()
+                    .is_some_and(|current| !shown.confirms(current.version()));
+                apply_state(state, desired, value);
+            }
+            (Err(error), _) => {
+                self.is_behind = false;
+                count_odd_rows(state, OPERATOR_TABLE, 1);
+                log::error!(error:%; "desired state cannot be decoded");
+                report_error(state, row.version, error.to_string());
+            }
+            (Ok(_), Err(error)) => {
+                self.is_behind = false;
+                log::error!(error:%; "desired state is not text");
+                report_error(state, row.version, error.to_string());
+            }
         }
     }
 }
--- a/crates/front/tests/site/restored.rs
+++ b/crates/front/tests/site/restored.rs
@@ -101,3 +101,20 @@
     wait_for_status(&site, "/seen/1", StatusCode::OK).await;
     assert_eq!(site.metric("bamboocross_front_store_era").await, 0.0);
 }
+
+/// An older desired state was taken for a confirmation that there is none after the one in
+/// force, so that requests were denied for good that a lost version may allow.
+#[tokio::test]
+async fn older_desired_state_confirms_nothing() {
+    let worker = start_worker("i1").await;
+    let site = TestSite::start(&[(DESK, &worker, "a")]).await;
+    let copy = site.store.copy();
+    put_desired_state(&site.store, 4, "/seen/");
+    wait_for_status(&site, "/seen/1", StatusCode::OK).await;
+    wait_for_status(&site, "/none/1", StatusCode::NOT_FOUND).await;
+    site.store.restore(copy);
+    wait_for_status(&site, "/none/1", StatusCode::SERVICE_UNAVAILABLE).await;
+    assert_eq!(site.call("/seen/1", "r").await.status, StatusCode::OK);
+    put_desired_state(&site.store, 4, "/seen/");
+    wait_for_status(&site, "/none/1", StatusCode::NOT_FOUND).await;
+}
