Announce entries again after a return of the store

Entries that had announced themselves within the lost time were missing from the store for up to 30 s. The others counted too few, spent too large shares of common budgets, and did not follow them. An entry that hears of a new era announces itself again, spread over 2 s so that the writes stay below the rate of the store, and lists the others as after a start; the roster keeps entries that a listing of the new era lacks for 5 s.

--- a/crates/domain/src/entry_roster.rs
+++ b/crates/domain/src/entry_roster.rs
@@ -6,12 +6,16 @@
 //! the others have not listed yet makes the total exceed the budget by about one
 //! share. The rows also hold the addresses at which entries answer queries that
 //! would otherwise go to the store.
+//!
+//! A store that comes back from an older copy lacks the entries that announced themselves
+//! within the lost time. They are kept until they have had the time to announce
+//! themselves again, so that nobody takes their shares meanwhile.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tokio::time::Instant;
 
-use crate::FailureDomain;
+use crate::{FailureDomain, store_position::StoreEra};
 
 /// Number of running entries assumed before the first listing: more than the
 /// largest known deployment runs, so that shares start too small rather than too large.
@@ -48,6 +52,10 @@
 /// [`LISTING_GAP_MAX`].
 const SETTLE_TIME: Duration = Duration::from_secs(40);
 
+/// Time within which entries announce themselves again after the store came back from an
+/// older copy: the spread of these announcements, and a repeat of a failed one.
+const RETURN_TIME: Duration = Duration::from_secs(5);
+
 #[derive(Clone, Debug)]
 struct KnownEntry {
     version: u64,
@@ -62,12 +70,24 @@
 pub struct EntryRoster {
     rows: BTreeMap<Box<str>, KnownEntry>,
     listed_at: Option<Instant>,
+    /// Era of the store that the last listing is of.
+    era: Option<StoreEra>,
+    /// Time until which entries that a listing lacks are kept.
+    kept_until: Option<Instant>,
 }
 
 impl EntryRoster {
+    /// Records that the next listing is of this era of the store.
+    pub fn begin_era(&mut self, era: StoreEra, now: Instant) {
+        if self.era.is_some_and(|before| before != era) {
+            self.kept_until = Some(now + RETURN_TIME);
+        }
+        self.era = Some(era);
+    }
+
     /// Replaces the rows by a complete listing.
     pub fn replace<'a>(&mut self, rows: impl Iterator<Item = EntryRow<'a>>, now: Instant) {
-        let previous = std::mem::take(&mut self.rows);
+        let mut previous = std::mem::take(&mut self.rows);
         let is_unbroken = self.is_recently_listed(now);
         self.rows = rows
             .map(|row| {
@@ -89,6 +109,10 @@
             })
             .collect();
         self.listed_at = Some(now);
+        if self.kept_until.is_some_and(|until| now < until) {
+            previous.retain(|name, _| !self.rows.contains_key(name));
+            self.rows.append(&mut previous);
+        }
     }
 
     /// Whether the entries were listed once.
--- a/crates/domain/tests/entry_life.rs
+++ b/crates/domain/tests/entry_life.rs
@@ -170,6 +170,26 @@
     assert_eq!(roster.count(life, last), 1, "e2 no longer announces itself");
 }
 
+/// Entries that had announced themselves within the lost time vanished from the roster, and
+/// the others took their shares of common budgets.
+#[tokio::test(start_paused = true)]
+async fn roster_keeps_entries_that_an_older_copy_lacks() {
+    let life = Duration::from_secs(60);
+    let now = Instant::now();
+    let mut roster = EntryRoster::default();
+    roster.begin_era(1.into(), now);
+    roster.replace(rows(&[("e1", 1), ("e2", 2), ("e3", 3)]), now);
+    let returned_at = now + Duration::from_secs(20);
+    roster.begin_era(2.into(), returned_at);
+    roster.replace(rows(&[("e1", 1)]), returned_at);
+    assert_eq!(roster.count(life, returned_at), 3);
+    // Only one of them announces itself again.
+    let later = returned_at + Duration::from_secs(5);
+    roster.begin_era(2.into(), later);
+    roster.replace(rows(&[("e1", 4), ("e2", 5)]), later);
+    assert_eq!(roster.count(life, later), 2);
+}
+
 /// In a domain of any size no entry is followed by more than the limit, every entry
 /// but the first follows one, and every chain ends at the first.
 #[rstest]
--- a/crates/front/src/store_watch/entry_announcer.rs
+++ b/crates/front/src/store_watch/entry_announcer.rs
@@ -18,18 +18,23 @@
 /// Longest time between two announcements, which jitter shortens: a third of
 /// [`ENTRY_LIFETIME`](crate::front_state::ENTRY_LIFETIME).
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(30);
-/// Time after its start in which an entry lists the others again. Entries that started
-/// at the same time have announced themselves by then.
+/// Time after its start, or after a return of the store, in which an entry lists the
+/// others again. Entries that announced themselves for the same reason have done so by then.
 const FIRST_PERIOD: Duration = Duration::from_secs(3);
+/// Time over which the entries spread their announcements after the store came back from
+/// an older copy: 185 writes a second for 370 entries.
+const RETURN_SPREAD: Duration = Duration::from_secs(2);
 
 /// Announces this entry and lists the others, whose number determines each entry's
-/// share of common budgets.
+/// share of common budgets. A store that comes back from an older copy may have lost the
+/// announcement, so it is repeated then.
 pub(super) async fn announce(state: Arc<FrontState>) {
     let mut client = StoreClient::default();
     let mut is_first = true;
     // Before this entry announces itself, its row can only be a predecessor's.
     list_entries(&state, &mut client).await;
     loop {
+        let era = state.era();
         let settings = state.settings.load_full();
         let record = EntryRecord {
             domain: settings.domain.clone(),
@@ -52,7 +57,14 @@
         } else {
             ANNOUNCE_PERIOD / 8
         };
-        sleep(jitter(period)).await;
+        let return_delay = RETURN_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        tokio::select! {
+            () = sleep(jitter(period)) => {}
+            () = state.era_after(era) => {
+                sleep(return_delay).await;
+                is_first = true;
+            }
+        }
     }
 }
 
@@ -75,6 +87,7 @@
     }
     let mut roster = EntryRoster::clone(&state.roster.load());
     let was_listed = roster.is_listed();
+    roster.begin_era(page.position.era, Instant::now());
     roster.replace(rows.into_iter(), Instant::now());
     if !was_listed && roster.has_row(&state.settings.load().name) {
         state.retries.slack().note_predecessor();
--- a/crates/front/tests/site/restored.rs
+++ b/crates/front/tests/site/restored.rs
@@ -1,9 +1,10 @@
 //! A store that comes back from an older copy of itself and gives out versions again.
 
-use std::process::Stdio;
+use std::{process::Stdio, time::Duration};
 
 use http::StatusCode;
 use stand_ins::{RowStore, ScriptedWorker, StoreMode};
+use tokio::time::sleep;
 
 use crate::support::{DESK, TestSite, desired_state, put_desired_state, wait_for, wait_for_status};
 
@@ -118,3 +119,25 @@
     put_desired_state(&site.store, 4, "/seen/");
     wait_for_status(&site, "/none/1", StatusCode::NOT_FOUND).await;
 }
+
+/// The row with which an entry announces itself was lost, and written again only half a
+/// minute later; until then the others counted one entry too few.
+#[tokio::test]
+async fn entry_announces_itself_again() {
+    let store = RowStore::start().await.expect("a port");
+    store.put("op", "config", desired_state(1).to_string().as_bytes());
+    let copy = store.copy();
+    let site = TestSite::start_with(store, Stdio::null());
+    site.wait_ready().await;
+    let is_announced = async || site.store.keys("entries") == ["front-1"];
+    wait_for("the announcement", is_announced).await;
+    site.store.restore(copy);
+    assert!(site.store.keys("entries").is_empty());
+    for _ in 0..2_000 {
+        if is_announced().await {
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the entry did not announce itself within 20 s");
+}
