Keep orders to roll out across a return of the store

An order was identified by its row's version alone. After a return from an older copy the operator writes it again: in a higher row it began anew, so that the new version got the allowance of a trial twice; in a lower one it was ignored, so that the condition of the status row never held and the operator got no outcome. A replaced order that the copy still had would have been put in force again with an era alone.

An order is now identified by the position of its row. One with the same terms in a later era is the same order under another identity; its allowance, phase and evidence stay, and its state is written again, also where the store came back with an earlier state. A row that held an order which was replaced since is not put in force. Status rows are written only once the order was read in the present era.

--- a/crates/domain/src/rollout/rollout_book.rs
+++ b/crates/domain/src/rollout/rollout_book.rs
@@ -10,6 +10,9 @@
 /// Largest number of services with an order.
 pub const SERVICES_MAX: usize = 64;
 
+/// Largest number of replaced orders of a service that are remembered.
+const EARLIER_MAX: usize = 8;
+
 /// A service's order in force, and what earlier orders left behind.
 #[derive(Clone, Debug)]
 pub struct ServiceEntry {
@@ -21,6 +24,8 @@
     /// Versions to which earlier orders moved the traffic. An entry that was not told so
     /// before the next order came takes them for barred.
     pub established: BTreeSet<ServerVersion>,
+    /// Orders that were replaced, the last one last. The store may come back with them.
+    earlier: Vec<RolloutOrder>,
 }
 
 /// The orders in force.
@@ -83,6 +88,17 @@
 }
 
 impl RolloutBook {
+    /// Keeps an order in force that the operator wrote again after the store came back from
+    /// an older copy, under its new identity. Returns whether `order` is such a one.
+    pub fn renew(&mut self, order: &RolloutOrder) -> bool {
+        let known = self.services.get_mut(&order.service);
+        let Some(known) = known.filter(|known| order.renews(known.rollout.order())) else {
+            return false;
+        };
+        known.rollout.renew(order.id);
+        true
+    }
+
     /// Puts an order in force that is newer than the known one of its service. `ready`
     /// are the versions of the service's ready servers. Returns whether it is newer.
     ///
@@ -98,9 +114,14 @@
     ) -> bool {
         let service = order.service.clone();
         let known = self.services.get(&service);
-        if known.is_some_and(|known| known.rollout.order().id >= order.id)
-            || (known.is_none() && self.services.len() >= SERVICES_MAX)
-        {
+        let is_older = |known: &ServiceEntry| {
+            !order.follows(known.rollout.order())
+                || known
+                    .earlier
+                    .iter()
+                    .any(|earlier| order.is_copy_of(earlier))
+        };
+        if known.is_some_and(is_older) || (known.is_none() && self.services.len() >= SERVICES_MAX) {
             return false;
         }
         let before = self.services.remove(&service);
@@ -117,8 +138,14 @@
             rollout,
             barred: BTreeSet::new(),
             established: BTreeSet::new(),
+            earlier: Vec::new(),
         };
-        if let Some(before) = before {
+        if let Some(mut before) = before {
+            entry.earlier = std::mem::take(&mut before.earlier);
+            if entry.earlier.len() >= EARLIER_MAX {
+                entry.earlier.remove(0);
+            }
+            entry.earlier.push(before.rollout.order().clone());
             entry.establish(before.established);
             let last = Some(before.rollout.order().to.clone());
             if before.rollout.phase().is_moved() {
--- a/crates/domain/src/rollout/service_rollout.rs
+++ b/crates/domain/src/rollout/service_rollout.rs
@@ -136,6 +136,13 @@
         rollout
     }
 
+    /// Gives the order the identity under which it was written again. The store may have
+    /// lost its state as well.
+    pub(super) fn renew(&mut self, id: OrderId) {
+        self.order.id = id;
+        self.status_row = None;
+    }
+
     /// The order.
     pub fn order(&self) -> &RolloutOrder {
         &self.order
@@ -274,6 +281,8 @@
             RolloutPhase::Trial | RolloutPhase::Moving if self.status_row.is_none() => {
                 Some(StatusState::Running)
             }
+            RolloutPhase::Finished if self.status_row.is_none() => Some(StatusState::Finished),
+            RolloutPhase::Reverted if self.status_row.is_none() => Some(StatusState::Reverted),
             _ => None,
         }
     }
@@ -300,8 +309,13 @@
         if order != self.order.id {
             return None;
         }
+        let found = RolloutPhase::from(state);
+        if self.phase.is_settled() && found < self.phase {
+            // The store came back with an earlier state; the outcome is written again.
+            return None;
+        }
         self.status_row = self.status_row.max(Some(row));
-        self.adopt_phase(RolloutPhase::from(state))
+        self.adopt_phase(found)
     }
 
     fn adopt_phase(&mut self, phase: RolloutPhase) -> Option<PhaseChange> {
@@ -323,7 +337,13 @@
             return None;
         }
         self.ordered_at = self.ordered_at.min(news.ordered_at);
-        self.status_row = self.status_row.max(news.status_row);
+        self.status_row = if news.phase > self.phase && news.phase.is_settled() {
+            news.status_row
+        } else if news.phase < self.phase && self.phase.is_settled() {
+            self.status_row
+        } else {
+            self.status_row.max(news.status_row)
+        };
         self.is_incumbent |= news.is_incumbent;
         let room = VERSIONS_MAX.saturating_sub(self.old.len());
         let to = &self.order.to;
--- a/crates/domain/tests/rollout.rs
+++ b/crates/domain/tests/rollout.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use domain::store_position::StorePosition;
 use domain::{
     FailureDomain, ServerName, ServerVersion, ServiceName,
     rollout::{
@@ -301,6 +302,105 @@
     assert_eq!(filter.right(&ServerVersion::from("v2")), SendRight::Trial);
 }
 
+fn order_in(era: u64, version: u64, to: &str) -> RolloutOrder {
+    let position = StorePosition {
+        era: era.into(),
+        version,
+    };
+    RolloutOrder {
+        id: OrderId::from(position),
+        ..order(0, to)
+    }
+}
+
+/// An order that was written again after a return of the store began anew: its version
+/// got the allowance of a trial a second time.
+#[rstest]
+#[case::in_a_lower_row(40)]
+#[case::in_the_same_row(50)]
+#[case::in_a_higher_row(60)]
+#[tokio::test(start_paused = true)]
+async fn order_written_again_stays_in_force(#[case] row: u64) {
+    let now = Instant::now();
+    let service = ServiceName::from("desk");
+    let mut book = RolloutBook::default();
+    book.offer(order_in(1, 50, "v2"), now, ReportKey::from(1), &[]);
+    let known = book.get_mut(&service).expect("an order");
+    known
+        .rollout
+        .adopt_status(order_in(1, 50, "v2").id, StatusState::Finished, 51);
+    let again = order_in(2, row, "v2");
+    assert!(!book.offer(again.clone(), now, ReportKey::from(2), &[]));
+    assert!(book.renew(&again));
+    let rollout = &book.get(&service).expect("an order").rollout;
+    assert_eq!(rollout.order().id, again.id);
+    assert_eq!(rollout.phase(), RolloutPhase::Finished);
+    // A further row of the same era is a new order.
+    let next = order_in(2, 70, "v2");
+    assert!(!book.renew(&next));
+    assert!(book.offer(next, now, ReportKey::from(3), &[]));
+}
+
+/// The store lost the outcome, or came back with an earlier state of the order, and the
+/// outcome was not written again.
+#[tokio::test(start_paused = true)]
+async fn lost_outcome_is_due_again() {
+    let now = Instant::now();
+    let service = ServiceName::from("desk");
+    let mut book = RolloutBook::default();
+    book.offer(order_in(1, 50, "v2"), now, ReportKey::from(1), &[]);
+    let again = order_in(2, 50, "v2");
+    let rollout = |book: &mut RolloutBook| {
+        let known = book.get_mut(&service).expect("an order");
+        known.rollout.clone()
+    };
+    let known = book.get_mut(&service).expect("an order");
+    known
+        .rollout
+        .adopt_status(order_in(1, 50, "v2").id, StatusState::Finished, 55);
+    assert_eq!(rollout(&mut book).due_status(1, now), None);
+    assert!(book.renew(&again));
+    let finished = Some(StatusState::Finished);
+    assert_eq!(rollout(&mut book).due_status(1, now), finished);
+    let known = book.get_mut(&service).expect("an order");
+    known
+        .rollout
+        .adopt_status(again.id, StatusState::Running, 52);
+    assert_eq!(known.rollout.phase(), RolloutPhase::Finished);
+    assert_eq!(known.rollout.due_status(1, now), finished);
+    // Another entry that has the earlier state only says that the store has a state.
+    let mut other = RolloutBook::default();
+    other.offer(again.clone(), now, ReportKey::from(2), &[]);
+    let other = other.get_mut(&service).expect("an order");
+    other
+        .rollout
+        .adopt_status(again.id, StatusState::Running, 52);
+    known.rollout.merge(other.rollout.news(&BTreeMap::new()));
+    assert_eq!(known.rollout.due_status(1, now), finished);
+    other.rollout.merge(known.rollout.news(&BTreeMap::new()));
+    assert_eq!(other.rollout.due_status(1, now), finished);
+    known
+        .rollout
+        .adopt_status(again.id, StatusState::Finished, 60);
+    assert_eq!(known.rollout.due_status(1, now), None);
+}
+
+/// The store came back with an order that had been replaced, which was put in force again
+/// until the last one was written again.
+#[tokio::test(start_paused = true)]
+async fn replaced_order_in_an_older_copy_is_not_put_in_force() {
+    let now = Instant::now();
+    let service = ServiceName::from("desk");
+    let mut book = RolloutBook::default();
+    book.offer(order_in(1, 40, "v2"), now, ReportKey::from(1), &[]);
+    book.offer(order_in(1, 50, "v3"), now, ReportKey::from(2), &[]);
+    assert!(!book.offer(order_in(2, 40, "v2"), now, ReportKey::from(3), &[]));
+    let known = book.get(&service).expect("an order");
+    assert_eq!(known.rollout.order().to, ServerVersion::from("v3"));
+    // One that was given since comes in a version that is given out again.
+    assert!(book.offer(order_in(2, 45, "v4"), now, ReportKey::from(4), &[]));
+}
+
 /// An order that comes right after the end of the one before must not bar the version
 /// that has all the traffic, although an entry was not told of that end.
 #[tokio::test(start_paused = true)]
--- a/crates/front/src/rollout_board.rs
+++ b/crates/front/src/rollout_board.rs
@@ -391,7 +391,7 @@
         };
         json!({
             "service": live.service.as_str(),
-            "order": u64::from(live.order),
+            "order": live.order.position().version,
             "to": live.filter.new.as_str(),
             "phase": format!("{:?}", live.filter.phase),
             "old_versions": texts(&live.filter.old),
--- a/crates/front/src/rollout_status.rs
+++ b/crates/front/src/rollout_status.rs
@@ -80,12 +80,15 @@
         value: &value,
         replaced: known.status,
     };
-    let given = u64::from(order.id);
+    let given = order.id.position();
     let mut client = StoreClient::default();
     match put(state, &mut client, &write).await {
+        // The store came back meanwhile, and the conditions may have held by accident.
+        Ok(row) if row.era != given.era => StatusEnd::Failed,
         Ok(row) => StatusEnd::Recorded(wanted, row.version),
         Err(StoreError::Conflict) => match read_status(state, &mut client, &key).await {
-            Ok(Some(row)) if row.version.version > given => found_status(&row, &order.to),
+            Ok(Some(row)) if row.version.era != given.era => StatusEnd::Failed,
+            Ok(Some(row)) if row.version > given => found_status(&row, &order.to),
             Ok(Some(row)) if row.version.version != known.status.version => {
                 StatusEnd::Stale(row.version.version)
             }
--- a/crates/front/src/rollout_watch.rs
+++ b/crates/front/src/rollout_watch.rs
@@ -115,11 +115,12 @@
         }
     }
 
-    /// Whether an order is not settled yet.
+    /// Whether an order is not settled yet, or its outcome is not known to be in the store.
     fn is_open(&self) -> bool {
-        self.book
-            .iter()
-            .any(|service| !service.rollout.phase().is_settled())
+        self.book.iter().any(|service| {
+            let rollout = &service.rollout;
+            !rollout.phase().is_settled() || rollout.status_row().is_none()
+        })
     }
 
     fn bounds(&self) -> Option<ExposureBounds> {
@@ -202,11 +203,15 @@
             log::warn!(
                 service = service.as_str(),
                 to = to.as_str(),
-                row_version = u64::from(id);
+                row_version = id.position().version;
                 "order to roll out not acted on: the settings have no exposure bounds"
             );
             return;
         };
+        if self.book.renew(&order) {
+            self.renew_desk(&service, id);
+            return;
+        }
         let key = ReportKey::from(rand::rng().random::<u64>());
         let ready = ready_versions(&self.state, &service);
         if !self.book.offer(order, ordered_at, key, &ready) {
@@ -216,7 +221,7 @@
         log::info!(
             service = service.as_str(),
             to = to.as_str(),
-            row_version = u64::from(id),
+            row_version = id.position().version,
             period_ms = u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
             entries:? = entries;
             "order to roll out in force"
@@ -238,6 +243,26 @@
         self.publish();
     }
 
+    /// Continues an order that was written again after a return of the store. What was
+    /// spent of its allowance stays spent, and its state is written again.
+    fn renew_desk(&mut self, service: &ServiceName, id: OrderId) {
+        let Some(desk) = self.desks.get_mut(service) else {
+            return;
+        };
+        desk.order = id;
+        desk.due = None;
+        desk.is_writing = false;
+        desk.known_row = 0;
+        log::info!(
+            service = service.as_str(),
+            row_version = id.position().version;
+            "order to roll out written again; it stays in force"
+        );
+        self.state.rollouts.urgent_news.notify_one();
+        self.look_at(service);
+        self.publish();
+    }
+
     /// Number of entries that share the slack of a new order, or `None` if this entry
     /// gets no part of it.
     fn slack_sharers(&self, origin: OrderOrigin) -> Option<usize> {
@@ -392,7 +417,9 @@
         let Some(known) = self.book.get(service) else {
             return;
         };
-        let order_row = self.order_row(known.rollout.order());
+        let Some(order_row) = self.order_row(known.rollout.order()) else {
+            return;
+        };
         let Some(desk) = self.desks.get_mut(service) else {
             return;
         };
@@ -422,15 +449,19 @@
     }
 
     /// Version of the row under the key of an order in force; 0 if it was removed. A newer
-    /// row than the order's own cannot be used, or it would be the order in force.
-    fn order_row(&self, order: &RolloutOrder) -> StorePosition {
-        let given = StorePosition::from(u64::from(order.id));
+    /// row than the order's own cannot be used, or it would be the order in force. `None`
+    /// if the store came back without the order, and the operator has not written it again.
+    fn order_row(&self, order: &RolloutOrder) -> Option<StorePosition> {
+        let given = order.id.position();
+        if given.era < self.state.era() {
+            return None;
+        }
         let read = self.read_rows.get(&order_key(order.service.as_str()));
-        match read.filter(|read| read.version.version > given.version) {
+        Some(match read.filter(|read| read.version > given) {
             Some(read) if read.is_removed => StorePosition::default(),
             Some(read) => read.version,
             None => given,
-        }
+        })
     }
 
     fn end_write(&mut self, service: &ServiceName, order: OrderId, end: StatusEnd) {
@@ -467,6 +498,9 @@
             phase:? = found;
             "state of the roll-out recorded in the store"
         );
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.known_row = desk.known_row.max(row);
+        }
         if let Some(change) = known.rollout.adopt_status(order, found, row) {
             self.report_change(service, &change);
         }
--- a/crates/front/tests/site/rollouts.rs
+++ b/crates/front/tests/site/rollouts.rs
@@ -123,6 +123,24 @@
     json!({"expose_share": SHARE, "expose_slack": SLACK, "rollback_ms": 3_000, "contact_ms": 2_000})
 }
 
+/// The store came back without an order that was in force. Its outcome was never recorded,
+/// because the order's row, written again, had a version that was ignored.
+#[tokio::test]
+async fn outcome_is_recorded_after_the_order_was_written_again() {
+    let mut site = RolloutSite::start(DESK, bounds()).await;
+    let copy = site.store.copy();
+    site.order(None).await;
+    let traffic = site.start_traffic("/look/1", Duration::from_millis(15));
+    site.wait_status("running").await;
+    site.store.restore(copy);
+    site.put_order(&json!({"service": DESK, "to": "v2", "period-s": PERIOD.as_secs()}));
+    for (worker, domain) in site.new.iter().zip(["a", "b"]) {
+        register(&site.store, DESK, worker, "v2", (domain, "ready"));
+    }
+    site.wait_status("finished").await;
+    drop(traffic);
+}
+
 /// A good version has the traffic before the time limit, and got no more than its share
 /// before the decision. A stream that runs at an old server meanwhile is not lost.
 #[tokio::test]
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -17,6 +17,7 @@
         REPORT_ROUTES_MAX, REPORTS_MAX, ReportKey, RolloutNews, RolloutOrder, RolloutPhase,
         RouteCounts, VERSIONS_MAX,
     },
+    store_position::StorePosition,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -34,6 +35,9 @@
 pub struct RolloutMessage {
     /// Version of the order's row.
     pub order: u64,
+    /// Era of the order's row; 0 if it is not known.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub era: u64,
     /// Service whose traffic moves.
     pub service: String,
     /// Version to move to.
@@ -136,7 +140,8 @@
         };
         let known = news.known.iter();
         Self {
-            order: news.order.id.into(),
+            order: news.order.id.position().version,
+            era: news.order.id.position().era.into(),
             service: news.order.service.to_string(),
             to: news.order.to.to_string(),
             period_ms: millis(news.order.period),
@@ -157,7 +162,10 @@
     /// Decodes news received at `now`.
     pub fn decode(self, now: Instant) -> Result<RolloutNews, MessageFault> {
         let order = RolloutOrder {
-            id: OrderId::from(self.order),
+            id: OrderId::from(StorePosition {
+                era: self.era.into(),
+                version: self.order,
+            }),
             service: ServiceName::from(self.service),
             to: ServerVersion::from(self.to),
             period: Duration::from_millis(self.period_ms),
