--- a/crates/front/tests/site/reported_answers.rs
+++ b/crates/front/tests/site/reported_answers.rs
@@ -1,14 +1,17 @@
 //! Answers that servers spoil, as operators of similar systems reported them;
 //! docs/design/reported-faults.md has a row for each.
 
-use crate::support::{DESK, POOL, TestSite, events};
+use crate::support::{
+    DESK, POOL, TestSite, caller_request, desired_state, events, register, try_send,
+};
 use http::StatusCode;
 use rstest::rstest;
-use stand_ins::{ScriptedWorker, StreamEnd, WorkerAct};
-use std::time::Duration;
+use serde_json::json;
+use stand_ins::{RowStore, ScriptedWorker, StreamEnd, WorkerAct};
+use std::{process::Stdio, time::Duration};
 use tokio::time::sleep;
 
-use WorkerAct::{Answer, AnswerThenRefusal, Events, TornHead, Unframed};
+use WorkerAct::{Answer, AnswerThenRefusal, Events, OddStatus, TornHead, Unframed};
 
 async fn start_worker(instance: &'static str) -> ScriptedWorker {
     ScriptedWorker::start(instance).await.expect("a port")
@@ -112,3 +115,73 @@
     let last = if torn.is_empty() { 3 } else { 6 };
     assert_eq!((answered.body, answered.complete), (events(1..=last), true));
 }
+
+/// A worker answers a long upload at once with a success without a length, sends a part of
+/// its body and resets the connection while the upload is being written. The part must not
+/// look complete.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::soon(Duration::from_millis(1))]
+#[case::later(Duration::from_millis(30))]
+#[tokio::test]
+async fn part_of_an_answer_to_an_upload_is_not_complete(
+    #[case] pause: Duration,
+    #[values("/book/1", "/look/1", "/report/1", "/once/1")] path: &str,
+) {
+    let (desk, pool) = (start_worker("i1").await, start_worker("i2").await);
+    for worker in [&desk, &pool] {
+        worker.reset_uploads("id: 1\ndata: e1\n\n", pause);
+    }
+    let store = RowStore::start().await.expect("a port");
+    let mut state = desired_state(1);
+    state["limits"]["max-body-bytes"] = json!(4 << 20);
+    store.put("op", "config", state.to_string().as_bytes());
+    register(&store, DESK, &desk, "v1", ("a", "ready"));
+    register(&store, POOL, &pool, "v1", ("a", "ready"));
+    let site = TestSite::start_with(store, Stdio::null());
+    site.wait_ready().await;
+    for number in 0..12 {
+        let mut request = caller_request(path, &format!("r{number}"));
+        request
+            .headers_mut()
+            .insert("x-bamboocross-deadline-ms", 1_000.into());
+        *request.body_mut() = vec![b'x'; 3 << 20].into();
+        // A connection that closes without an answer promises nothing either.
+        let Ok(answered) = try_send(site.listen, request).await else {
+            continue;
+        };
+        assert!(
+            !(answered.status.is_success() && answered.complete),
+            "{:?}",
+            answered.body
+        );
+    }
+    let arrived = desk.uploads() + pool.uploads();
+    assert!(arrived >= 12, "{arrived} uploads arrived");
+}
+
+/// A status that HTTP does not have is no answer.
+#[rstest]
+#[case::zero("HTTP/1.1 000 OK")]
+#[case::below_the_first("HTTP/1.1 099 OK")]
+#[case::two_digits("HTTP/1.1 20 OK")]
+#[case::four_digits("HTTP/1.1 2000 OK")]
+#[case::letters("HTTP/1.1 2x0 OK")]
+#[case::negative("HTTP/1.1 -20 OK")]
+#[tokio::test]
+async fn odd_status_is_no_answer(
+    #[case] line: &'static str,
+    #[values("/book/1", "/look/1", "/report/1", "/once/1")] path: &str,
+) {
+    let (desk, pool) = (start_worker("i1").await, start_worker("i2").await);
+    for worker in [&desk, &pool] {
+        worker.script(std::iter::repeat_n(OddStatus(line), 12));
+    }
+    let site = TestSite::start(&[(DESK, &desk, "a"), (POOL, &pool, "a")]).await;
+    let answered = site.call(path, "r1").await;
+    assert!(
+        answered.status.is_server_error()
+            && answered.headers.get("x-bamboocross-server-seal").is_none(),
+        "{answered:?}"
+    );
+}
--- a/crates/stand-ins/src/scripted_worker.rs
+++ b/crates/stand-ins/src/scripted_worker.rs
@@ -78,6 +78,8 @@
     closed: usize,
     deadly_part: Option<(String, Duration)>,
     limit: Option<&'static str>,
+    early_reset: Option<(&'static str, Duration)>,
+    uploads: usize,
 }
 
 /// A worker in this process.
@@ -104,6 +106,17 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(2);
 
 impl ScriptedWorker {
+    /// Answers each request once its head is there with a success without a length and this
+    /// part of its body, and resets the connection after a pause, with the body unread.
+    pub fn reset_uploads(&self, part: &'static str, pause: Duration) {
+        self.state().early_reset = Some((part, pause));
+    }
+
+    /// Requests whose connection was reset early.
+    pub fn uploads(&self) -> usize {
+        self.state().uploads
+    }
+
     /// Start a worker; without a script it answers 200.
     pub async fn start(instance: &'static str) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
--- a/crates/stand-ins/src/scripted_worker/worker_act.rs
+++ b/crates/stand-ins/src/scripted_worker/worker_act.rs
@@ -47,6 +47,8 @@
         /// Whether the refusal names the request that it was for.
         has_id: bool,
     },
+    /// A whole answer with this status line.
+    OddStatus(&'static str),
     /// These bytes, which are no whole head, then the end of the connection.
     TornHead(&'static str),
     /// Events up to this one and then this text, without length or chunks, and the end of
--- a/crates/stand-ins/src/scripted_worker/worker_connection.rs
+++ b/crates/stand-ins/src/scripted_worker/worker_connection.rs
@@ -108,6 +108,10 @@
 
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut held = Vec::new();
+        let early_reset = self.state().early_reset;
+        if let Some((part, pause)) = early_reset {
+            return self.reset_early(stream, part, pause).await;
+        }
         while let Some(request) = read_request(&mut stream, &mut held).await? {
             if let Some(question) = OwnQuestion::of(&request) {
                 if let Some(part) = self.endless_answer(question) {
@@ -156,6 +160,31 @@
         Ok(())
     }
 
+    async fn reset_early(
+        &self,
+        mut stream: TcpStream,
+        part: &str,
+        pause: Duration,
+    ) -> io::Result<()> {
+        let head = read_head(&mut stream, &mut Vec::new()).await?;
+        let request = WorkerRequest {
+            head,
+            body: Vec::new(),
+        };
+        if let Some(answer) = OwnQuestion::of(&request).and_then(|own| self.answer_question(own)) {
+            return stream.write_all(answer.as_bytes()).await;
+        }
+        let id = request.header("x-bamboocross-request-id").unwrap_or("");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nx-bamboocross-request-id: {id}\r\n\
+             x-bamboocross-server-seal: seal-{id}\r\ncontent-type: text/event-stream\r\n\r\n{part}"
+        );
+        stream.write_all(answer.as_bytes()).await?;
+        self.state().uploads += 1;
+        sleep(pause).await;
+        reset(&stream).map(|_| ())
+    }
+
     /// Play one act; tells whether the connection goes on.
     async fn play(
         &self,
@@ -211,6 +240,7 @@
                 );
                 whole(id, 200, "ok")
             }
+            WorkerAct::OddStatus(line) => whole(id, 200, "ok").replacen("HTTP/1.1 200 X", line, 1),
             WorkerAct::TornHead(head) => {
                 stream.write_all(head.as_bytes()).await?;
                 return Ok(false);
@@ -332,19 +362,33 @@
     Ok(false)
 }
 
+fn head_length(bytes: &[u8]) -> Option<usize> {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+    Some(end + 4)
+}
+
+/// Reads until `held` begins with a whole head, which is returned; empty if the
+/// connection ends before.
+async fn read_head(stream: &mut TcpStream, held: &mut Vec<u8>) -> io::Result<String> {
+    loop {
+        if let Some(length) = head_length(held) {
+            return Ok(String::from_utf8_lossy(&held[..length]).into_owned());
+        }
+        if stream.read_buf(held).await? == 0 {
+            return Ok(String::new());
+        }
+    }
+}
+
 async fn read_request(
     stream: &mut TcpStream,
     held: &mut Vec<u8>,
 ) -> io::Result<Option<WorkerRequest>> {
-    let head_end = loop {
-        if let Some(at) = held.windows(4).position(|window| window == b"\r\n\r\n") {
-            break at + 4;
-        }
-        if stream.read_buf(held).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8_lossy(&held[..head_end]).into_owned();
+    let head = read_head(stream, held).await?;
+    if head.is_empty() {
+        return Ok(None);
+    }
+    let head_end = head_length(held).unwrap_or(held.len());
     let mut request = WorkerRequest {
         head,
         body: Vec::new(),
