Bound what servers of our own deployment may send

The client of agents and entries collected bodies, single events and errors in place of a stream without a bound: a call with a limit of 3 s took 1.8 GB.

The entry of the users' platform had its bounds already (endless::*).

--- a/crates/backing/src/http_platform.rs
+++ b/crates/backing/src/http_platform.rs
@@ -13,6 +13,10 @@
     ObjectStore, StoreError, TableRow, TableStore, TableWrite, TransactOutcome, VmEntry, VmList,
 };
 
+/// Maximum size in bytes of an answer that holds the whole state: that of 13,000 teams, of
+/// a few hundred bytes each.
+pub(crate) const STATE_BYTES_MAX: usize = 16 << 20;
+
 /// Client of the platform.
 #[derive(Clone)]
 pub struct HttpPlatform {
@@ -33,7 +37,11 @@
     }
 
     async fn ask(&self, call: ExchangeCall<'_>) -> Result<ExchangeReply, StoreError> {
-        let sent = self.exchange.send(call.timeout(self.timeout)).await;
+        let call = call.timeout(self.timeout);
+        let sent = self
+            .exchange
+            .send(call.answer_bytes_max(STATE_BYTES_MAX))
+            .await;
         let reply = sent.map_err(store_error)?;
         if reply.status == StatusCode::SERVICE_UNAVAILABLE {
             // The published interface promises that this status applies nothing.
--- a/crates/backing/src/note_peer.rs
+++ b/crates/backing/src/note_peer.rs
@@ -15,6 +15,8 @@
     note::{NOTE_PATH, UpdateMessage},
 };
 
+use crate::http_platform::STATE_BYTES_MAX;
+
 /// Time within which a peer answers; a silent one is passed over.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -57,7 +59,9 @@
     }
 
     async fn ask(&self, peer: SocketAddr, path: &str) -> Result<PeerUpdate, ExchangeError> {
-        let call = ExchangeCall::get(peer, path).timeout(PEER_TIMEOUT);
+        let call = ExchangeCall::get(peer, path)
+            .timeout(PEER_TIMEOUT)
+            .answer_bytes_max(STATE_BYTES_MAX);
         let message: UpdateMessage = self.exchange.send(call).await?.json()?;
         Ok(PeerUpdate { message })
     }
--- a/crates/exchange/src/event_stream.rs
+++ b/crates/exchange/src/event_stream.rs
@@ -2,7 +2,7 @@
 
 use volo_http::{body::Body, client::sse::SseReader};
 
-use crate::ExchangeError;
+use crate::{ExchangeError, event_bound::EventBound};
 
 /// One server-sent event.
 #[derive(Clone, Debug)]
@@ -17,11 +17,11 @@
 
 /// Event stream of one response.
 pub struct EventStream {
-    reader: SseReader<Body>,
+    reader: SseReader<EventBound<Body>>,
 }
 
 impl EventStream {
-    pub(crate) const fn new(reader: SseReader<Body>) -> Self {
+    pub(crate) const fn new(reader: SseReader<EventBound<Body>>) -> Self {
         Self { reader }
     }
 
--- a/crates/exchange/src/exchange_call.rs
+++ b/crates/exchange/src/exchange_call.rs
@@ -8,6 +8,10 @@
 /// Timeout of a call that sets none.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(2);
 
+/// Maximum size of an answer in bytes for a call that sets none. Answers of servers are a
+/// few kilobytes.
+const ANSWER_BYTES_MAX: usize = 4 << 20;
+
 /// HTTP request to be sent.
 #[derive(Clone, Debug)]
 pub struct ExchangeCall<'a> {
@@ -17,6 +21,7 @@
     pub(crate) headers: Vec<(&'static str, &'a str)>,
     pub(crate) body: Vec<u8>,
     pub(crate) timeout: Duration,
+    pub(crate) answer_bytes_max: usize,
 }
 
 impl<'a> ExchangeCall<'a> {
@@ -39,6 +44,7 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeout: TIMEOUT_DEFAULT,
+            answer_bytes_max: ANSWER_BYTES_MAX,
         }
     }
 
@@ -68,6 +74,13 @@
         self
     }
 
+    /// Sets the maximum size of the answer's body in bytes.
+    #[must_use]
+    pub const fn answer_bytes_max(mut self, bytes: usize) -> Self {
+        self.answer_bytes_max = bytes;
+        self
+    }
+
     /// Sets the timeout for the response head and, with
     /// [`ExchangeClient::send`](crate::ExchangeClient::send), for the whole body.
     #[must_use]
--- a/crates/exchange/src/exchange_client.rs
+++ b/crates/exchange/src/exchange_client.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::StatusCode;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 use volo_http::{
@@ -15,7 +15,7 @@
     response::Response,
 };
 
-use crate::{EventStream, ExchangeCall};
+use crate::{EventStream, ExchangeCall, event_bound::EventBound};
 
 /// Failure of a call.
 #[derive(Debug, Display, derive_more::Error)]
@@ -125,21 +125,9 @@
     /// Sends a call and reads the complete response.
     pub async fn send(&self, call: ExchangeCall<'_>) -> Result<ExchangeReply, ExchangeError> {
         let deadline = Instant::now() + call.timeout;
+        let bytes_max = call.answer_bytes_max;
         let response = self.open(call).await?;
-        let status = response.status();
-        let read = tokio::time::timeout_at(deadline, response.into_body().collect());
-        match read.await {
-            Ok(Ok(body)) => Ok(ExchangeReply {
-                status,
-                body: body.to_bytes(),
-            }),
-            Ok(Err(error)) => Err(ExchangeError::Lost {
-                reason: error.to_string(),
-            }),
-            Err(_) => Err(ExchangeError::Lost {
-                reason: "timeout in the middle of the answer".to_owned(),
-            }),
-        }
+        read_reply(response, bytes_max, deadline).await
     }
 
     /// Sends a call and returns its response as an event stream.
@@ -150,14 +138,14 @@
         &self,
         call: ExchangeCall<'_>,
     ) -> Result<Result<EventStream, ExchangeReply>, ExchangeError> {
+        let deadline = Instant::now() + call.timeout;
+        let bytes_max = call.answer_bytes_max;
         let response = self.open(call).await?;
         let status = response.status();
         if !status.is_success() {
-            let body = response.into_body().collect().await;
-            let body = body.map(|whole| whole.to_bytes()).unwrap_or_default();
-            return Ok(Err(ExchangeReply { status, body }));
+            return read_reply(response, bytes_max, deadline).await.map(Err);
         }
-        match response.into_sse() {
+        match response.map(EventBound::new).into_sse() {
             Ok(reader) => Ok(Ok(EventStream::new(reader))),
             Err(error) => Err(ExchangeError::Malformed {
                 status,
@@ -181,3 +169,25 @@
         }
     }
 }
+
+/// Reads a whole response until `deadline`.
+async fn read_reply(
+    response: Response<Body>,
+    bytes_max: usize,
+    deadline: Instant,
+) -> Result<ExchangeReply, ExchangeError> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), bytes_max);
+    match tokio::time::timeout_at(deadline, body.collect()).await {
+        Ok(Ok(body)) => Ok(ExchangeReply {
+            status,
+            body: body.to_bytes(),
+        }),
+        Ok(Err(error)) => Err(ExchangeError::Lost {
+            reason: error.to_string(),
+        }),
+        Err(_) => Err(ExchangeError::Lost {
+            reason: "timeout in the middle of the answer".to_owned(),
+        }),
+    }
+}
