Let the soak's store come back from older copies

A further promise is checked after the faults: the newest desired state comes into force at every entry within 10 s of calm.

The gauge of the era ends in a unit that the check of metrics knows.

--- a/crates/front/src/front_metrics.rs
+++ b/crates/front/src/front_metrics.rs
@@ -91,7 +91,7 @@
                 "outcome",
             ),
             store_era: set.gauge(
-                "bamboocross_front_store_era",
+                "bamboocross_front_store_era_version",
                 "Era of the platform's store; rises when it comes back from an older copy",
             ),
             list_updates: set.counters(
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -1,7 +1,8 @@
 //! A soak: entries as real processes, under faults that a seed draws.
 //!
 //! Store and workers are stand-ins in this process. Entries are paused, killed,
-//! stopped and started again; the store falls silent, refuses and forgets;
+//! stopped and started again; the store falls silent, refuses, forgets, and comes back from
+//! older copies;
 //! workers spoil a share of their answers, and lose their addresses to others; versions of
 //! a service are rolled out. Callers go on all the while, and what they got is held against what the workers ran.
 
@@ -9,6 +10,7 @@
 mod soak_faults;
 mod soak_rollouts;
 mod soak_site;
+mod soak_store;
 mod witness;
 
 use std::{sync::Arc, time::Duration};
@@ -16,10 +18,11 @@
 use miette::{IntoDiagnostic, Result, miette};
 use tokio::{task::JoinSet, time::Instant};
 
-pub use soak_callers::recovers;
-pub use soak_faults::{FaultCounts, draw_faults};
+pub use soak_callers::{has_newest_state, recovers};
+pub use soak_faults::{FaultCounts, draw_faults, kill_all};
 pub use soak_rollouts::{RolloutCounts, RolloutRecord, rollout_faults};
 pub use soak_site::{ENTRIES_MAX, SoakSite};
+pub use soak_store::SoakStore;
 pub use witness::{
     ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, OnceRecord, SoakWitness,
     StreamRecord, wrong_services,
@@ -27,6 +30,9 @@
 
 /// Looks whether an entry serves again; 20 ms apart they take half a minute.
 const RECOVER_LOOKS: u32 = 1_500;
+/// Looks whether an entry has the newest desired state; 20 ms apart they take 10 s, in which
+/// an entry that did not follow another one does so again.
+const STATE_LOOKS: u32 = 500;
 /// Callers at once for each entry, besides one that keeps its connection.
 const CALLERS_PER_ENTRY: u64 = 5;
 
@@ -62,12 +68,17 @@
     let faults = draw_faults(&site, options.seed, end).await;
     let (orders, records) = rollouts.await.into_diagnostic()??;
     while callers.join_next().await.is_some() {}
+    let has_newest = has_newest_state(&site, STATE_LOOKS).await;
+    kill_all(&site);
     let recovered = recovers(&site, RECOVER_LOOKS).await;
     let ran = site.ran();
     let mut broken = witness.broken(&ran);
     broken.extend(witness.sent_to_leaving(&site.arrivals()));
     broken.extend(witness.lost_answers(&site.runs(), &site.harmed()));
     broken.extend(wrong_services(&site.runs()));
+    if !has_newest {
+        broken.push(BrokenPromise::NotNewest);
+    }
     if !recovered {
         broken.push(BrokenPromise::NotRecovered);
     }
--- a/xtask/src/soak/soak_callers.rs
+++ b/xtask/src/soak/soak_callers.rs
@@ -66,23 +66,46 @@
     let _ = send(listen, "/tide/1", &next_id(), None).await;
 }
 
-/// Whether every entry serves a booking again within so many looks.
+/// Whether all entries serve again, looking at each so many times.
 pub async fn recovers(site: &SoakSite, looks: u32) -> bool {
+    let serves = async |number| {
+        let (listen, _) = site.entry(number);
+        let response = send(listen, "/book/end", &next_id(), None).await;
+        response.is_some_and(|response| response.status().is_success())
+    };
+    holds_everywhere(site, looks, serves).await
+}
+
+/// Whether the newest desired state comes into force at every entry, looking at each so many
+/// times.
+pub async fn has_newest_state(site: &SoakSite, looks: u32) -> bool {
+    let newest = format!("\"state_version\":{}", site.version());
+    let has_newest = async |number| {
+        let response = send(site.admin(number), "/state", &next_id(), None).await;
+        let Some(response) = response else {
+            return false;
+        };
+        let body = response.into_body().collect().await;
+        let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+        String::from_utf8_lossy(&body).contains(&newest)
+    };
+    holds_everywhere(site, looks, has_newest).await
+}
+
+async fn holds_everywhere(site: &SoakSite, looks: u32, holds: impl AsyncFn(usize) -> bool) -> bool {
     for number in 0..site.entry_count() {
-        let mut served = false;
-        for _ in 0..looks {
+        let mut looks_left = looks;
+        loop {
             revive_all(site);
-            let (listen, _) = site.entry(number);
-            let response = send(listen, "/book/end", &next_id(), None).await;
-            if response.is_some_and(|response| response.status().is_success()) {
-                served = true;
+            if holds(number).await {
                 break;
             }
+            looks_left = looks_left.saturating_sub(1);
+            if looks_left == 0 {
+                return false;
+            }
             sleep(RECOVER_PAUSE).await;
         }
-        if !served {
-            return false;
-        }
     }
     true
 }
--- a/xtask/src/soak/soak_faults.rs
+++ b/xtask/src/soak/soak_faults.rs
@@ -1,19 +1,22 @@
 //! Faults, one after the other and over each other.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use derive_more::Display;
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use stand_ins::{LinkMode, StoreMode};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use super::{SoakSite, soak_site::REASSIGN_TIME};
 
 /// Faults of each kind that were made.
 #[derive(Clone, Copy, Debug, Default, Display)]
 #[display(
-    "kills={kills} stops={stops} signals={signals} pauses={pauses} reassigned={reassigned} links={links} store={store} leaving={leaving} versions={versions}"
+    "kills={kills} stops={stops} signals={signals} pauses={pauses} reassigned={reassigned} links={links} store={store} leaving={leaving} versions={versions} restores={restores}"
 )]
 pub struct FaultCounts {
     /// Entries killed.
@@ -34,15 +37,19 @@
     pub leaving: u32,
     /// Versions of the desired state.
     pub versions: u32,
+    /// Returns of the store from an older copy.
+    pub restores: u32,
 }
 
-/// Make faults until `end`; then all entries die and everything is set right.
-pub async fn draw_faults(site: &SoakSite, seed: u64, end: Instant) -> FaultCounts {
+/// Make faults until `end`; then everything is set right.
+pub async fn draw_faults(site: &Arc<SoakSite>, seed: u64, end: Instant) -> FaultCounts {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let mut rewrites = JoinSet::new();
     let mut counts = FaultCounts::default();
     let mut harmed: Vec<(usize, Instant)> = Vec::new();
     while Instant::now() < end {
         sleep(Duration::from_millis(rng.random_range(50..600))).await;
+        site.store.keep_copy();
         let number = rng.random_range(0..site.entry_count());
         harmed.retain(|&(link, until)| {
             let still = Instant::now() < until;
@@ -51,7 +58,7 @@
             }
             still
         });
-        match rng.random_range(0..18) {
+        match rng.random_range(0..20) {
             0 => {
                 site.signal(number, Signal::SIGKILL);
                 counts.kills += 1;
@@ -64,6 +71,14 @@
                 counts.stops += 1;
                 counts.signals += stop_with_series(site, number, &mut rng).await;
             }
+            18 | 19 => {
+                if restore_store(site, &mut rng).await {
+                    counts.restores += 1;
+                    let rng = SmallRng::seed_from_u64(rng.random());
+                    let site = Arc::clone(site);
+                    rewrites.spawn(async move { site.store.write_again(rng).await });
+                }
+            }
             17 => {
                 let worker = rng.random_range(0..site.worker_count());
                 let is_paused = rng.random_bool(0.7);
@@ -81,10 +96,12 @@
             3 => site.signal(number, Signal::SIGHUP),
             4 | 5 => {
                 let modes = [StoreMode::Busy, StoreMode::Silent, StoreMode::HistoryGone];
-                site.store.set_mode(modes[rng.random_range(0..modes.len())]);
+                site.store
+                    .rows()
+                    .set_mode(modes[rng.random_range(0..modes.len())]);
                 counts.store += 1;
             }
-            6 | 7 => site.store.set_mode(StoreMode::Serving),
+            6 | 7 => site.store.rows().set_mode(StoreMode::Serving),
             8..=11 => {
                 // A link that is harmed already takes the newer harm.
                 let link = rng.random_range(0..site.link_count());
@@ -104,17 +121,36 @@
         }
         revive_all(site);
     }
-    site.store.set_mode(StoreMode::Serving);
+    site.store.rows().set_mode(StoreMode::Serving);
     for link in 0..site.link_count() {
         site.set_link(link, LinkMode::Pass);
     }
     for number in 0..site.entry_count() {
         site.signal(number, Signal::SIGCONT);
-        site.signal(number, Signal::SIGKILL);
     }
+    while rewrites.join_next().await.is_some() {}
     counts
 }
 
+/// Kill all entries at once.
+pub fn kill_all(site: &SoakSite) {
+    for number in 0..site.entry_count() {
+        site.signal(number, Signal::SIGKILL);
+    }
+}
+
+/// Let the store fall silent, or serve on, and come back from a copy. Returns whether there
+/// was one.
+async fn restore_store(site: &SoakSite, rng: &mut SmallRng) -> bool {
+    if rng.random_bool(0.6) {
+        site.store.rows().set_mode(StoreMode::Silent);
+        sleep(Duration::from_millis(rng.random_range(20..1_500))).await;
+    }
+    let is_restored = site.store.restore(rng);
+    site.store.rows().set_mode(StoreMode::Serving);
+    is_restored
+}
+
 /// Stop an entry, with more signals and changes of its settings before and after.
 /// Returns the number of further signals.
 async fn stop_with_series(site: &SoakSite, number: usize, rng: &mut SmallRng) -> u32 {
--- a/xtask/src/soak/soak_rollouts.rs
+++ b/xtask/src/soak/soak_rollouts.rs
@@ -179,12 +179,11 @@
         let order = json!({"service": SERVICE, "to": version, "period-s": PERIOD.as_secs()});
         let ordered_at = Instant::now();
         site.store.put("op", &key(), order.to_string().as_bytes());
-        let ordered_row = site.store.version("op", &key());
         sleep(START_PAUSE).await;
         let next = VersionServers::start(&site, &version, act.as_ref()).await?;
         // All entries end with the faults.
         let until = end.min(ordered_at + PERIOD + END_WAIT);
-        let state = wait_end(&site, ordered_row, until).await;
+        let state = wait_end(&site, &version, until).await;
         let arrived = [&current, &next].map(VersionServers::arrivals);
         let is_counted = |at: &&Instant| **at >= ordered_at && **at <= ordered_at + PERIOD;
         records.push(RolloutRecord {
@@ -209,18 +208,27 @@
 
 /// Whether the last order has an end after all faults.
 pub async fn settles(site: &SoakSite) -> bool {
-    let row = site.store.version("op", &key());
+    let value = site.store.rows().value("op", &key()).unwrap_or_default();
+    let order: Value = serde_json::from_slice(&value).unwrap_or_default();
     let end = Instant::now() + SETTLE_WAIT;
-    row == 0 || wait_end(site, row, end).await.is_some()
+    match order["to"].as_str() {
+        Some(version) => wait_end(site, version, end).await.is_some(),
+        None => true,
+    }
 }
 
-/// Waits until the store holds the end of the order in a row of version `order`.
-async fn wait_end(site: &SoakSite, order: u64, until: Instant) -> Option<String> {
+/// Waits until the store holds the end of the order for `version`; each version gets one
+/// order.
+async fn wait_end(site: &SoakSite, version: &str, until: Instant) -> Option<String> {
     while Instant::now() < until {
-        let value = site.store.value("status", &key()).unwrap_or_default();
+        let value = site
+            .store
+            .rows()
+            .value("status", &key())
+            .unwrap_or_default();
         let row: Value = serde_json::from_slice(&value).unwrap_or_default();
         let state = row["state"].as_str().unwrap_or("running");
-        if state != "running" && site.store.version("status", &key()) > order {
+        if state != "running" && row["to"] == version {
             return Some(state.to_owned());
         }
         sleep(LOOK_PAUSE).await;
--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -24,6 +24,7 @@
 use super::{
     ArrivalRecord,
     soak_rollouts::{EXPOSE_SHARE, EXPOSE_SLACK, ROLLBACK, SERVICE},
+    soak_store::SoakStore,
 };
 
 /// Failure domains, each with a model worker and a plain one.
@@ -50,6 +51,7 @@
 #[derive(Debug)]
 struct SoakEntry {
     listen: SocketAddr,
+    admin: SocketAddr,
     settings: PathBuf,
     process: Option<Child>,
     lifetime: u64,
@@ -59,7 +61,7 @@
 #[derive(Debug)]
 pub struct SoakSite {
     /// The store.
-    pub store: RowStore,
+    pub store: SoakStore,
     workers: Vec<ScriptedWorker>,
     /// The way to each worker, then that of each entry to the store.
     links: Vec<ProxyLink>,
@@ -76,7 +78,7 @@
 impl SoakSite {
     /// Start all.
     pub async fn start(seed: u64, entry_count: u8) -> Result<Self> {
-        let store = RowStore::start().await.into_diagnostic()?;
+        let store = SoakStore::new(RowStore::start().await.into_diagnostic()?);
         let mut workers = Vec::new();
         let mut links = Vec::new();
         for (number, domain) in (0_u64..).zip(DOMAINS) {
@@ -100,7 +102,7 @@
         let mut entries = Vec::new();
         let entry_domains = ENTRY_DOMAINS.into_iter().cycle();
         for (number, domain) in (0..entry_count.min(ENTRIES_MAX)).zip(entry_domains) {
-            let link = start_link(store.address).await?;
+            let link = start_link(store.rows().address).await?;
             let entry = SoakEntry::new(&folder, link.listen, number, domain, ports)?;
             entries.push(Mutex::new(entry));
             links.push(link);
@@ -157,6 +159,11 @@
         (entry.listen, entry.lifetime)
     }
 
+    /// Address at which an entry shows its state.
+    pub fn admin(&self, number: usize) -> SocketAddr {
+        self.lock(number).admin
+    }
+
     /// Remember to which lifetime of an entry a request is sent; returns its id.
     pub fn name_request(&self, id: String, lifetime: u64) -> String {
         let mut addressees = self
@@ -370,6 +377,7 @@
         std::fs::write(&settings, text.to_string()).into_diagnostic()?;
         Ok(Self {
             listen: address(ports + 1),
+            admin: address(ports + 3),
             settings,
             process: None,
             lifetime: 0,
--- a/xtask/src/soak/witness.rs
+++ b/xtask/src/soak/witness.rs
@@ -135,6 +135,9 @@
     /// The last order had no end although all entries serve again.
     #[display("the last order has no end")]
     NotSettled,
+    /// The newest desired state is not in force at an entry after the faults.
+    #[display("the newest desired state is not in force everywhere")]
+    NotNewest,
     /// After all entries died, not all served again.
     #[display("not all entries served again")]
     NotRecovered,
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
-use stand_ins::{LinkMode, WorkerRun};
+use stand_ins::{LinkMode, RowStore, StoreMode, WorkerRun};
 use tokio::time::Instant;
 use xtask::soak::{
     self, ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, OnceRecord,
-    RolloutRecord, SoakOptions, SoakSite, SoakWitness, StreamRecord, rollout_faults,
+    RolloutRecord, SoakOptions, SoakSite, SoakStore, SoakWitness, StreamRecord, rollout_faults,
 };
 
 fn call(id: &str, status: u16, seal: &str, body: &str) -> CallRecord {
@@ -254,6 +255,37 @@
     assert!(soak::recovers(&site, 1_500).await);
 }
 
+/// Entries that never learn of the newest desired state are noticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_without_the_newest_state() {
+    let site = SoakSite::start(1, 4).await.expect("a site");
+    assert!(soak::recovers(&site, 1_500).await);
+    site.store.rows().set_mode(StoreMode::Busy);
+    site.publish();
+    assert!(!soak::has_newest_state(&site, 25).await);
+    site.store.rows().set_mode(StoreMode::Serving);
+    assert!(soak::has_newest_state(&site, 1_500).await);
+}
+
+/// What the operator and the workers wrote is there again after a return of the store.
+#[tokio::test]
+async fn lost_rows_are_written_again() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let rows = RowStore::start().await.expect("a port");
+    let store = SoakStore::new(rows.clone());
+    store.put("op", "config", b"1");
+    store.put("servers", "gone", b"1");
+    store.keep_copy();
+    store.put("op", "config", b"2");
+    store.put("servers", "new", b"1");
+    store.remove("servers", "gone");
+    assert!(store.restore(&mut rng));
+    assert_eq!(rows.value("op", "config").as_deref(), Some(&b"1"[..]));
+    store.write_again(rng).await;
+    assert_eq!(rows.value("op", "config").as_deref(), Some(&b"2"[..]));
+    assert_eq!(rows.keys("servers"), ["new"]);
+}
+
 /// Two sites of one process have entries of their own.
 #[tokio::test(flavor = "multi_thread")]
 async fn sites_do_not_meet() {
