Tell followers of removals of servers that the leader never saw

An entry logs changes of the server list for those that follow it, and left out removals of servers that it had not seen present. A server that registered and was removed between two of its reads (it was cut off from the store for a while, say) may have been seen by a follower that read the store itself meanwhile. That one was never told of the removal and kept the server until its next listing.

The expectation in followers_get_changes_since_their_last_read, that the removal of a server that was never listed is left out, was the fault; it now expects the removal once.

--- a/crates/domain/src/list_relay.rs
+++ b/crates/domain/src/list_relay.rs
@@ -70,17 +70,12 @@
         self.era
     }
 
-    /// The changes that differ from what is logged. Removals of instances that are
-    /// not logged as present are left out.
+    /// The changes that differ from what is logged. A removal counts also if the instance is
+    /// not logged: a follower may have read its registration itself in between.
     pub fn new_changes<'a>(&self, changes: &'a [RegistryChange]) -> Vec<&'a RegistryChange> {
         let is_new = |change: &&RegistryChange| {
             let known = self.changes.get(change.instance());
-            match change {
-                RegistryChange::Present(_) => known.is_none_or(|(_, known)| known != *change),
-                RegistryChange::Absent(_) => {
-                    known.is_some_and(|(_, known)| matches!(known, RegistryChange::Present(_)))
-                }
-            }
+            known.is_none_or(|(_, known)| known != *change)
         };
         changes.iter().filter(is_new).collect()
     }
--- a/crates/domain/tests/list_relay.rs
+++ b/crates/domain/tests/list_relay.rs
@@ -77,16 +77,21 @@
     assert_eq!(record_new(&mut log, &[ready("s3"), draining("s1")], 15), 2);
     assert_eq!(
         record_new(&mut log, &[removed("s2"), removed("s9")], 20),
-        1,
-        "s9 was never listed"
+        2,
+        "a follower may have seen s9"
+    );
+    assert_eq!(
+        record_new(&mut log, &[removed("s2"), removed("s9")], 22),
+        0,
+        "the same removals"
     );
     check(&log, 9, None);
     check(
         &log,
         10,
-        Some(&[draining("s1"), removed("s2"), ready("s3")]),
+        Some(&[draining("s1"), removed("s2"), ready("s3"), removed("s9")]),
     );
-    check(&log, 15, Some(&[removed("s2")]));
+    check(&log, 15, Some(&[removed("s2"), removed("s9")]));
     check(&log, 20, Some(&[]));
 }
 
