--- a/crates/front/tests/site/restored.rs
+++ b/crates/front/tests/site/restored.rs
@@ -100,7 +100,10 @@
     site.register(DESK, &worker, "a", "ready");
     put_desired_state(&site.store, 4, "/seen/");
     wait_for_status(&site, "/seen/1", StatusCode::OK).await;
-    assert_eq!(site.metric("bamboocross_front_store_era_version").await, 0.0);
+    assert_eq!(
+        site.metric("bamboocross_front_store_era_version").await,
+        0.0
+    );
 }
 
 /// An older desired state was taken for a confirmation that there is none after the one in
