Cut the links in the test of entries without the newest state

The planted fault was a store that refuses. The links are cut now, as in the test of entries that do not serve again; the assertions are the same.

--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use rand::{SeedableRng, rngs::SmallRng};
 use rstest::rstest;
-use stand_ins::{LinkMode, RowStore, StoreMode, WorkerRun};
+use stand_ins::{LinkMode, RowStore, WorkerRun};
 use tokio::time::Instant;
 use xtask::soak::{
     self, ArrivalRecord, BrokenPromise, CallRecord, LeavingRecord, MarkRecord, OnceRecord,
@@ -259,11 +259,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_without_the_newest_state() {
     let site = SoakSite::start(1, 4).await.expect("a site");
+    let all_links = |mode| (0..site.link_count()).for_each(|link| site.set_link(link, mode));
     assert!(soak::recovers(&site, 1_500).await);
-    site.store.rows().set_mode(StoreMode::Busy);
+    // A store that only refuses still answers the calls that it holds.
+    all_links(LinkMode::Cut);
     site.publish();
     assert!(!soak::has_newest_state(&site, 25).await);
-    site.store.rows().set_mode(StoreMode::Serving);
+    all_links(LinkMode::Pass);
     assert!(soak::has_newest_state(&site, 1_500).await);
 }
 
