Soak replaces the workers that leave when the faults end

The end of the faults set right the store, the links and the entries, but not the workers. It replaces the workers that leave now. A check that finds entries that do not serve prints the last answer of the entry and all workers.

services_whose_workers_all_left failed before, with the same symptom, and passes.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -19,7 +19,7 @@
 use tokio::{task::JoinSet, time::Instant};
 
 pub use soak_callers::{has_newest_state, recovers};
-pub use soak_faults::{FaultCounts, draw_faults, kill_all};
+pub use soak_faults::{FaultCounts, draw_faults, end_faults, kill_all};
 pub use soak_rollouts::{RolloutCounts, RolloutRecord, rollout_faults};
 pub use soak_site::{ENTRIES_MAX, SoakSite};
 pub use soak_store::SoakStore;
--- a/xtask/src/soak/soak_callers.rs
+++ b/xtask/src/soak/soak_callers.rs
@@ -1,6 +1,7 @@
 //! Callers who go on whatever happens.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     sync::{
         Arc,
@@ -66,14 +67,28 @@
     let _ = send(listen, "/tide/1", &next_id(), None).await;
 }
 
-/// Whether all entries serve again, looking at each so many times.
+/// Whether all entries serve again, looking at each so many times. If not, the last answers
+/// of the entry and the workers are printed.
 pub async fn recovers(site: &SoakSite, looks: u32) -> bool {
+    let last_answer = Cell::default();
     let serves = async |number| {
         let (listen, _) = site.entry(number);
         let response = send(listen, "/book/end", &next_id(), None).await;
-        response.is_some_and(|response| response.status().is_success())
+        let is_served = response
+            .as_ref()
+            .is_some_and(|response| response.status().is_success());
+        last_answer.set(Some((number, response)));
+        is_served
     };
-    holds_everywhere(site, looks, serves).await
+    let has_recovered = holds_everywhere(site, looks, serves).await;
+    if !has_recovered && let Some((number, response)) = last_answer.take() {
+        let head = response.map(|response| (response.status(), response.headers().clone()));
+        eprintln!("entry {number} does not serve: {head:?}");
+        site.worker_states()
+            .iter()
+            .for_each(|worker| eprintln!("{worker}"));
+    }
+    has_recovered
 }
 
 /// Whether the newest desired state comes into force at every entry, looking at each so many
--- a/xtask/src/soak/soak_faults.rs
+++ b/xtask/src/soak/soak_faults.rs
@@ -121,6 +121,13 @@
         }
         revive_all(site);
     }
+    end_faults(site);
+    while rewrites.join_next().await.is_some() {}
+    counts
+}
+
+/// Set everything right that is harmed, and replace the workers that leave.
+pub fn end_faults(site: &SoakSite) {
     site.store.rows().set_mode(StoreMode::Serving);
     for link in 0..site.link_count() {
         site.set_link(link, LinkMode::Pass);
@@ -128,8 +135,7 @@
     for number in 0..site.entry_count() {
         site.signal(number, Signal::SIGCONT);
     }
-    while rewrites.join_next().await.is_some() {}
-    counts
+    site.replace_leaving();
 }
 
 /// Kill all entries at once.
--- a/xtask/src/soak/soak_site.rs
+++ b/xtask/src/soak/soak_site.rs
@@ -190,6 +190,15 @@
         self.register(number, born);
     }
 
+    /// Let each worker that leaves begin another lifetime.
+    pub fn replace_leaving(&self) {
+        for (number, worker) in self.workers.iter().enumerate() {
+            if worker.is_leaving() {
+                self.turn_worker(number);
+            }
+        }
+    }
+
     /// Let a worker crash, and after [`REASSIGN_TIME`] give its address to a worker of
     /// another service, which is not registered yet. Returns whether its service can
     /// spare it.
@@ -219,6 +228,19 @@
         true
     }
 
+    /// Name, service and state of each worker, with its row in the store.
+    pub fn worker_states(&self) -> Vec<String> {
+        let of_worker = |worker: &ScriptedWorker| {
+            let identity = worker.identity();
+            let name = identity.as_ref().map_or("", |identity| &identity.name);
+            let row = self.store.rows().value("servers", name);
+            let row = row.map(|row| String::from_utf8_lossy(&row).into_owned());
+            let is_leaving = worker.is_leaving();
+            format!("{identity:?} leaving={is_leaving} row={row:?}")
+        };
+        self.workers.iter().map(of_worker).collect()
+    }
+
     /// Register a worker under its present name and service.
     pub fn register(&self, number: usize, born: u64) {
         let worker = &self.workers[number];
--- a/xtask/tests/soak.rs
+++ b/xtask/tests/soak.rs
@@ -255,6 +255,19 @@
     assert!(soak::recovers(&site, 1_500).await);
 }
 
+/// Workers that have left are replaced when the faults end; with none at a service, no entry
+/// can serve it.
+#[tokio::test(flavor = "multi_thread")]
+async fn services_whose_workers_all_left() {
+    let site = SoakSite::start(1, 4).await.expect("a site");
+    assert!(soak::recovers(&site, 1_500).await);
+    (0..site.worker_count()).for_each(|worker| site.turn_worker(worker));
+    // An entry learns from an answer that its worker leaves.
+    while soak::recovers(&site, 25).await {}
+    soak::end_faults(&site);
+    assert!(soak::recovers(&site, 1_500).await);
+}
+
 /// Entries that never learn of the newest desired state are noticed.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_without_the_newest_state() {
