Scripted workers come back when their port was in use

A scripted worker that crashed gave up its listener and, if another socket held the port at the end of the crash, stayed away without a word. A soak that gives addresses of crashed workers to others for 2.2 s, among thousands of outgoing connections, could thus lose a worker for good and blame the entries.

The worker tries again until it has its port. port_in_use_at_the_end_of_a_crash failed before ("the worker stays away").

--- a/crates/stand-ins/src/scripted_worker/worker_connection.rs
+++ b/crates/stand-ins/src/scripted_worker/worker_connection.rs
@@ -15,13 +15,15 @@
 };
 use crate::endless_bytes::{EndlessPace, EndlessPart, send_endless};
 
+/// Pause between two attempts to listen on a port that is in use.
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
 impl ScriptedWorker {
-    pub(super) async fn serve(self, listener: TcpListener) {
-        let mut listener = Some(listener);
+    pub(super) async fn serve(self, mut listener: TcpListener) {
         let mut crashes = self.crashes.subscribe();
-        while let Some(open) = &listener {
+        loop {
             let stream = tokio::select! {
-                Ok((stream, _)) = open.accept() => stream,
+                Ok((stream, _)) = listener.accept() => stream,
                 Ok(()) = crashes.changed() => {
                     listener = self.come_back(listener).await;
                     continue;
@@ -42,7 +44,7 @@
 
     /// Close the listener, then all connections, for the time that a crash lasts. A process
     /// that ends closes them together; whoever loses a connection finds no listener.
-    async fn come_back(&self, listener: Option<TcpListener>) -> Option<TcpListener> {
+    async fn come_back(&self, listener: TcpListener) -> TcpListener {
         drop(listener);
         self.closings.send_modify(|closings| *closings += 1);
         let down = {
@@ -51,7 +53,13 @@
             state.crash_time.take().or(deadly)
         };
         sleep(down.unwrap_or_default()).await;
-        TcpListener::bind(self.address).await.ok()
+        // An outgoing connection may hold the port for some time.
+        loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => return listener,
+                Err(_) => sleep(BIND_PAUSE).await,
+            }
+        }
     }
 
     /// What never ends in the answer to a question.
