An entry that starts takes a newer desired state from others

After a return of the store from an older copy, an entry that started before the operator had written again put the older desired state in force that the store showed: callers of a route that the lost version had added got 404 from it. Entries that follow another one did not get the newer version either, as an entry that is ahead of the store tells no followers.

Before it acts on its first listing, an entry asks two others at most for a desired state with a higher number than the store's, with a call of its own that is answered at once and confirms nothing. To know the others, the first listing of the entries is repeated until the store answers; before, an entry that could not list them announced itself first, and took its own row for a predecessor's in the next listing.

--- a/crates/front/src/front_state.rs
+++ b/crates/front/src/front_state.rs
@@ -23,7 +23,7 @@
 use settings::FrontSettings;
 use tokio::{
     sync::{Notify, watch},
-    time::Instant,
+    time::{Instant, timeout},
 };
 
 use crate::{
@@ -68,6 +68,8 @@
     pub(crate) store_era: watch::Sender<StoreEra>,
     pub(crate) registry: ArcSwap<ServerRegistry>,
     pub(crate) roster: ArcSwap<EntryRoster>,
+    /// Whether the other entries have been listed since the start.
+    roster_listed: watch::Sender<bool>,
     /// Changes of the server list, for entries that follow this one.
     pub(crate) change_log: ArcSwap<ChangeLog>,
     /// How far the server list has been read; `None` before the first listing and
@@ -118,6 +120,7 @@
             store_era: watch::Sender::new(StoreEra::default()),
             registry: ArcSwap::default(),
             roster: ArcSwap::default(),
+            roster_listed: watch::Sender::new(false),
             change_log: ArcSwap::default(),
             list_cursor: watch::Sender::new(None),
             list_refresh: Notify::new(),
@@ -148,6 +151,18 @@
         self.servers_listed.store(true, Relaxed);
     }
 
+    /// Records that the other entries have been listed.
+    pub(crate) fn mark_roster_listed(&self) {
+        self.roster_listed.send_replace(true);
+    }
+
+    /// Waits until the other entries have been listed, for `time_max` at most.
+    pub(crate) async fn wait_roster_listed(&self, time_max: Duration) {
+        let mut listed = self.roster_listed.subscribe();
+        // The state owns the sender, so only the time can end the wait early.
+        let _ = timeout(time_max, listed.wait_for(|is_listed| *is_listed)).await;
+    }
+
     /// Records whether updates of the server list are interrupted.
     pub(crate) fn set_server_list_stale(&self, stale: bool) {
         self.server_list_stale.store(stale, Relaxed);
--- a/crates/front/src/peer_front.rs
+++ b/crates/front/src/peer_front.rs
@@ -26,7 +26,8 @@
 use wire::speed_report::SpeedMessage;
 
 use wire::entry_peer::{
-    ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage, OrderRowMessage, StateReply,
+    ChangeMessage, ChangesReply, EntryPeerServer, LeavingMessage, NewestReply, OrderRowMessage,
+    StateReply,
 };
 use wire::rollout::RolloutMessage;
 
@@ -148,6 +149,16 @@
         Ok(result.ok().flatten().unwrap_or(StateReply::Nothing))
     }
 
+    async fn newest(&self, number: u64) -> RpcResult<Option<NewestReply>> {
+        let newest = self.state.desired_row.load();
+        let newest = newest.as_ref().filter(|row| row.version.number > number);
+        Ok(newest.map(|row| NewestReply {
+            row: row.version.row.version,
+            era: row.version.row.era.into(),
+            value: row.value.clone(),
+        }))
+    }
+
     async fn rollouts(&self, known: Vec<RolloutMessage>) -> RpcResult<Vec<RolloutMessage>> {
         let told = self.state.rollouts.exchange(decode_news(known)).await;
         Ok(encode_news(&told))
--- a/crates/front/src/state_follower.rs
+++ b/crates/front/src/state_follower.rs
@@ -10,13 +10,20 @@
 };
 use platform::{desired_state_row::decode_desired_state, store_call::StoreRow};
 use tokio::time::Instant;
-use wire::entry_peer::{EntryPeerClient, OrderRowMessage, StateReply};
+use wire::entry_peer::{EntryPeerClient, NewestReply, OrderRowMessage, StateReply};
 
 use crate::{
     front_state::FrontState,
     peer_client::{PeerChoice, PeerClient, PeerError},
 };
 
+/// Time for which an entry that starts waits for the list of the others.
+const ROSTER_WAIT: Duration = Duration::from_secs(1);
+/// Time for the reply of one entry to one that starts; the call is answered at once.
+const START_REPLY_TIME: Duration = Duration::from_millis(200);
+/// Entries that one that starts asks, one after the other.
+const START_PEERS: usize = 2;
+
 /// Desired state as another entry knows it.
 #[derive(Debug)]
 pub(crate) struct StateUpdate {
@@ -52,6 +59,39 @@
         .await
 }
 
+/// Requests the desired state of another entry if its number is above `number`, for an
+/// entry that starts. Returns `None` if no other entry has one, or none replied in time.
+pub(crate) async fn request_newest(
+    state: &FrontState,
+    number: u64,
+) -> Option<(Box<DesiredState>, String)> {
+    state.wait_roster_listed(ROSTER_WAIT).await;
+    // A backoff after a missed reply does not concern what is asked later.
+    let mut peers = PeerClient::default();
+    let (choice, rule) = (PeerChoice::Neighbour, state.state_rule());
+    for _ in 0..START_PEERS {
+        let deadline = Instant::now() + START_REPLY_TIME;
+        let call = async |client: &_| EntryPeerClient::newest(client, number).await;
+        let replied = peers.request(state, choice, rule, deadline, call, |reply, _| {
+            reply.map(decode_newest).transpose()
+        });
+        if let Some(newest) = replied.await {
+            return newest;
+        }
+    }
+    None
+}
+
+fn decode_newest(reply: NewestReply) -> Result<(Box<DesiredState>, String), PeerError> {
+    let row = StorePosition {
+        era: reply.era.into(),
+        version: reply.row,
+    };
+    let desired = decode_desired_state(reply.value.as_bytes(), row);
+    let desired = desired.map_err(PeerError::InvalidState)?;
+    Ok((Box::new(desired), reply.value))
+}
+
 fn decode_reply(
     reply: StateReply,
     known: StateCursor,
--- a/crates/front/src/store_watch/entry_announcer.rs
+++ b/crates/front/src/store_watch/entry_announcer.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 use wire::entry_peer::EntryMessage;
 
-use super::{count_odd_rows, count_store_call};
+use super::{count_odd_rows, count_store_call, retry_delay};
 use crate::{
     front_state::{ENTRY_LIFETIME, FrontState},
     store_client::StoreClient,
@@ -32,7 +32,11 @@
     let mut client = StoreClient::default();
     let mut is_first = true;
     // Before this entry announces itself, its row can only be a predecessor's.
-    list_entries(&state, &mut client).await;
+    let mut failures = 0;
+    while !list_entries(&state, &mut client).await {
+        failures += 1;
+        sleep(retry_delay(failures)).await;
+    }
     loop {
         let era = state.era();
         let settings = state.settings.load_full();
@@ -95,6 +99,7 @@
     let entries = roster.count(ENTRY_LIFETIME, Instant::now());
     state.roster.store(Arc::new(roster));
     state.retries.slack().set_listed(entries);
+    state.mark_roster_listed();
     true
 }
 
--- a/crates/front/src/store_watch/state_table.rs
+++ b/crates/front/src/store_watch/state_table.rs
@@ -19,7 +19,7 @@
     peer_client::{PeerChoice, PeerClient},
     rollout_board::OrderRow,
     rollout_status::report_row_error,
-    state_follower::{StateUpdate, request_state},
+    state_follower::{StateUpdate, request_newest, request_state},
     store_client::{StoreClient, StoreError},
 };
 
@@ -81,6 +81,9 @@
                 };
                 let observed_at = queried_at + held;
                 let statuses = self.read_statuses(state, since, &page.rows).await?;
+                if since.is_none() {
+                    take_newest(state, &page.rows).await;
+                }
                 Ok(TableUpdate {
                     position: page.position,
                     is_complete: since.is_none(),
@@ -242,6 +245,29 @@
     }
 }
 
+/// Puts the newest desired state of the other entries in force before an entry that starts
+/// acts on its first listing: a store that came back from an older copy may show an older
+/// one than they have.
+async fn take_newest(state: &FrontState, rows: &[StoreRow]) {
+    if state.desired.load().is_some() {
+        return;
+    }
+    let row = rows.iter().find(|row| row.key == DESIRED_STATE_KEY);
+    let shown = row.and_then(|row| decode_desired_state(row.value.as_deref()?, row.version).ok());
+    let number = shown.map_or(0, |shown| shown.version().number);
+    let Some((newest, value)) = request_newest(state, number).await else {
+        return;
+    };
+    log::warn!(
+        state_version = newest.version().number,
+        store_version = number;
+        "another entry has a newer desired state than the store"
+    );
+    let updates = state.metrics.state_updates.with_label_values(&["start"]);
+    updates.inc();
+    apply_state(state, *newest, value);
+}
+
 /// Reports an unusable desired state, if the settings have exposure bounds: without them
 /// the entry makes no calls for rows under `status/`.
 fn report_error(state: &Arc<FrontState>, version: StorePosition, error: String) {
--- a/crates/front/tests/site/restored.rs
+++ b/crates/front/tests/site/restored.rs
@@ -144,3 +144,30 @@
     }
     panic!("the entry did not announce itself within 20 s");
 }
+
+/// An entry that started after a return served the older desired state that the store
+/// showed, though others had the newer one.
+#[tokio::test]
+async fn starting_entry_has_the_newest_state_of_the_others() {
+    let worker = start_worker("i1").await;
+    let store = RowStore::start().await.expect("a port");
+    store.put("op", "config", desired_state(1).to_string().as_bytes());
+    let address = store.address;
+    let running = TestSite::start_entry("front-2", store.clone(), address, Stdio::null());
+    running.wait_ready().await;
+    running.register(DESK, &worker, "a", "ready");
+    wait_for("the announcement", async || {
+        store.keys("entries") == ["front-2"]
+    })
+    .await;
+    let copy = store.copy();
+    put_desired_state(&store, 4, "/seen/");
+    wait_for_status(&running, "/seen/1", StatusCode::OK).await;
+    store.restore(copy);
+    // Its name sorts before the other's, so it does not follow that one.
+    let starting = TestSite::start_entry("front-1", store, address, Stdio::null());
+    starting.wait_ready().await;
+    let early = starting.call("/seen/1", "r").await.status;
+    assert_ne!(early, StatusCode::NOT_FOUND);
+    wait_for_status(&starting, "/seen/1", StatusCode::OK).await;
+}
--- a/crates/wire/src/entry_peer.rs
+++ b/crates/wire/src/entry_peer.rs
@@ -129,6 +129,17 @@
     Nothing,
 }
 
+/// A desired state that an entry has in force.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct NewestReply {
+    /// Version of its row in the store.
+    pub row: u64,
+    /// Era of the row.
+    pub era: u64,
+    /// Value of the row.
+    pub value: String,
+}
+
 /// Row of an order to roll out.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct OrderRowMessage {
@@ -159,6 +170,11 @@
     async fn state(&self, row: u64, number: Option<u64>, era: Option<u64>)
     -> RpcResult<StateReply>;
 
+    /// Tell the desired state in force if its number is above `number`, whether the store
+    /// confirms it or not.
+    #[method(name = "newest")]
+    async fn newest(&self, number: u64) -> RpcResult<Option<NewestReply>>;
+
     /// Take what the other entry knows of crashes, and tell what this one knows.
     #[method(name = "evidence")]
     async fn evidence(&self, known: EvidenceMessage) -> RpcResult<EvidenceMessage>;
