Hold answers of servers in blocks

Answers were read into one allocation each that doubled as it grew, so old and new allocation were there together and left holes of as many bytes again, which the budget of large answers does not count.

Answers are held in the blocks that request bodies have, and blocks are charged whole; the budgets of both stay, behind one small trait. Only what the entry parses itself is copied into one piece.

--- a/crates/domain/src/ingress_budget.rs
+++ b/crates/domain/src/ingress_budget.rs
@@ -37,8 +37,8 @@
 ///
 /// The shares of the memory leave a third of it to the system and the sockets: a sixth
 /// for bodies, an eighth for connections, an eleventh for answers, a thirty-second for pieces of streams, and the rest of two
-/// thirds for the process itself. The allocator takes up to twice what large bodies and
-/// answers hold, since they grow in steps.
+/// thirds for the process itself. The allocator may take up to twice what bodies and
+/// answers hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct IngressLimits {
     /// Bytes of all request bodies.
--- a/crates/front/src/admin_front.rs
+++ b/crates/front/src/admin_front.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use domain::{
     crash_evidence::HeldPart,
     rate_limit::RateLimit,
     server_registry::{RegisteredServer, SendBlock},
 };
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::names::READY_PATH;
 use serde_json::{Value, json};
@@ -181,7 +181,7 @@
 }
 
 fn text_reply(status: StatusCode, media_type: &'static str, text: String) -> Response<ReplyBody> {
-    let mut reply = Response::new(ReplyBody::Buffered(Full::from(text)));
+    let mut reply = Response::new(ReplyBody::Buffered(Bytes::from(text).into()));
     *reply.status_mut() = status;
     reply
         .headers_mut()
--- a/crates/front/src/backend_connection.rs
+++ b/crates/front/src/backend_connection.rs
@@ -14,6 +14,8 @@
     time::{Instant, timeout},
 };
 
+use domain::ingress_budget::BodyShare;
+
 use crate::stored_body::StoredBody;
 
 /// Time limit for connecting: about forty round trips between failure domains
@@ -33,7 +35,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Body of requests to backend servers. It is in memory, so that its length is known.
-pub(crate) type RequestBody = StoredBody;
+pub(crate) type RequestBody = StoredBody<BodyShare>;
 
 /// An open connection.
 #[derive(Debug)]
--- a/crates/front/src/caller_body.rs
+++ b/crates/front/src/caller_body.rs
@@ -9,9 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    ingress::Ingress,
-    reply::ReplyReason,
-    stored_body::{BodyBuffer, StoredBody},
+    backend_connection::RequestBody, ingress::Ingress, reply::ReplyReason, stored_body::BodyBuffer,
 };
 
 /// Reads a whole body. Its memory is charged until the returned body is dropped.
@@ -20,13 +18,13 @@
     limits: CallerLimits,
     deadline: Instant,
     mut body: Incoming,
-) -> Result<StoredBody, ReplyReason> {
+) -> Result<RequestBody, ReplyReason> {
     // Nothing is read, so that no caller is asked to go on (100 Continue).
     if body.size_hint().lower() > limits.body_bytes_max as u64 {
         return Err(ReplyReason::TooLarge);
     }
     if body.is_end_stream() {
-        return Ok(StoredBody::default());
+        return Ok(RequestBody::default());
     }
     let mut buffer = BodyBuffer::new(announced_length(&body), ingress.bodies.share());
     let mut pace = TransferPace::new(transfer_rule(limits, deadline), Instant::now());
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -9,12 +9,13 @@
 use derive_more::{Display, Error};
 use domain::retry_advice::RefusedRequest;
 use http::{HeaderValue, Response, StatusCode, header, response::Parts};
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use platform::server_request::strip_connection_headers;
 use serde_json::json;
 use tokio::{sync::mpsc, time::Instant};
 
+use crate::answer_body::AnswerBody;
+
 /// Part of a streamed reply.
 #[derive(Debug)]
 pub(crate) enum StreamChunk {
@@ -33,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) enum ReplyBody {
     /// A body that is complete.
-    Buffered(Full<Bytes>),
+    Buffered(AnswerBody),
     /// Events as they arrive. If the channel closes without [`StreamChunk::End`], the
     /// stream is aborted.
     Events(mpsc::Receiver<StreamChunk>),
@@ -169,7 +170,7 @@
         "status": status.as_u16(),
         "title": reason.to_string(),
     });
-    let mut reply = Response::new(ReplyBody::Buffered(Full::from(problem.to_string())));
+    let mut reply = Response::new(ReplyBody::Buffered(Bytes::from(problem.to_string()).into()));
     *reply.status_mut() = status;
     let headers = reply.headers_mut();
     headers.insert(
@@ -193,8 +194,8 @@
 }
 
 /// Relays a complete response of a server.
-pub(crate) fn buffered_reply(parts: Parts, body: Bytes) -> CallerReply {
-    server_reply(parts, ReplyBody::Buffered(Full::new(body)))
+pub(crate) fn buffered_reply(parts: Parts, body: AnswerBody) -> CallerReply {
+    server_reply(parts, ReplyBody::Buffered(body))
 }
 
 /// Relays a streamed response of a server, whose length is not known.
--- a/crates/front/src/routed_request.rs
+++ b/crates/front/src/routed_request.rs
@@ -15,7 +15,7 @@
 use platform::server_request::ServerHeaders;
 use tokio::time::Instant;
 
-use crate::{drain_clock::DrainClock, stored_body::StoredBody};
+use crate::{backend_connection::RequestBody, drain_clock::DrainClock};
 
 /// A request together with its route.
 #[derive(Debug)]
@@ -25,7 +25,7 @@
     pub(crate) path: PathAndQuery,
     /// Headers that may be sent to any server.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: StoredBody,
+    pub(crate) body: RequestBody,
     pub(crate) route: Arc<RouteSpec>,
     pub(crate) service: ServiceName,
     pub(crate) team: Option<TeamName>,
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -266,5 +266,5 @@
     let body = read_body(&state.answer_memory, body)
         .await
         .into_diagnostic()?;
-    Ok((parts, body))
+    Ok((parts, body.to_bytes()))
 }
--- a/crates/front/src/server_exchange.rs
+++ b/crates/front/src/server_exchange.rs
@@ -2,7 +2,6 @@
 
 use std::{io, time::Duration};
 
-use bytes::Bytes;
 use domain::{
     event_relay::StreamTimeouts,
     rate_limit::RateLimit,
@@ -22,7 +21,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    answer_body::read_body,
+    answer_body::{AnswerBody, read_body},
     backend_connection::{BackendConnection, RequestBody},
     boot_clock::boot_now,
     connection_pool::ConnectionReuse,
@@ -51,7 +50,7 @@
 /// An answer whose body has been read completely.
 pub(crate) struct BufferedAnswer {
     pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: AnswerBody,
     pub(crate) server_error: bool,
     /// Whether its status tells callers that the request did not run.
     pub(crate) refusing: bool,
--- a/crates/front/src/stored_body.rs
+++ b/crates/front/src/stored_body.rs
@@ -1,4 +1,4 @@
-//! Request body in memory, in blocks of bounded size.
+//! Body of a request or an answer in memory, in blocks of bounded size.
 //!
 //! Blocks of one size are reused by the allocator. Large bodies in one allocation each,
 //! which grew in steps, left it with holes of as many bytes again.
@@ -11,7 +11,10 @@
 };
 
 use bytes::Bytes;
-use domain::ingress_budget::{BodyShare, NoBodyMemory};
+use domain::{
+    buffer_budget::BufferShare,
+    ingress_budget::{BodyShare, NoBodyMemory},
+};
 use hyper::body::{Body, Frame, SizeHint};
 
 /// Size of a block in bytes. Ordinary requests have a few.
@@ -19,23 +22,79 @@
 /// Size of the first block of a body without a known length.
 const FIRST_BYTES: usize = 1 << 10;
 
+/// Part of a memory budget that a body occupies; returned when dropped.
+pub(crate) trait MemoryShare {
+    /// Why a body cannot grow.
+    type Refusal;
+
+    /// Charges a body that grows to `size` bytes.
+    fn grow_to(&mut self, size: usize) -> Result<(), Self::Refusal>;
+}
+
+/// The memory for large answers is in use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NoAnswerMemory;
+
+impl MemoryShare for BodyShare {
+    type Refusal = NoBodyMemory;
+
+    fn grow_to(&mut self, size: usize) -> Result<(), NoBodyMemory> {
+        Self::grow_to(self, size)
+    }
+}
+
+impl MemoryShare for BufferShare {
+    type Refusal = NoAnswerMemory;
+
+    fn grow_to(&mut self, size: usize) -> Result<(), NoAnswerMemory> {
+        Self::grow_to(self, size)
+            .then_some(())
+            .ok_or(NoAnswerMemory)
+    }
+}
+
 /// A whole body. Its memory is charged until the last clone is dropped.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct StoredBody {
-    blocks: Arc<BodyBlocks>,
+#[derive(Debug)]
+pub(crate) struct StoredBody<S> {
+    blocks: Arc<BodyBlocks<S>>,
     /// Blocks that were sent already.
     sent: usize,
     /// Bytes that were not sent yet.
     left: usize,
 }
 
-#[derive(Debug, Default)]
-struct BodyBlocks {
+#[derive(Debug)]
+struct BodyBlocks<S> {
     blocks: Vec<Bytes>,
-    _share: Option<BodyShare>,
+    _share: Option<S>,
+}
+
+impl<S> StoredBody<S> {
+    /// The whole body in one piece, for parsers; a copy if it has several blocks.
+    pub(crate) fn to_bytes(&self) -> Bytes {
+        match &self.blocks.blocks[..] {
+            [block] => block.clone(),
+            blocks => Bytes::from(blocks.concat()),
+        }
+    }
+}
+
+impl<S> Clone for StoredBody<S> {
+    fn clone(&self) -> Self {
+        Self {
+            blocks: Arc::clone(&self.blocks),
+            ..*self
+        }
+    }
+}
+
+impl<S> Default for StoredBody<S> {
+    fn default() -> Self {
+        Self::from(Bytes::new())
+    }
 }
 
-impl From<Bytes> for StoredBody {
+impl<S> From<Bytes> for StoredBody<S> {
     fn from(bytes: Bytes) -> Self {
         Self {
             left: bytes.len(),
@@ -48,7 +107,7 @@
     }
 }
 
-impl Body for StoredBody {
+impl<S> Body for StoredBody<S> {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -78,7 +137,7 @@
 
 /// A body that is being read.
 #[derive(Debug)]
-pub(crate) struct BodyBuffer {
+pub(crate) struct BodyBuffer<S> {
     blocks: Vec<Bytes>,
     /// The block that is being filled.
     last: Vec<u8>,
@@ -86,12 +145,12 @@
     allocated: usize,
     length: usize,
     announced: Option<usize>,
-    share: BodyShare,
+    share: S,
 }
 
-impl BodyBuffer {
+impl<S: MemoryShare> BodyBuffer<S> {
     /// Starts an empty body with the length that was announced for it, if there was one.
-    pub(crate) fn new(announced: Option<usize>, share: BodyShare) -> Self {
+    pub(crate) fn new(announced: Option<usize>, share: S) -> Self {
         Self {
             blocks: Vec::new(),
             last: Vec::new(),
@@ -108,7 +167,7 @@
 
     /// Copies bytes: a tiny piece would keep its whole read buffer alive. Whole blocks are
     /// charged, not only their used part.
-    pub(crate) fn append(&mut self, mut data: &[u8]) -> Result<(), NoBodyMemory> {
+    pub(crate) fn append(&mut self, mut data: &[u8]) -> Result<(), S::Refusal> {
         while !data.is_empty() {
             if self.last.len() == self.last.capacity() {
                 self.add_block()?;
@@ -122,7 +181,7 @@
         Ok(())
     }
 
-    fn add_block(&mut self) -> Result<(), NoBodyMemory> {
+    fn add_block(&mut self) -> Result<(), S::Refusal> {
         let wanted = match self.announced {
             Some(announced) => announced.saturating_sub(self.length).max(1),
             None => self.length.max(FIRST_BYTES),
@@ -138,7 +197,7 @@
     }
 
     /// Ends the body.
-    pub(crate) fn finish(mut self) -> StoredBody {
+    pub(crate) fn finish(mut self) -> StoredBody<S> {
         if !self.last.is_empty() {
             self.blocks.push(Bytes::from(self.last));
         }
