Notes published after a return of the platform come into force

What an operator saw in our own deployment: the platform came back from a copy older than the last note; the next note got the lost note's version, was reported as accepted, and came into force nowhere (entries and agents held version 2 already). Once later notes had passed the number, they would have been applied to the lost state.

Each era has versions of its own now (StoreEra::number_floor): the first note of an era gets a version above all that an earlier one can have given out, with a whole state, so processes that hold lost notes take that state. Entries and agents are unchanged, as are versions on a platform that never came back or names no era.

--- a/crates/backing/src/http_platform.rs
+++ b/crates/backing/src/http_platform.rs
@@ -1,11 +1,20 @@
 //! The platform over its published HTTP interface.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use domain::store_position::StoreEra;
 
 use exchange::{ExchangeCall, ExchangeClient, ExchangeError, ExchangeReply};
 use http::{Method, StatusCode};
 use wire::{
-    table::{ReadMessage, RowsReply, ScanMessage, TransactMessage, TransactReply},
+    table::{ERA_HEADER, ReadMessage, RowsReply, ScanMessage, TransactMessage, TransactReply},
     vm::VmListMessage,
 };
 
@@ -23,6 +32,7 @@
     exchange: ExchangeClient,
     address: SocketAddr,
     timeout: Duration,
+    era: Arc<AtomicU64>,
 }
 
 impl HttpPlatform {
@@ -33,6 +43,7 @@
             exchange: ExchangeClient::pooled(),
             address,
             timeout,
+            era: Arc::default(),
         }
     }
 
@@ -43,6 +54,9 @@
             .send(call.answer_bytes_max(STATE_BYTES_MAX))
             .await;
         let reply = sent.map_err(store_error)?;
+        if let Some(era) = reply.number(ERA_HEADER) {
+            self.era.fetch_max(era, Relaxed);
+        }
         if reply.status == StatusCode::SERVICE_UNAVAILABLE {
             // The published interface promises that this status applies nothing.
             return Err(StoreError::Unavailable {
@@ -75,6 +89,10 @@
 }
 
 impl TableStore for HttpPlatform {
+    fn era(&self) -> StoreEra {
+        self.era.load(Relaxed).into()
+    }
+
     async fn read(&self, keys: &[&str]) -> Result<Vec<TableRow>, StoreError> {
         let keys = keys.iter().map(|&key| key.to_owned()).collect();
         let call = ExchangeCall::post(self.address, "/v1/table/read").json(&ReadMessage { keys });
--- a/crates/backing/src/note_store.rs
+++ b/crates/backing/src/note_store.rs
@@ -8,6 +8,7 @@
 use domain::{
     ChangesetId, ConfigVersion,
     serving_config::{AcceptedChangeset, ConfigHistory, ConfigState},
+    store_position::StoreEra,
 };
 use serde::de::DeserializeOwned;
 use wire::note::{
@@ -69,6 +70,8 @@
     pub id: ChangesetId,
     /// Version of the newest whole state.
     pub snapshot: ConfigVersion,
+    /// Era of the store in which notes that follow are published.
+    pub era: StoreEra,
     snapshot_key: String,
     condition: WriteCondition,
 }
@@ -81,6 +84,7 @@
                 version: ConfigVersion::default(),
                 id: ChangesetId::from(""),
                 snapshot: ConfigVersion::default(),
+                era: StoreEra::default(),
                 snapshot_key: String::new(),
                 condition: WriteCondition::Absent,
             });
@@ -90,6 +94,7 @@
             version: ConfigVersion(message.version),
             id: ChangesetId::from(message.id),
             snapshot: ConfigVersion(message.snapshot),
+            era: StoreEra::default(),
             snapshot_key: message.snapshot_key,
             condition: WriteCondition::Version(row.version),
         })
@@ -120,7 +125,11 @@
     /// Read the head row.
     pub async fn head(&self) -> Result<NoteHead, NoteStoreError> {
         let rows = self.platform.read(&[HEAD_KEY]).await?;
-        NoteHead::from_row(rows.first())
+        let head = NoteHead::from_row(rows.first())?;
+        Ok(NoteHead {
+            era: self.platform.era(),
+            ..head
+        })
     }
 
     /// Bring a ledger up to a head, reading only what it lacks.
@@ -170,7 +179,7 @@
         note: &AcceptedChangeset,
         next: &ConfigState,
     ) -> Result<PublishOutcome, NoteStoreError> {
-        let (snapshot, snapshot_key) = self.write_snapshot(head, note, next).await;
+        let (snapshot, snapshot_key) = self.write_snapshot(head, note, next).await?;
         let head_value = encode(&HeadMessage {
             version: note.version.0,
             id: note.id.to_string(),
@@ -251,22 +260,23 @@
     }
 
     /// Write a whole state when one is due; the head never names one that may
-    /// be missing.
+    /// be missing. The first note of an era cannot do without: no notes lead to it.
     async fn write_snapshot(
         &self,
         head: &NoteHead,
         note: &AcceptedChangeset,
         next: &ConfigState,
-    ) -> (ConfigVersion, String) {
+    ) -> Result<(ConfigVersion, String), StoreError> {
         let held = (head.snapshot, head.snapshot_key.clone());
         if next.version().0 < head.snapshot.0 + SNAPSHOT_EVERY {
-            return held;
+            return Ok(held);
         }
         let key = snapshot_key(next.version(), &note.id);
         let value = encode(&StateMessage::from(next));
         match self.platform.put(&key, &value).await {
-            Ok(()) => (next.version(), key),
-            Err(_) => held,
+            Ok(()) => Ok((next.version(), key)),
+            Err(error) if note.version != head.version.next() => Err(error),
+            Err(_) => Ok(held),
         }
     }
 }
--- a/crates/backing/src/table_store.rs
+++ b/crates/backing/src/table_store.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use derive_more::{Display, Error};
+use domain::store_position::StoreEra;
 use wire::table::{ConditionMessage, RowMessage, WriteMessage};
 
 /// Rows read at once.
@@ -74,6 +75,11 @@
 
 /// Rows with versions, written by conditional transactions.
 pub trait TableStore: Clone + Send + Sync + 'static {
+    /// Newest era that answers named; 0 if they name none.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Read rows by key; absent ones are left out.
     fn read(&self, keys: &[&str])
     -> impl Future<Output = Result<Vec<TableRow>, StoreError>> + Send;
--- a/crates/domain/src/serving_config/config_state.rs
+++ b/crates/domain/src/serving_config/config_state.rs
@@ -7,6 +7,7 @@
     serving_config::{
         AcceptedChangeset, ConfigChange, ConfigConflict, ModelSpec, ServiceLimit, TeamLimit,
     },
+    store_position::StoreEra,
 };
 
 /// Contents of a [`ConfigState`], for conversion from a stored snapshot.
@@ -81,6 +82,14 @@
         self.services.iter()
     }
 
+    /// The state for changes in an era of the store: its version is not below the era's first.
+    pub fn in_era(&self, era: StoreEra) -> Self {
+        Self {
+            version: self.version.max(ConfigVersion(era.number_floor())),
+            ..self.clone()
+        }
+    }
+
     /// Applies all changes, or returns all conflicts with the indices of their
     /// changes.
     pub fn apply(&self, changes: &[ConfigChange]) -> Result<Self, Vec<(usize, ConfigConflict)>> {
--- a/crates/domain/src/store_position.rs
+++ b/crates/domain/src/store_position.rs
@@ -46,7 +46,17 @@
     }
 }
 
+/// Numbers of its own that a deployment may give out in one era: those of centuries.
+const ERA_NUMBERS: u64 = 1_000_000_000;
+
 impl StoreEra {
+    /// The number below the first that is given out in this era, for numbers that are counted
+    /// in a row of the store. One that came back from an older copy has lost numbers that
+    /// processes may know, and would otherwise give them out again.
+    pub fn number_floor(self) -> u64 {
+        self.0.saturating_sub(1).saturating_mul(ERA_NUMBERS)
+    }
+
     /// Judges an answer of era `self` to a read from position `since`, or to a listing if
     /// there is none, for a reader that has heard of the era `newest`.
     pub fn judge(self, since: Option<StorePosition>, newest: Self) -> EraNews {
--- a/crates/domain/tests/serving_config.rs
+++ b/crates/domain/tests/serving_config.rs
@@ -135,3 +135,19 @@
     assert_eq!(conflicts.len(), 1);
     assert_eq!(conflicts[0].0, 1);
 }
+
+/// A store that comes back from an older copy has lost versions that processes may have in
+/// force; a changeset of the next era must not get one of them.
+#[test]
+fn version_of_a_later_era_follows_all_of_an_earlier_one() {
+    let lost = history(&changesets(&[1, 2, 3])).state().in_era(1.into());
+    let restored = history(&changesets(&[1]));
+    let later = restored.state().in_era(2.into());
+    let later = later.apply(&[change(4)]).expect("no conflict");
+    assert!(later.version() > lost.version());
+    assert_eq!(later.in_era(2.into()), later);
+    // Processes that know lost versions take the whole state.
+    let history = history(&changesets(&[1, 2, 3])).with_state(later);
+    let update = history.as_ref().map(|history| history.update_since(lost.version()));
+    assert!(matches!(update, Some(ConfigUpdate::State(_))));
+}
--- a/crates/exchange/src/exchange_client.rs
+++ b/crates/exchange/src/exchange_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
@@ -74,11 +74,18 @@
 pub struct ExchangeReply {
     /// Status code.
     pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
 
 impl ExchangeReply {
+    /// Number that a header field holds.
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.headers.get(field)?.to_str().ok()?.parse().ok()
+    }
+
     /// Decodes the body as JSON.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T, ExchangeError> {
         serde_json::from_slice(&self.body).map_err(|error| ExchangeError::Malformed {
@@ -177,9 +184,11 @@
     deadline: Instant,
 ) -> Result<ExchangeReply, ExchangeError> {
     let status = response.status();
+    let headers = response.headers().clone();
     let body = Limited::new(response.into_body(), bytes_max);
     match tokio::time::timeout_at(deadline, body.collect()).await {
         Ok(Ok(body)) => Ok(ExchangeReply {
+            headers,
             status,
             body: body.to_bytes(),
         }),
--- a/crates/operator/src/note_command.rs
+++ b/crates/operator/src/note_command.rs
@@ -61,9 +61,9 @@
         println!("version {version} accepted already, by this same note");
         return Ok(version);
     }
-    let file = read_file(source, ledger.state())?;
-    let next = ledger
-        .state()
+    let state = ledger.state().in_era(head.era);
+    let file = read_file(source, &state)?;
+    let next = state
         .apply(&file.changes)
         .map_err(|_| conflict("the note no longer applies to the state in force".to_owned()))?;
     let note = AcceptedChangeset {
--- a/crates/stand-ins/src/platform_server.rs
+++ b/crates/stand-ins/src/platform_server.rs
@@ -11,15 +11,18 @@
     time::Duration,
 };
 
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
+use volo::context::Context;
 use volo_http::{
+    context::ServerContext,
     error::BoxError,
     response::Response,
     server::{
         IntoResponse, Router,
         extract::Json,
+        middleware::map_response,
         param::PathParams,
         route::{get, post},
     },
@@ -129,8 +132,18 @@
     weights: AtomicU64,
 }
 
+/// Contents to come back from.
+#[derive(Clone)]
+struct PlatformCopy {
+    table: BTreeMap<String, StoredRow>,
+    objects: BTreeMap<String, String>,
+}
+
 struct PlatformState {
     options: PlatformOptions,
+    copy: Mutex<Option<PlatformCopy>>,
+    /// Times that the platform came back from a copy.
+    restores: AtomicU64,
     table: Mutex<BTreeMap<String, StoredRow>>,
     objects: Mutex<BTreeMap<String, String>>,
     vms: Mutex<VecDeque<(Instant, VmListMessage)>>,
@@ -159,6 +172,8 @@
     let now = Instant::now();
     let state = Arc::new(PlatformState {
         options,
+        copy: Mutex::default(),
+        restores: AtomicU64::new(0),
         table: Mutex::default(),
         objects: Mutex::default(),
         vms: Mutex::default(),
@@ -175,10 +190,23 @@
         .route("/v1/weights/{model}", get(get_weights))
         .route("/v1/vms", get(list_vms).put(set_vms))
         .route("/control", get(show_counts).post(set_faults))
+        .route("/control/copy", post(keep_copy))
+        .route("/control/restore", post(restore_copy))
+        .layer(map_response(name_era))
         .layer(Extension(state));
     serve(router, listen).await
 }
 
+/// Names the era in an answer.
+async fn name_era(context: &mut ServerContext, mut response: Response) -> Response {
+    if let Some(state) = context.extensions().get::<Arc<PlatformState>>() {
+        let era = state.restores.load(Ordering::Relaxed) + 1;
+        let headers = response.headers_mut();
+        headers.insert("store-era", HeaderValue::from(era));
+    }
+    response
+}
+
 /// Wait as long as the platform is slow; whether it answers at all.
 async fn is_up(state: &PlatformState) -> bool {
     let faults = lock(&state.faults).clone();
@@ -399,3 +427,25 @@
     *lock(&state.faults) = faults;
     StatusCode::OK
 }
+
+/// Copies the contents for a later return.
+async fn keep_copy(Extension(state): SharedState) -> StatusCode {
+    let copy = PlatformCopy {
+        table: lock(&state.table).clone(),
+        objects: lock(&state.objects).clone(),
+    };
+    *lock(&state.copy) = Some(copy);
+    StatusCode::OK
+}
+
+/// Comes back from the copy: what was written since is gone, and versions of rows are given
+/// out again.
+async fn restore_copy(Extension(state): SharedState) -> StatusCode {
+    let Some(copy) = lock(&state.copy).clone() else {
+        return StatusCode::NOT_FOUND;
+    };
+    *lock(&state.table) = copy.table;
+    *lock(&state.objects) = copy.objects;
+    state.restores.fetch_add(1, Ordering::Relaxed);
+    StatusCode::OK
+}
--- a/crates/stand-ins/src/service_server.rs
+++ b/crates/stand-ins/src/service_server.rs
@@ -184,7 +184,7 @@
     if let Some(ledger) = state.ledger {
         let path = format!("/v1/journal/{team}/{key}");
         return match state.exchange.send(ExchangeCall::get(ledger, &path)).await {
-            Ok(ExchangeReply { status, body }) => {
+            Ok(ExchangeReply { status, body, .. }) => {
                 let mut response = Response::new(Body::from(body));
                 *response.status_mut() = status;
                 response
--- a/crates/wire/src/table.rs
+++ b/crates/wire/src/table.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Header of all answers: how often the platform came back from an older copy, plus one.
+pub const ERA_HEADER: &str = "store-era";
+
 /// Condition of a write.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/xtask/tests/notes.rs
+++ b/xtask/tests/notes.rs
@@ -254,3 +254,44 @@
     assert_eq!(order(&deployment, 0, 1_000).await?, "not_ready");
     Ok(())
 }
+
+/// A note whose version was given out again, since the platform came back from a copy older
+/// than the first note of that version, did not come into force.
+#[tokio::test(flavor = "multi_thread")]
+async fn note_after_a_return_of_the_platform_is_in_force() -> Result<()> {
+    let deployment = three_engines().await?;
+    let platform = deployment.fleet.platform();
+    wait_for_version(&deployment, 1).await?;
+    deployment
+        .fleet
+        .post(platform, "/control/copy", &json!({}))
+        .await?;
+    deployment.fleet.publish(&limit("kivu-lost", 5))?;
+    wait_for_version(&deployment, 2).await?;
+    deployment
+        .fleet
+        .post(platform, "/control/restore", &json!({}))
+        .await?;
+    deployment.fleet.publish(&limit("kivu-shores", 5))?;
+    let is_in_force =
+        |notes: &String| notes.contains("kivu-shores") && !notes.contains("kivu-lost");
+    let deadline = Instant::now() + PATIENCE;
+    while !notes(&deployment).await?.iter().all(is_in_force) {
+        let versions = versions(&deployment).await?;
+        assert!(Instant::now() < deadline, "versions {versions:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+/// What every process passes on to one that knows no note.
+async fn notes(deployment: &Deployment) -> Result<Vec<String>> {
+    let entries = deployment.entries.iter().map(|entry| entry.address);
+    let agents = deployment.sites.iter().map(|site| site.agent.vm.stream);
+    let mut notes = Vec::new();
+    for address in entries.chain(agents) {
+        let passed: Value = deployment.fleet.read(address, "/v1/note?after=0").await?;
+        notes.push(passed.to_string());
+    }
+    Ok(notes)
+}
