Stops recorded after a return of the platform are heeded by entries

Entries that had read a lost stop under that version did not read the record again, and went on sending new work to a server whose stop had been recorded; only its agent, which the operator's command tells itself, knew of it.

The version of the record goes on from the floor of the era. stop_after_a_return_of_the_platform_is_heeded failed before (20 s) and passes.

--- a/crates/backing/src/stop_store.rs
+++ b/crates/backing/src/stop_store.rs
@@ -116,8 +116,9 @@
         value: Option<&str>,
     ) -> Result<StopOutcome, StoreError> {
         let key = order_key(server);
+        let floor = StopVersion(self.table.era().number_floor());
         let head = encode(&OrderHeadMessage {
-            version: record.version.next().0,
+            version: record.version.max(floor).next().0,
         });
         let writes = [
             TableWrite {
--- a/crates/domain/tests/serving_config.rs
+++ b/crates/domain/tests/serving_config.rs
@@ -148,6 +148,8 @@
     assert_eq!(later.in_era(2.into()), later);
     // Processes that know lost versions take the whole state.
     let history = history(&changesets(&[1, 2, 3])).with_state(later);
-    let update = history.as_ref().map(|history| history.update_since(lost.version()));
+    let update = history
+        .as_ref()
+        .map(|history| history.update_since(lost.version()));
     assert!(matches!(update, Some(ConfigUpdate::State(_))));
 }
--- a/xtask/tests/notes.rs
+++ b/xtask/tests/notes.rs
@@ -295,3 +295,37 @@
     }
     Ok(notes)
 }
+
+/// A stop whose version was given out again, since the platform came back from a copy older
+/// than the first stop of that version, was not heeded by entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_after_a_return_of_the_platform_is_heeded() -> Result<()> {
+    let deployment = three_engines().await?;
+    let fleet = &deployment.fleet;
+    let platform = fleet.platform();
+    fleet.post(platform, "/control/copy", &json!({})).await?;
+    assert!(fleet.operator(&["vm", "stop", "writer-0"])?.0.success());
+    wait_for_leaving(&deployment, "writer-0").await?;
+    fleet.post(platform, "/control/restore", &json!({})).await?;
+    assert!(fleet.operator(&["vm", "stop", "writer-1"])?.0.success());
+    wait_for_leaving(&deployment, "writer-1").await
+}
+
+/// Waits until all entries know that a server leaves.
+async fn wait_for_leaving(deployment: &Deployment, server: &str) -> Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    for entry in &deployment.entries {
+        loop {
+            let state: Value = deployment.fleet.read(entry.address, "/state").await?;
+            let mut servers = state["servers"].as_array().into_iter().flatten();
+            if servers.any(|known| known["server"] == server && known["leaving"] == true) {
+                break;
+            }
+            if Instant::now() > deadline {
+                return Err(miette!("{server} is not leaving: {state}"));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
