Bound the memory for bodies at bamboocross-entry

Bodies are charged to the account that bamboocross-front has for them (domain::ingress_budget), with a bound in the settings, bodies_max_bytes, 128 MiB unless set; a body alone may have any legal size.

--- a/crates/entry/src/caller_front.rs
+++ b/crates/entry/src/caller_front.rs
@@ -3,16 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use backing::{TableStore, VmList};
-use bytes::Bytes;
 use domain::vm_membership::{DrainPlan, DrainStep};
 use futures_util::future::BoxFuture;
 use http::{StatusCode, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use telemetry::StopSignal;
 use tokio::time::Instant;
 use volo::net::Address;
 use volo_http::{
-    body::Body,
     request::Request,
     response::Response,
     server::{
@@ -27,6 +24,7 @@
 
 use crate::{
     EntryState,
+    caller_body::read_body,
     chat_front::{last_event_id, resume_chat, start_chat},
     note_front::pass_notes,
     problem_reply::ProblemReply,
@@ -196,21 +194,3 @@
         )),
     }
 }
-
-async fn read_body<P>(state: &EntryState<P>, body: Body) -> Result<Bytes, ProblemReply> {
-    let body_max = state.settings.body_max;
-    let limited = Limited::new(body, usize::try_from(body_max).unwrap_or(usize::MAX));
-    match limited.collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ProblemReply::refused(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body-too-large",
-            format!("the body may have {body_max} bytes at most"),
-        )),
-        Err(error) => Err(ProblemReply::refused(
-            StatusCode::BAD_REQUEST,
-            "body-cut",
-            error.to_string(),
-        )),
-    }
-}
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -9,6 +9,7 @@
 use domain::{
     backend_server::ServerSet,
     generation_stream::{RelayLimits, ResumeLimits, SilenceLimits},
+    ingress_budget::BodyBudget,
     serving_config::ConfigState,
     team_budget::{AdmissionGate, RetryBudget},
 };
@@ -33,6 +34,8 @@
     pub(crate) membership: ServerMembership,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) policy: ProcessPolicy,
+    /// Memory for the bodies of all requests.
+    pub(crate) bodies: Arc<BodyBudget>,
     pub(crate) call_retries: RetryBudget,
     pub(crate) links: AgentLinks,
     /// One new connection for each stream, so that silence of one tells
@@ -50,6 +53,7 @@
     /// State at the start of a process.
     pub fn new(settings: EntrySettings, platform: P) -> Self {
         let now = Instant::now();
+        let bodies_max = usize::try_from(settings.bodies_max).unwrap_or(usize::MAX);
         let servers = ServerSet::new(&settings.servers, &ServerSet::default(), now);
         let servers = servers.with_subsets(&settings.name);
         Self {
@@ -59,6 +63,7 @@
             membership: ServerMembership::default(),
             gate: Arc::new(AdmissionGate::new(settings.limits)),
             policy: ProcessPolicy::new(settings.policy, now),
+            bodies: Arc::new(BodyBudget::new(bodies_max)),
             call_retries: ProcessPolicy::call_retries(),
             links: AgentLinks::default(),
             streams: ExchangeClient::unpooled(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod agent_links;
 mod call_router;
+mod caller_body;
 mod caller_front;
 mod chat_front;
 mod entry_metrics;
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -46,6 +46,8 @@
     pub limits: ClassLimits,
     /// Largest body of a request, in bytes.
     pub body_max: u64,
+    /// Memory for the bodies of all requests, in bytes.
+    pub bodies_max: u64,
     /// Time between two readings of the platform's list and the release note.
     pub refresh: Duration,
     /// Time that a drain waits for requests in flight.
@@ -81,6 +83,7 @@
                 long_max: u32::try_from(long_max).unwrap_or(u32::MAX),
             },
             body_max: fields.number("body_max_bytes", 1_024..=64 << 20, 1 << 20),
+            bodies_max: fields.number("bodies_max_bytes", 1 << 20..=64 << 30, 128 << 20),
             refresh: fields.millis("refresh_ms", 100..=60_000, Duration::from_secs(1)),
             drain_max: fields.millis("drain_max_ms", 0..=3_600_000, Duration::from_secs(900)),
         };
--- a/crates/settings/tests/findings.rs
+++ b/crates/settings/tests/findings.rs
@@ -56,7 +56,7 @@
     &[
         "1:1 `name` is missing",
         "2:3 unknown field `nam`; known are requests_max, long_requests_max, name, \
-failure_domain, listen, platform, servers, services, policy, body_max_bytes, refresh_ms, drain_max_ms",
+failure_domain, listen, platform, servers, services, policy, body_max_bytes, bodies_max_bytes, refresh_ms, drain_max_ms",
         "2:29 `requests_max` must be a whole number from 2 to 100000",
     ],
 )]
