--- a/xtask/tests/entry_crowds.rs
+++ b/xtask/tests/entry_crowds.rs
@@ -9,6 +9,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::TcpStream,
+    sync::Mutex,
     time::{sleep, timeout},
 };
 use xtask::{CallerClient, Deployment, DeploymentPlan, deployment::MODEL};
@@ -21,6 +22,9 @@
 /// bodies, and the read buffers of the connections.
 const GROWTH_MAX_KB: u64 = 64 << 10;
 
+/// Held by the one crowd that runs.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
 /// Body that stops one byte short, by an announced length or in chunks.
 fn unfinished_body(is_chunked: bool) -> Vec<u8> {
     let length = if is_chunked {
@@ -54,6 +58,7 @@
 async fn unfinished_bodies_do_not_exhaust_the_memory(
     #[values(false, true)] is_chunked: bool,
 ) -> Result<()> {
+    let _running = RUNNING.lock().await;
     let deployment = DeploymentPlan::default()
         .engines(1)
         .entry_extra(json!({ "body_max_bytes": BODY_MAX, "bodies_max_bytes": 8 << 20 }))
