--- a/review/drill-2/earlier_born.rs
+++ b/review/drill-2/earlier_born.rs
@@ -15,10 +15,9 @@
 
 /// By how much the clock is ahead in the first lifetime (`clock_step`, x).
 const STEP_MS: u128 = 2_000;
-/// Length of the first lifetime.
-const FIRST_LIFE: Duration = Duration::from_millis(400);
-/// Length of the crash.
-const DOWN: Duration = Duration::from_millis(1_200);
+/// Length of the first lifetime, and of the time until the second: together the period of `srv_flap`.
+const FIRST_LIFE: Duration = Duration::from_millis(700);
+const DOWN: Duration = Duration::from_millis(700);
 /// Time between the second start and the report `draining`.
 const CALM: Duration = Duration::from_secs(8);
 /// Time between that report and the exit.
