--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/drill review/drill-2/main.rs
+rustc --edition 2024 -O -o target/review-2/drill.new review/drill-2/main.rs
+mv target/review-2/drill.new target/review-2/drill
