--- a/review/drill-2/earlier_born.rs
+++ b/review/drill-2/earlier_born.rs
@@ -15,7 +15,7 @@
 
 /// By how much the clock is ahead in the first lifetime (`clock_step`, x).
 const STEP_MS: u128 = 2_000;
-/// Length of the first lifetime, and of the time until the second: together the period of `srv_flap`.
+/// Length of the first lifetime, and of the crash that ends it.
 const FIRST_LIFE: Duration = Duration::from_millis(700);
 const DOWN: Duration = Duration::from_millis(700);
 /// Time between the second start and the report `draining`.
--- a/review/drill-2/forgotten.rs
+++ b/review/drill-2/forgotten.rs
@@ -176,6 +176,7 @@
     tokens: u64,
     record: &Record,
 ) -> u16 {
+    record.line(&format!("caller sends {id} ({part})"));
     let asked = ask(held, address, id, part, tokens);
     if let Err(error) = &asked {
         record.line(&format!("caller of {id}: {error}"));
--- a/review/drill-2/main.rs
+++ b/review/drill-2/main.rs
@@ -26,6 +26,12 @@
         eprintln!("usage: drill CASE FOLDER");
         return ExitCode::from(2);
     };
+    // A case takes 120 s at most; `run.sh` ends the fronts.
+    std::thread::spawn(|| {
+        std::thread::sleep(std::time::Duration::from_secs(116));
+        eprintln!("the case could not run: it took too long");
+        std::process::exit(2);
+    });
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = |record: &Record| match case.as_str() {
         "left-unseen" => left_unseen::run(record, has_trouble),
--- a/review/drill-2/site.rs
+++ b/review/drill-2/site.rs
@@ -99,6 +99,12 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        // `run.sh` ends what is left over by these ids.
+        let mut ids = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(std::env::temp_dir().join("processes"))?;
+        writeln!(ids, "{}", process.id())?;
         record.line(&format!(
             "front {name} starts at {listen}, process {}",
             process.id()
@@ -195,6 +201,7 @@
                     while !stop.load(SeqCst) {
                         let id = format!("r{:08}", NEXT_ID.fetch_add(1, SeqCst));
                         let sent = Instant::now();
+                        record.line(&format!("caller sends {id} ({route}) to {name}"));
                         let status = call(&mut channel, address, route, &id).unwrap_or(0);
                         if status == 0 {
                             channel = None;
